--- /dev/null
+++ b/core/api/request.go
@@ -0,0 +1,96 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"time"
+
+	"poplarpin.dev/core/config"
+)
+
+// Limits of a request.
+const (
+	MaxBody    = 64 << 10 // bytes
+	MaxQuery   = 16 << 10 // bytes
+	MaxTop     = 10_000
+	DefaultTop = 100
+)
+
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+
+// Request is a query of a caller.
+type Request struct {
+	ID            string          `json:"id"`
+	Service       string          `json:"service"`
+	Class         string          `json:"class,omitempty"` // the service's first class if empty
+	Query         string          `json:"query"`
+	Top           int             `json:"top,omitempty"`
+	Deadline      config.Duration `json:"deadline,omitzero"` // from receipt; the service's if absent
+	NonIdempotent bool            `json:"nonIdempotent,omitempty"`
+	Shard         string          `json:"shard,omitempty"` // the one shard that a non-idempotent request runs on
+	LeastCoverage *float64        `json:"leastCoverage,omitempty"`
+}
+
+// UnmarshalJSON decodes strictly and validates.
+func (request *Request) UnmarshalJSON(data []byte) error {
+	type plain Request
+	explicit := struct {
+		Deadline *json.RawMessage `json:"deadline"`
+	}{}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode((*plain)(request)); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, &explicit); err != nil {
+		return err
+	}
+	if explicit.Deadline != nil && request.Deadline <= 0 {
+		return invalid("deadline", "must be above zero")
+	}
+	return request.Validate()
+}
+
+// Validate checks the request on its own.
+func (request *Request) Validate() error {
+	if !idPattern.MatchString(request.ID) {
+		return invalid("id", fmt.Sprintf("%.40q must match %s", request.ID, idPattern))
+	}
+	if request.Service == "" {
+		return invalid("service", "is required")
+	}
+	if len(request.Query) > MaxQuery {
+		return invalid("query", fmt.Sprintf("has %d bytes, the limit is %d", len(request.Query), MaxQuery))
+	}
+	if request.Top < 0 || request.Top > MaxTop {
+		return invalid("top", fmt.Sprintf("%d is not in [0, %d]", request.Top, MaxTop))
+	}
+	if request.Deadline < 0 || request.Deadline.Std() > config.MaxDeadline {
+		return invalid("deadline", fmt.Sprintf("%s is not in (0s, %s]", request.Deadline, config.MaxDeadline))
+	}
+	if least := request.LeastCoverage; least != nil && !(*least >= 0 && *least <= 1) {
+		return invalid("leastCoverage", fmt.Sprintf("%v is not in [0, 1]", *least))
+	}
+	if request.NonIdempotent != (request.Shard != "") {
+		return invalid("shard", "is required for, and only for, a non-idempotent request")
+	}
+	return nil
+}
+
+// Limit returns the number of records that the caller wants.
+func (request *Request) Limit() int {
+	if request.Top == 0 {
+		return DefaultTop
+	}
+	return request.Top
+}
+
+// Timeout returns the time that the request may take in a service.
+func (request *Request) Timeout(service config.Service) time.Duration {
+	if request.Deadline == 0 {
+		return service.Deadline.Std()
+	}
+	return request.Deadline.Std()
+}
--- /dev/null
+++ b/core/budget/budget.go
@@ -0,0 +1,71 @@
+package budget
+
+import "time"
+
+const (
+	window     = 10 * time.Second
+	bucketSpan = 100 * time.Millisecond
+	buckets    = int(window / bucketSpan)
+	burstSpan  = 10 // buckets whose calls may be answered by one burst of extra calls
+)
+
+type bucket struct {
+	tick  int64
+	calls int
+	extra int
+}
+
+// Budget counts calls and extra calls in a sliding window and is spent as tokens that calls earn.
+type Budget struct {
+	fraction float64
+	tokens   float64
+	ring     [buckets]bucket
+}
+
+// New returns a budget of extra calls as a fraction of calls.
+func New(fraction float64) *Budget { return &Budget{fraction: fraction} }
+
+// SetFraction changes the fraction.
+func (budget *Budget) SetFraction(fraction float64) { budget.fraction = fraction }
+
+// Call counts first calls, which earn tokens.
+func (budget *Budget) Call(now time.Time, calls int) {
+	budget.at(now).calls += calls
+	recent, _ := budget.sum(now, burstSpan)
+	burst := max(1, budget.fraction*float64(recent))
+	budget.tokens = min(burst, budget.tokens+budget.fraction*float64(calls))
+}
+
+// Spend takes tokens for extra calls and reports whether there were enough.
+func (budget *Budget) Spend(now time.Time, extra int) bool {
+	calls, spent := budget.sum(now, buckets)
+	if budget.tokens < float64(extra) || float64(spent+extra) > budget.fraction*float64(calls) {
+		return false
+	}
+	budget.tokens -= float64(extra)
+	budget.at(now).extra += extra
+	return true
+}
+
+// Counts returns the calls and extra calls in the window that ends now.
+func (budget *Budget) Counts(now time.Time) (calls, extra int) { return budget.sum(now, buckets) }
+
+func (budget *Budget) at(now time.Time) *bucket {
+	tick := now.UnixNano() / int64(bucketSpan)
+	bucket := &budget.ring[tick%int64(buckets)]
+	if bucket.tick != tick {
+		bucket.tick, bucket.calls, bucket.extra = tick, 0, 0
+	}
+	return bucket
+}
+
+func (budget *Budget) sum(now time.Time, span int) (calls, extra int) {
+	tick := now.UnixNano() / int64(bucketSpan)
+	for i := range budget.ring {
+		if bucket := &budget.ring[i]; bucket.tick > tick-int64(span) && bucket.tick <= tick {
+			calls += bucket.calls
+			extra += bucket.extra
+		}
+	}
+	return calls, extra
+}
--- /dev/null
+++ b/core/config/object.go
@@ -0,0 +1,253 @@
+package config
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+)
+
+// Limits of declared values.
+const (
+	MaxSlots       = 4096
+	MaxConnections = 65536
+	MaxShards      = 65536
+	MaxReplicas    = 16
+	MaxVersion     = 1 << 53
+	MaxPriority    = 100
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+// The kinds of keys.
+const (
+	classKind   = "classes"
+	targetKind  = "targets"
+	serviceKind = "services"
+	indexKind   = "indexes"
+)
+
+// Class is a group of requests that share a priority.
+type Class struct {
+	Name     string  `json:"name" yaml:"name"`
+	Priority int     `json:"priority" yaml:"priority"` // 0 is served first
+	Share    float64 `json:"share" yaml:"share"`       // guaranteed part of each target's slots
+}
+
+// Target is one back-end server.
+type Target struct {
+	Name          string `json:"name" yaml:"name"`
+	Address       string `json:"address" yaml:"address"`
+	FailureDomain string `json:"failureDomain" yaml:"failureDomain"`
+	Slots         int    `json:"slots" yaml:"slots"`
+	Connections   int    `json:"connections" yaml:"connections"`
+	Group         string `json:"group,omitempty" yaml:"group,omitempty"` // targets of one group have one owner
+}
+
+// OwnerKey returns the name by which the owner of the target is chosen.
+func (target Target) OwnerKey() string {
+	if target.Group != "" {
+		return target.Group
+	}
+	return target.Name
+}
+
+// Service is a search service that callers name in their requests.
+type Service struct {
+	Name          string   `json:"name" yaml:"name"`
+	Classes       []string `json:"classes" yaml:"classes"` // the first is the default
+	Deadline      Duration `json:"deadline" yaml:"deadline"`
+	LeastCoverage float64  `json:"leastCoverage" yaml:"leastCoverage"`
+	ExtraLoad     float64  `json:"extraLoad" yaml:"extraLoad"` // hedges and retries as a fraction of calls
+}
+
+// Index is one version of a service's index with its shard map.
+type Index struct {
+	Service string  `json:"service" yaml:"service"`
+	Version int64   `json:"version" yaml:"version"`
+	Shards  []Shard `json:"shards" yaml:"shards"`
+}
+
+// Shard is one part of an index version and the targets that hold it.
+type Shard struct {
+	Name      string   `json:"name" yaml:"name"`
+	Documents int64    `json:"documents" yaml:"documents"`
+	From      int64    `json:"from,omitempty" yaml:"from,omitempty"` // first key of the shard's range
+	To        int64    `json:"to,omitempty" yaml:"to,omitempty"`     // first key after the range; 0: no range given
+	Replicas  []string `json:"replicas" yaml:"replicas"`
+}
+
+// ClassKey returns the key of a class.
+func ClassKey(name string) Key { return Key(classKind + "/" + name) }
+
+// TargetKey returns the key of a target.
+func TargetKey(name string) Key { return Key(targetKind + "/" + name) }
+
+// ServiceKey returns the key of a service.
+func ServiceKey(name string) Key { return Key(serviceKind + "/" + name) }
+
+// IndexKey returns the key of an index version.
+func IndexKey(service string, version int64) Key {
+	return Key(indexKind + "/" + service + "@" + strconv.FormatInt(version, 10))
+}
+
+// Key implements Object.
+func (class Class) Key() Key { return ClassKey(class.Name) }
+
+// Key implements Object.
+func (target Target) Key() Key { return TargetKey(target.Name) }
+
+// Key implements Object.
+func (service Service) Key() Key { return ServiceKey(service.Name) }
+
+// Key implements Object.
+func (index Index) Key() Key { return IndexKey(index.Service, index.Version) }
+
+func (class Class) object()     {}
+func (target Target) object()   {}
+func (service Service) object() {}
+func (index Index) object()     {}
+
+// Documents returns the number of documents in all shards.
+func (index Index) Documents() int64 {
+	var sum int64
+	for _, shard := range index.Shards {
+		sum += shard.Documents
+	}
+	return sum
+}
+
+// Validate implements Object.
+func (class Class) Validate() error {
+	checker := checker{key: class.Key()}
+	checker.name("name", class.Name)
+	checker.between("priority", float64(class.Priority), 0, MaxPriority)
+	checker.between("share", class.Share, 0, 1)
+	return checker.err
+}
+
+// Validate implements Object.
+func (target Target) Validate() error {
+	checker := checker{key: target.Key()}
+	checker.name("name", target.Name)
+	checker.name("failureDomain", target.FailureDomain)
+	checker.between("slots", float64(target.Slots), 1, MaxSlots)
+	checker.between("connections", float64(target.Connections), 1, MaxConnections)
+	if _, err := netip.ParseAddrPort(target.Address); err != nil {
+		checker.fail("address", OutOfRange, fmt.Sprintf("%q is not an IP address and port", target.Address))
+	}
+	return checker.err
+}
+
+// Validate implements Object.
+func (service Service) Validate() error {
+	checker := checker{key: service.Key()}
+	checker.name("name", service.Name)
+	checker.between("deadline (seconds)", service.Deadline.Std().Seconds(), 0.001, MaxDeadline.Seconds())
+	checker.between("leastCoverage", service.LeastCoverage, 0, 1)
+	checker.between("extraLoad", service.ExtraLoad, 0, 0.05)
+	checker.between("classes (count)", float64(len(service.Classes)), 1, 32)
+	seen := map[string]bool{}
+	for _, class := range service.Classes {
+		if seen[class] {
+			checker.fail("classes", Duplicate, class+" is listed twice")
+		}
+		seen[class] = true
+	}
+	return checker.err
+}
+
+// Validate implements Object.
+func (index Index) Validate() error {
+	checker := checker{key: index.Key()}
+	checker.name("service", index.Service)
+	checker.between("version", float64(index.Version), 1, MaxVersion)
+	checker.between("shards (count)", float64(len(index.Shards)), 1, MaxShards)
+	seen := map[string]bool{}
+	for _, shard := range index.Shards {
+		if seen[shard.Name] {
+			checker.fail("shards", Overlap, "shard "+shard.Name+" is listed twice")
+		}
+		seen[shard.Name] = true
+		shard.check(&checker)
+	}
+	index.checkRanges(&checker)
+	return checker.err
+}
+
+// checkRanges refuses shards whose key ranges overlap.
+func (index Index) checkRanges(checker *checker) {
+	ranged := slices.DeleteFunc(slices.Clone(index.Shards), func(shard Shard) bool { return shard.To == 0 })
+	slices.SortFunc(ranged, func(a, b Shard) int { return cmp.Compare(a.From, b.From) })
+	for i, shard := range ranged {
+		if shard.From < 0 || shard.From >= shard.To {
+			checker.fail("shards.from", OutOfRange, fmt.Sprintf("shard %s has the range [%d, %d)", shard.Name, shard.From, shard.To))
+		}
+		if i > 0 && shard.From < ranged[i-1].To {
+			checker.fail("shards.from", Overlap, fmt.Sprintf("shards %s and %s overlap", ranged[i-1].Name, shard.Name))
+		}
+	}
+}
+
+func (shard Shard) check(checker *checker) {
+	checker.name("shards.name", shard.Name)
+	checker.between("shards.documents", float64(shard.Documents), 0, MaxVersion)
+	checker.between("shards.replicas (count)", float64(len(shard.Replicas)), 1, MaxReplicas)
+	seen := map[string]bool{}
+	for _, replica := range shard.Replicas {
+		if seen[replica] {
+			checker.fail("shards.replicas", Duplicate, "target "+replica+" is listed twice for shard "+shard.Name)
+		}
+		seen[replica] = true
+	}
+}
+
+// checker keeps the first error found in one object.
+type checker struct {
+	key Key
+	err error
+}
+
+func (checker *checker) fail(field string, kind Kind, detail string) {
+	if checker.err == nil {
+		checker.err = &Error{Op: "check", Kind: kind, Key: checker.key, Field: field, Detail: detail}
+	}
+}
+
+func (checker *checker) name(field, value string) {
+	if !namePattern.MatchString(value) {
+		checker.fail(field, BadName, fmt.Sprintf("%.80q must match %s", value, namePattern))
+	}
+}
+
+func (checker *checker) between(field string, value, low, high float64) {
+	if !(value >= low && value <= high) {
+		checker.fail(field, OutOfRange, fmt.Sprintf("%v is not in [%v, %v]", value, low, high))
+	}
+}
+
+// Decode reads the object of a key from JSON.
+func Decode(key Key, data []byte) (Object, error) {
+	switch key.Kind() {
+	case classKind:
+		return decode[Class](data)
+	case targetKind:
+		return decode[Target](data)
+	case serviceKind:
+		return decode[Service](data)
+	case indexKind:
+		return decode[Index](data)
+	}
+	return nil, &Error{Op: "decode", Kind: BadName, Key: key, Field: "key", Detail: "unknown kind"}
+}
+
+func decode[T Object](data []byte) (Object, error) {
+	var object T
+	if err := json.Unmarshal(data, &object); err != nil {
+		return nil, err
+	}
+	return object, object.Validate()
+}
--- /dev/null
+++ b/core/latency/doc.go
@@ -0,0 +1,2 @@
+// Package latency learns from calls how fast and how willing targets are.
+package latency
--- /dev/null
+++ b/core/latency/latency.go
@@ -0,0 +1,201 @@
+package latency
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	alpha          = 0.2                    // weight of a new sample in the moving average
+	windows        = 4                      // histograms that a quantile is taken over
+	windowSamples  = 2000                   // calls after which the oldest histogram is dropped
+	fewSamples     = 50                     // calls below which the first hedge delay holds
+	firstDelay     = 20 * time.Millisecond  // hedge delay until enough calls were seen
+	leastDelay     = 2 * time.Millisecond   // hedge delay at the least
+	downSpan       = 500 * time.Millisecond // how long a target that could not be reached is avoided at first
+	maxDownSpan    = 4 * time.Second
+	leavingSpan    = 5 * time.Second // how long a mark of leaving lasts without renewal
+	probeInterval  = 2 * time.Second // between probes of an avoided target
+	slowerFactor   = 2.0             // replicas within this factor of the best are alike
+	hedgeQuantile  = 96.0
+	maxMicrosecond = 60_000_000
+)
+
+type targetState struct {
+	average  time.Duration
+	samples  int
+	inFlight int
+	downTill time.Time
+	downSpan time.Duration
+	leaving  time.Time // until when it counts as leaving
+	probed   time.Time
+}
+
+// Tracker learns the latency of one service's calls and the state of its targets.
+type Tracker struct {
+	random  *rand.Rand
+	targets map[string]*targetState
+	history *hdrhistogram.WindowedHistogram
+	counted int
+	delay   time.Duration
+}
+
+// New returns a Tracker that knows nothing.
+func New(random *rand.Rand) *Tracker {
+	return &Tracker{
+		random:  random,
+		targets: map[string]*targetState{},
+		history: hdrhistogram.NewWindowed(windows, 1, maxMicrosecond, 2),
+		delay:   firstDelay,
+	}
+}
+
+func (tracker *Tracker) target(name string) *targetState {
+	target, ok := tracker.targets[name]
+	if !ok {
+		target = &targetState{}
+		tracker.targets[name] = target
+	}
+	return target
+}
+
+// Sent counts a call as under way.
+func (tracker *Tracker) Sent(name string) { tracker.target(name).inFlight++ }
+
+// Answered records the latency of a call that ended with an answer.
+func (tracker *Tracker) Answered(name string, latency time.Duration) {
+	target := tracker.target(name)
+	target.inFlight--
+	target.downTill, target.downSpan = time.Time{}, 0
+	target.sample(latency)
+	_ = tracker.history.Current.RecordValue(min(max(latency.Microseconds(), 1), maxMicrosecond))
+	tracker.counted++
+	if tracker.counted%(windowSamples/8) == 0 || tracker.counted == fewSamples {
+		tracker.learn()
+	}
+	if tracker.counted%windowSamples == 0 {
+		tracker.history.Rotate()
+	}
+}
+
+// Abandoned records a call that was cancelled after a time: its latency is at least that.
+func (tracker *Tracker) Abandoned(name string, after time.Duration) {
+	target := tracker.target(name)
+	target.inFlight--
+	if after > target.average {
+		target.sample(after)
+	}
+}
+
+// Refused records a call that ended without being run and says nothing on latency.
+func (tracker *Tracker) Refused(name string) { tracker.target(name).inFlight-- }
+
+// Unreachable records a call that could not be made, and avoids the target for a growing while.
+func (tracker *Tracker) Unreachable(name string, now time.Time) {
+	target := tracker.target(name)
+	target.inFlight--
+	target.downSpan = min(max(downSpan, target.downSpan*2), maxDownSpan)
+	target.downTill = now.Add(target.downSpan)
+}
+
+// Leaving records that a target takes no new work.
+func (tracker *Tracker) Leaving(name string, now time.Time) {
+	tracker.target(name).leaving = now.Add(leavingSpan)
+}
+
+func (target *targetState) sample(latency time.Duration) {
+	if target.samples == 0 {
+		target.average = latency
+	}
+	target.samples++
+	target.average += time.Duration(alpha * float64(latency-target.average))
+}
+
+func (tracker *Tracker) learn() {
+	merged := tracker.history.Merge()
+	if merged.TotalCount() < fewSamples {
+		return
+	}
+	quantile := time.Duration(merged.ValueAtQuantile(hedgeQuantile)) * time.Microsecond
+	tracker.delay = max(leastDelay, quantile)
+}
+
+// HedgeDelay returns how long a call may take before it is hedged.
+func (tracker *Tracker) HedgeDelay() time.Duration { return tracker.delay }
+
+// Order returns the replicas, best first; those that are leaving are left out unless all are.
+func (tracker *Tracker) Order(replicas []string, now time.Time) []string {
+	order := slices.DeleteFunc(slices.Clone(replicas), func(name string) bool {
+		return now.Before(tracker.target(name).leaving)
+	})
+	if len(order) == 0 {
+		return slices.Clone(replicas)
+	}
+	tracker.random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	slices.SortStableFunc(order, func(a, b string) int { return tracker.compare(a, b, now) })
+	return order
+}
+
+// compare puts targets that can be reached first, then those that are clearly faster.
+func (tracker *Tracker) compare(a, b string, now time.Time) int {
+	first, second := tracker.target(a), tracker.target(b)
+	firstDown, secondDown := now.Before(first.downTill), now.Before(second.downTill)
+	if firstDown != secondDown {
+		if firstDown {
+			return 1
+		}
+		return -1
+	}
+	x, y := first.cost(), second.cost()
+	if x > y*slowerFactor {
+		return 1
+	}
+	if y > x*slowerFactor {
+		return -1
+	}
+	return 0
+}
+
+func (target *targetState) cost() float64 {
+	return float64(target.average) * float64(1+max(0, target.inFlight))
+}
+
+// Probe returns an avoided replica that is due for one call to learn whether it has recovered.
+func (tracker *Tracker) Probe(chosen string, replicas []string, now time.Time) (string, bool) {
+	for _, name := range replicas {
+		target := tracker.target(name)
+		if name == chosen || now.Before(target.leaving) || target.samples == 0 && target.downSpan == 0 {
+			continue
+		}
+		avoided := target.downSpan > 0 || float64(target.average) > slowerFactor*float64(tracker.target(chosen).average)
+		if avoided && !now.Before(target.downTill) && now.Sub(target.probed) >= probeInterval {
+			target.probed = now
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// TargetView is what is known of one target, for dumps.
+type TargetView struct {
+	Target   string
+	Average  time.Duration
+	InFlight int
+	Down     bool
+	Leaving  bool
+}
+
+// View returns what is known of every target, by name.
+func (tracker *Tracker) View(now time.Time) []TargetView {
+	var views []TargetView
+	for name, target := range tracker.targets {
+		views = append(views, TargetView{name, target.average, target.inFlight,
+			now.Before(target.downTill), now.Before(target.leaving)})
+	}
+	slices.SortFunc(views, func(a, b TargetView) int { return cmp.Compare(a.Target, b.Target) })
+	return views
+}
--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,331 @@
+package member
+
+import (
+	"cmp"
+	"maps"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Settings are the times and widths of the protocol.
+type Settings struct {
+	ProbeInterval  time.Duration // between two probes by one member
+	AckTimeout     time.Duration // after which others are asked to probe
+	SuspectTimeout time.Duration // after which a suspect counts as dead
+	ReviveInterval time.Duration // between probes of dead members that the platform still lists
+	SyncInterval   time.Duration // between exchanges of whole lists
+	ForgetAfter    time.Duration // after which a dead member that is not listed is forgotten
+	Helpers        int           // members asked to probe indirectly
+	Fanout         int           // members told of a new release at once
+	Piggyback      int           // updates on one message
+}
+
+// Default returns the settings that are used if nothing else is said.
+func Default() Settings {
+	return Settings{
+		ProbeInterval:  time.Second,
+		AckTimeout:     300 * time.Millisecond,
+		SuspectTimeout: 2 * time.Second,
+		ReviveInterval: 2 * time.Second,
+		SyncInterval:   60 * time.Second,
+		ForgetAfter:    60 * time.Second,
+		Helpers:        3,
+		Fanout:         4,
+		Piggyback:      8,
+	}
+}
+
+type entry struct {
+	Member
+	since  time.Time // of the state
+	listed bool      // in the platform's list
+}
+
+type probe struct {
+	name     string
+	sequence int64
+	sent     time.Time
+	indirect bool
+	acked    bool
+}
+
+type rumor struct {
+	member Member
+	left   int // messages that still carry it
+}
+
+// List is one member's view of the membership.
+type List struct {
+	settings Settings
+	random   *rand.Rand
+	self     Member
+	release  int64
+	entries  map[string]*entry
+	ring     []string // probe order of this round
+	probe    *probe
+	sequence int64
+	rumors   []rumor
+	nextAt   time.Time
+	reviveAt time.Time
+	syncAt   time.Time
+	epoch    int64
+	heard    map[string]int64 // newest release heard of by direct message
+}
+
+// New returns a list that holds only the member itself.
+func New(self Member, settings Settings, random *rand.Rand) *List {
+	list := &List{settings: settings, random: random, self: self,
+		entries: map[string]*entry{}, heard: map[string]int64{}}
+	list.gossip(self)
+	return list
+}
+
+// Self returns the member itself.
+func (list *List) Self() Member { return list.self }
+
+// Epoch returns a number that grows when the set of owners changes.
+func (list *List) Epoch() int64 { return list.epoch }
+
+// SetRelease records the release in force on this member.
+func (list *List) SetRelease(release int64) { list.release = release }
+
+// Members returns all known members including this one, by name.
+func (list *List) Members() []Member {
+	members := []Member{list.self}
+	for _, entry := range list.entries {
+		members = append(members, entry.Member)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return members
+}
+
+// Find returns a member by name.
+func (list *List) Find(name string) (Member, bool) {
+	if name == list.self.Name {
+		return list.self, true
+	}
+	if entry, ok := list.entries[name]; ok {
+		return entry.Member, true
+	}
+	return Member{}, false
+}
+
+// Owners returns the members that may own targets: alive or only suspected.
+func (list *List) Owners() []Member {
+	return slices.DeleteFunc(list.Members(), func(member Member) bool { return member.State > Suspect })
+}
+
+// Newest returns the highest release heard of and the member that has it in force.
+func (list *List) Newest() (release int64, from Member) {
+	for name, heard := range list.heard {
+		if entry, ok := list.entries[name]; ok && entry.State <= Leaving && heard > release {
+			release, from = heard, entry.Member
+		}
+	}
+	return release, from
+}
+
+// Unheard forgets the release heard of from a member that could not hand it over.
+func (list *List) Unheard(name string) { delete(list.heard, name) }
+
+// Leave marks this member as leaving and returns the farewells.
+func (list *List) Leave(state State) []Outgoing {
+	list.self.State = state
+	list.epoch++
+	list.gossip(list.self)
+	return list.tell(list.settings.Fanout, Ping)
+}
+
+// Seed takes in the platform's list, which may lag: it adds members to ask and keeps dead ones worth probing.
+func (list *List) Seed(now time.Time, listed []Member) []Outgoing {
+	names := map[string]bool{}
+	var outgoing []Outgoing
+	for _, member := range listed {
+		names[member.Name] = true
+		if member.Name == list.self.Name {
+			continue
+		}
+		if _, ok := list.entries[member.Name]; ok {
+			continue
+		}
+		list.entries[member.Name] = &entry{Member: Member{Name: member.Name, FailureDomain: member.FailureDomain,
+			Address: member.Address, State: Dead}, since: now}
+		if len(outgoing) < list.settings.Helpers {
+			outgoing = append(outgoing, Outgoing{member, list.message(Sync)})
+		}
+	}
+	for name, entry := range list.entries {
+		entry.listed = names[name]
+	}
+	return outgoing
+}
+
+// Tick advances the time and returns the messages that are due.
+func (list *List) Tick(now time.Time) []Outgoing {
+	outgoing := list.checkProbe(now)
+	list.expire(now)
+	if !now.Before(list.nextAt) {
+		list.nextAt = now.Add(list.settings.ProbeInterval)
+		outgoing = append(outgoing, list.startProbe(now)...)
+	}
+	if !now.Before(list.reviveAt) {
+		list.reviveAt = now.Add(list.settings.ReviveInterval)
+		outgoing = append(outgoing, list.revive()...)
+	}
+	if !now.Before(list.syncAt) {
+		list.syncAt = now.Add(list.settings.SyncInterval/2 + time.Duration(list.random.Int64N(int64(list.settings.SyncInterval))))
+		outgoing = append(outgoing, list.tell(1, Sync)...)
+	}
+	return outgoing
+}
+
+// checkProbe asks helpers when an ack is late, and suspects the member when they do not get one either.
+func (list *List) checkProbe(now time.Time) []Outgoing {
+	probe := list.probe
+	if probe == nil || probe.acked {
+		return nil
+	}
+	waited := now.Sub(probe.sent)
+	if waited >= list.settings.ProbeInterval {
+		list.probe = nil
+		list.suspect(now, probe.name)
+		return nil
+	}
+	if waited < list.settings.AckTimeout || probe.indirect {
+		return nil
+	}
+	probe.indirect = true
+	var outgoing []Outgoing
+	for _, helper := range list.pick(list.settings.Helpers, probe.name) {
+		message := list.message(Indirect)
+		message.About, message.Sequence = probe.name, probe.sequence
+		outgoing = append(outgoing, Outgoing{helper, message})
+	}
+	return outgoing
+}
+
+func (list *List) suspect(now time.Time, name string) {
+	entry, ok := list.entries[name]
+	if !ok || entry.State > Leaving {
+		return
+	}
+	news := entry.Member
+	news.State = Suspect
+	if entry.State == Leaving {
+		news.State = Dead
+	}
+	list.learn(now, news)
+}
+
+// expire declares suspects dead and forgets members that are gone for good.
+func (list *List) expire(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(list.entries)) {
+		entry := list.entries[name]
+		if entry.State == Suspect && now.Sub(entry.since) >= list.settings.SuspectTimeout {
+			news := entry.Member
+			news.State = Dead
+			list.learn(now, news)
+		}
+		if entry.State >= Dead && !entry.listed && now.Sub(entry.since) >= list.settings.ForgetAfter {
+			delete(list.entries, name)
+			delete(list.heard, name)
+		}
+	}
+}
+
+func (list *List) startProbe(now time.Time) []Outgoing {
+	name, ok := list.nextInRing()
+	if !ok {
+		return nil
+	}
+	list.sequence++
+	list.probe = &probe{name: name, sequence: list.sequence, sent: now}
+	message := list.message(Ping)
+	message.Sequence = list.sequence
+	return []Outgoing{{list.entries[name].Member, message}}
+}
+
+// nextInRing walks a shuffled list so that each member is probed once a round.
+func (list *List) nextInRing() (string, bool) {
+	for range 2 {
+		for len(list.ring) > 0 {
+			name := list.ring[0]
+			list.ring = list.ring[1:]
+			if entry, ok := list.entries[name]; ok && entry.State <= Leaving {
+				return name, true
+			}
+		}
+		list.ring = slices.Sorted(maps.Keys(list.entries))
+		list.random.Shuffle(len(list.ring), func(i, j int) { list.ring[i], list.ring[j] = list.ring[j], list.ring[i] })
+	}
+	return "", false
+}
+
+// revive pings one dead member that the platform still lists, which may be back or behind a cut that has healed.
+func (list *List) revive() []Outgoing {
+	var dead []Member
+	for _, name := range slices.Sorted(maps.Keys(list.entries)) {
+		if entry := list.entries[name]; entry.State == Dead && entry.listed {
+			dead = append(dead, entry.Member)
+		}
+	}
+	if len(dead) == 0 {
+		return nil
+	}
+	chosen := dead[list.random.IntN(len(dead))]
+	message := list.message(Sync)
+	message.Updates = append(message.Updates, chosen)
+	return []Outgoing{{chosen, message}}
+}
+
+// Announce tells some members of the release in force.
+func (list *List) Announce() []Outgoing { return list.tell(list.settings.Fanout, Announce) }
+
+func (list *List) tell(count int, kind Kind) []Outgoing {
+	var outgoing []Outgoing
+	for _, member := range list.pick(count, "") {
+		outgoing = append(outgoing, Outgoing{member, list.message(kind)})
+	}
+	return outgoing
+}
+
+// pick returns random members that are believed to be up.
+func (list *List) pick(count int, except string) []Member {
+	var up []Member
+	for _, name := range slices.Sorted(maps.Keys(list.entries)) {
+		if entry := list.entries[name]; entry.State <= Leaving && name != except {
+			up = append(up, entry.Member)
+		}
+	}
+	list.random.Shuffle(len(up), func(i, j int) { up[i], up[j] = up[j], up[i] })
+	return up[:min(count, len(up))]
+}
+
+// message makes a message that carries the freshest rumors, or the whole list for an exchange.
+func (list *List) message(kind Kind) Message {
+	message := Message{Kind: kind, From: list.self, Release: list.release}
+	if kind == Sync || kind == SyncBack {
+		for _, name := range slices.Sorted(maps.Keys(list.entries)) {
+			if entry := list.entries[name]; entry.Incarnation > 0 && len(message.Updates) < MaxUpdates-1 {
+				message.Updates = append(message.Updates, entry.Member)
+			}
+		}
+		return message
+	}
+	for i := range min(len(list.rumors), list.settings.Piggyback) {
+		message.Updates = append(message.Updates, list.rumors[i].member)
+		list.rumors[i].left--
+	}
+	list.rumors = slices.DeleteFunc(list.rumors, func(rumor rumor) bool { return rumor.left <= 0 })
+	slices.SortStableFunc(list.rumors, func(a, b rumor) int { return cmp.Compare(b.left, a.left) })
+	return message
+}
+
+// gossip spreads news of a member on the next messages.
+func (list *List) gossip(member Member) {
+	list.rumors = slices.DeleteFunc(list.rumors, func(rumor rumor) bool { return rumor.member.Name == member.Name })
+	times := 3 * bits.Len(uint(len(list.entries)+1))
+	list.rumors = append([]rumor{{member, times}}, list.rumors...)
+}
--- /dev/null
+++ b/core/query/finish.go
@@ -0,0 +1,57 @@
+package query
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"poplarpin.dev/core/api"
+	"poplarpin.dev/core/config"
+)
+
+const partialRetry = 250 * time.Millisecond // when a caller may ask again after a partial answer
+
+// finish makes the final answer from what was merged.
+func (run *Run) finish(now time.Time) []Action {
+	run.finished = true
+	actions := run.withdraw(now)
+	answer := api.Answer{
+		ID:       run.request.ID,
+		Outcome:  api.Whole,
+		Snapshot: api.Snapshot{Release: run.release, Version: run.Version()},
+		Coverage: run.coverage(),
+		Records:  top(run.records, run.request.Limit()),
+		Spent:    config.Duration(now.Sub(run.started)),
+		Hedges:   run.extra,
+	}
+	answer.Sufficient = answer.Coverage >= run.least
+	finish := Finish{}
+	for i := range run.shards {
+		shard := &run.shards[i]
+		if shard.merged {
+			continue
+		}
+		answer.Outcome = api.Partial
+		answer.RetryAfter = config.Duration(partialRetry)
+		answer.Missing = append(answer.Missing, api.Missing{Shard: shard.Name, Reason: shard.reason})
+		finish.Overloaded = finish.Overloaded || shard.reason == api.Shed
+	}
+	finish.Answer = answer
+	return append(actions, finish)
+}
+
+// coverage returns the merged part of the snapshot's documents, or of its shards where it has no documents.
+func (run *Run) coverage() float64 {
+	if run.documents > 0 {
+		return float64(run.merged) / float64(run.documents)
+	}
+	return float64(len(run.shards)-run.unresolved) / float64(len(run.shards))
+}
+
+// top returns the best records in order.
+func top(records []api.Record, limit int) []api.Record {
+	slices.SortFunc(records, func(a, b api.Record) int {
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
+	})
+	return records[:min(limit, len(records))]
+}
--- /dev/null
+++ b/core/release/diff.go
@@ -0,0 +1,31 @@
+package release
+
+import (
+	"encoding/json"
+
+	"poplarpin.dev/core/api"
+)
+
+// Diff lists what a note changes in a state.
+func (state State) Diff(note Note) []api.Change {
+	var changes []api.Change
+	for _, object := range note.Add.List() {
+		changes = append(changes, api.Change{Key: object.Key(), Action: "add", After: text(object)})
+	}
+	for _, object := range note.Change.List() {
+		before := string(state.Entries[object.Key()].Object)
+		changes = append(changes, api.Change{Key: object.Key(), Action: "change", Before: before, After: text(object)})
+	}
+	for _, key := range note.Withdraw {
+		changes = append(changes, api.Change{Key: key, Action: "withdraw", Before: string(state.Entries[key].Object)})
+	}
+	return changes
+}
+
+func text(value any) string {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
--- /dev/null
+++ b/core/release/note.go
@@ -0,0 +1,209 @@
+package release
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"regexp"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+
+	"poplarpin.dev/core/config"
+)
+
+// MaxNote is the largest release note in bytes.
+const MaxNote = 8 << 20
+
+var notePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
+// Objects lists declared objects by kind.
+type Objects struct {
+	Classes  []config.Class   `json:"classes,omitempty" yaml:"classes"`
+	Targets  []config.Target  `json:"targets,omitempty" yaml:"targets"`
+	Services []config.Service `json:"services,omitempty" yaml:"services"`
+	Indexes  []config.Index   `json:"indexes,omitempty" yaml:"indexes"`
+}
+
+// Note is a release note: what is added, changed and withdrawn relative to a base release.
+type Note struct {
+	ID       string       `json:"id" yaml:"id"`
+	Base     int64        `json:"base" yaml:"base"`
+	Add      Objects      `json:"add,omitzero" yaml:"add"`
+	Change   Objects      `json:"change,omitzero" yaml:"change"`
+	Withdraw []config.Key `json:"withdraw,omitempty" yaml:"withdraw"`
+	Author   string       `json:"author,omitempty" yaml:"-"` // set by the VM that accepts the note
+}
+
+// List returns the objects in a fixed order of kinds.
+func (objects Objects) List() []config.Object {
+	var list []config.Object
+	for _, class := range objects.Classes {
+		list = append(list, class)
+	}
+	for _, target := range objects.Targets {
+		list = append(list, target)
+	}
+	for _, service := range objects.Services {
+		list = append(list, service)
+	}
+	for _, index := range objects.Indexes {
+		list = append(list, index)
+	}
+	return list
+}
+
+// Digest returns the digest of what the note says, whoever submits it.
+func (note Note) Digest() Digest {
+	note.Author = ""
+	data, err := json.Marshal(note)
+	if err != nil {
+		return ""
+	}
+	return DigestOf(data)
+}
+
+// UnmarshalJSON decodes strictly and validates.
+func (note *Note) UnmarshalJSON(data []byte) error {
+	type plain Note
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode((*plain)(note)); err != nil {
+		return err
+	}
+	return note.Validate()
+}
+
+// Validate checks the note on its own, without the configuration that it applies to.
+func (note *Note) Validate() error {
+	if !notePattern.MatchString(note.ID) {
+		return fail("note", Invalid, "id %.140q must match %s", note.ID, notePattern)
+	}
+	if note.Base < 0 || note.Base > config.MaxVersion {
+		return fail("note", Invalid, "base %d is out of range", note.Base)
+	}
+	seen := map[config.Key]bool{}
+	for _, object := range append(note.Add.List(), note.Change.List()...) {
+		if err := object.Validate(); err != nil {
+			return fail("note", Invalid, "%s", err)
+		}
+		if seen[object.Key()] {
+			return fail("note", Invalid, "%s stands twice", object.Key())
+		}
+		seen[object.Key()] = true
+	}
+	for _, key := range note.Withdraw {
+		if seen[key] {
+			return fail("note", Invalid, "%s stands twice", key)
+		}
+		seen[key] = true
+	}
+	if len(seen) == 0 {
+		return fail("note", Invalid, "the note adds, changes and withdraws nothing")
+	}
+	return nil
+}
+
+// ParseNote reads a note from YAML and reports errors with file, line and field.
+func ParseNote(file string, data []byte) (Note, error) {
+	var note Note
+	if len(data) > MaxNote {
+		return note, fail(file, Invalid, "the note has %d bytes, the limit is %d", len(data), MaxNote)
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&note); err != nil {
+		return note, fail(file, Invalid, "%s", strings.ReplaceAll(err.Error(), "\n", ""))
+	}
+	if err := decoder.Decode(&yaml.Node{}); err != io.EOF {
+		return note, fail(file, Invalid, "more than one document")
+	}
+	if err := locate(file, data, note); err != nil {
+		return note, err
+	}
+	if err := note.Validate(); err != nil {
+		return note, fail(file, Invalid, "%s", err)
+	}
+	return note, nil
+}
+
+// locate validates each object of a note and names the line of the first that fails.
+func locate(file string, data []byte, note Note) error {
+	var root yaml.Node
+	if err := yaml.Unmarshal(data, &root); err != nil {
+		return fail(file, Invalid, "%s", err)
+	}
+	seen := map[config.Key]int{}
+	sections := []struct {
+		name    string
+		objects Objects
+	}{{"add", note.Add}, {"change", note.Change}}
+	for _, section := range sections {
+		nodes := objectNodes(child(&root, section.name))
+		for i, object := range section.objects.List() {
+			if i >= len(nodes) {
+				break
+			}
+			if err := checkNode(file, nodes[i], object, seen); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func checkNode(file string, node *yaml.Node, object config.Object, seen map[config.Key]int) error {
+	if err := object.Validate(); err != nil {
+		line := node.Line
+		if invalid, ok := err.(*config.Error); ok {
+			line = fieldLine(node, invalid.Field)
+		}
+		return fail(fmt.Sprintf("%s:%d", file, line), Invalid, "%s", err)
+	}
+	if first, ok := seen[object.Key()]; ok {
+		return fail(fmt.Sprintf("%s:%d", file, node.Line), Invalid, "%s stands in line %d already", object.Key(), first)
+	}
+	seen[object.Key()] = node.Line
+	return nil
+}
+
+// fieldLine returns the line of a field of an object, or of the object where the field is absent.
+func fieldLine(node *yaml.Node, field string) int {
+	name, _, _ := strings.Cut(field, " ")
+	name, _, _ = strings.Cut(name, ".")
+	if value := child(node, name); value != nil {
+		return value.Line
+	}
+	return node.Line
+}
+
+// objectNodes returns the nodes of a section's objects in the order of Objects.List.
+func objectNodes(section *yaml.Node) []*yaml.Node {
+	var nodes []*yaml.Node
+	for _, kind := range []string{"classes", "targets", "services", "indexes"} {
+		if list := child(section, kind); list != nil {
+			nodes = append(nodes, list.Content...)
+		}
+	}
+	return nodes
+}
+
+// child returns the value of a mapping's key, or nil.
+func child(node *yaml.Node, key string) *yaml.Node {
+	if node == nil {
+		return nil
+	}
+	if node.Kind == yaml.DocumentNode && len(node.Content) > 0 {
+		node = node.Content[0]
+	}
+	if node.Kind != yaml.MappingNode {
+		return nil
+	}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		if node.Content[i].Value == key {
+			return node.Content[i+1]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/release/release.go
@@ -0,0 +1,279 @@
+package release
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"poplarpin.dev/core/config"
+)
+
+// Limits of a release.
+const (
+	RecentNotes   = 256     // accepted notes that the head remembers
+	KeptReleases  = 1000    // releases for which a withdrawn key's entry is kept
+	RetiredAfter  = 32      // releases after which a replaced part is deleted
+	MaxPart       = 512_000 // bytes; larger parts double the number of buckets
+	firstBuckets  = 8
+	largestBucket = 4096
+)
+
+// Digest is the SHA-256 of a part in hexadecimal digits.
+type Digest string
+
+// DigestOf returns the digest of a part.
+func DigestOf(part []byte) Digest {
+	sum := sha256.Sum256(part)
+	return Digest(hex.EncodeToString(sum[:]))
+}
+
+// Accepted names a note and the release that it became.
+type Accepted struct {
+	Note    string `json:"note"`
+	Release int64  `json:"release"`
+	Author  string `json:"author,omitempty"`
+	Digest  Digest `json:"digest"` // of the note
+}
+
+// Retired names a part that no release since refers to.
+type Retired struct {
+	Digest  Digest `json:"digest"`
+	Release int64  `json:"release"`
+}
+
+// Head is the small object whose conditional update accepts a release.
+type Head struct {
+	Release int64      `json:"release"`
+	Parts   []Digest   `json:"parts"` // one for each bucket; empty where the bucket is empty
+	Recent  []Accepted `json:"recent"`
+	Retired []Retired  `json:"retired"`
+}
+
+// Accepted finds a note among the recent ones.
+func (head *Head) Accepted(note string) (Accepted, bool) {
+	for _, accepted := range head.Recent {
+		if accepted.Note == note {
+			return accepted, true
+		}
+	}
+	return Accepted{}, false
+}
+
+// Entry is the state of one key: its object, or the mark that it was withdrawn.
+type Entry struct {
+	Key       config.Key      `json:"key"`
+	Release   int64           `json:"release"` // the release that touched the key last
+	Note      string          `json:"note"`
+	Withdrawn bool            `json:"withdrawn,omitempty"`
+	Object    json.RawMessage `json:"object,omitempty"`
+}
+
+// State is a whole release: its head and every entry.
+type State struct {
+	Head    Head
+	Entries map[config.Key]Entry
+}
+
+// Load builds the state of a head from its parts and verifies every digest.
+func Load(head Head, parts map[Digest][]byte) (State, error) {
+	state := State{Head: head, Entries: map[config.Key]Entry{}}
+	for _, digest := range head.Parts {
+		if digest == "" {
+			continue
+		}
+		part, ok := parts[digest]
+		if !ok || DigestOf(part) != digest {
+			return state, fail("load", Corrupt, "part %s of release %d is absent or altered", digest, head.Release)
+		}
+		var entries []Entry
+		if err := json.Unmarshal(part, &entries); err != nil {
+			return state, fail("load", Corrupt, "part %s: %s", digest, err)
+		}
+		for _, entry := range entries {
+			state.Entries[entry.Key] = entry
+		}
+	}
+	return state, nil
+}
+
+// Configuration decodes and checks the objects in force.
+func (state State) Configuration() (*config.Configuration, error) {
+	var objects []config.Object
+	for _, entry := range state.Entries {
+		if entry.Withdrawn {
+			continue
+		}
+		object, err := config.Decode(entry.Key, entry.Object)
+		if err != nil {
+			return nil, err
+		}
+		objects = append(objects, object)
+	}
+	return config.New(state.Head.Release, objects)
+}
+
+// Proposal is the next release that a note asks for.
+type Proposal struct {
+	Head  Head
+	Parts map[Digest][]byte // the parts that are not in the former head
+}
+
+// Propose applies a note to the state, rebasing it where nothing that it touches was touched since its base.
+func (state State) Propose(note Note) (Proposal, error) {
+	next := State{Head: state.Head, Entries: maps.Clone(state.Entries)}
+	next.Head.Release++
+	if note.Base > state.Head.Release {
+		return Proposal{}, fail("propose", Invalid, "base %d is in the future of release %d", note.Base, state.Head.Release)
+	}
+	if note.Base < state.Head.Release-KeptReleases {
+		return Proposal{}, fail("propose", TooOld, "base %d is older than release %d by more than %d", note.Base, state.Head.Release, KeptReleases)
+	}
+	if err := next.apply(note); err != nil {
+		return Proposal{}, err
+	}
+	if _, err := next.Configuration(); err != nil {
+		return Proposal{}, fail("propose", Invalid, "%s", err)
+	}
+	next.prune()
+	return next.pack(state.Head, note)
+}
+
+func (state State) apply(note Note) error {
+	for _, object := range note.Add.List() {
+		if err := state.set(note, object, false); err != nil {
+			return err
+		}
+	}
+	for _, object := range note.Change.List() {
+		if err := state.set(note, object, true); err != nil {
+			return err
+		}
+	}
+	for _, key := range note.Withdraw {
+		if err := state.touch(note, key, true); err != nil {
+			return err
+		}
+		state.Entries[key] = Entry{Key: key, Release: state.Head.Release, Note: note.ID, Withdrawn: true}
+	}
+	return nil
+}
+
+func (state State) set(note Note, object config.Object, present bool) error {
+	if err := state.touch(note, object.Key(), present); err != nil {
+		return err
+	}
+	data, err := json.Marshal(object)
+	if err != nil {
+		return fail("propose", Invalid, "%s: %s", object.Key(), err)
+	}
+	state.Entries[object.Key()] = Entry{Key: object.Key(), Release: state.Head.Release, Note: note.ID, Object: data}
+	return nil
+}
+
+// touch checks that a note may touch a key: no other note did since its base, and the key is present or absent as required.
+func (state State) touch(note Note, key config.Key, present bool) error {
+	entry, ok := state.Entries[key]
+	if ok && entry.Release > note.Base {
+		err := fail("propose", Conflict, "%s was touched by release %d after base %d", key, entry.Release, note.Base)
+		err.Winner = entry.Note
+		return err
+	}
+	inForce := ok && !entry.Withdrawn
+	if present && !inForce {
+		return fail("propose", Missing, "%s is not in force", key)
+	}
+	if !present && inForce {
+		return fail("propose", Exists, "%s is in force already", key)
+	}
+	return nil
+}
+
+// prune forgets withdrawn keys that no acceptable note can conflict with any more.
+func (state State) prune() {
+	maps.DeleteFunc(state.Entries, func(_ config.Key, entry Entry) bool {
+		return entry.Withdrawn && entry.Release < state.Head.Release-KeptReleases
+	})
+}
+
+// pack distributes the entries over buckets and makes the head that refers to them.
+func (state State) pack(former Head, note Note) (Proposal, error) {
+	buckets := max(len(former.Parts), firstBuckets)
+	parts, err := state.split(buckets)
+	for err == nil && tooLarge(parts) && buckets < largestBucket {
+		buckets *= 2
+		parts, err = state.split(buckets)
+	}
+	if err != nil {
+		return Proposal{}, err
+	}
+	proposal := Proposal{Head: state.Head, Parts: map[Digest][]byte{}}
+	proposal.Head.Parts = make([]Digest, buckets)
+	for i, part := range parts {
+		if part == nil {
+			continue
+		}
+		digest := DigestOf(part)
+		proposal.Head.Parts[i] = digest
+		if !slices.Contains(former.Parts, digest) {
+			proposal.Parts[digest] = part
+		}
+	}
+	proposal.Head.remember(former, note)
+	return proposal, nil
+}
+
+// remember records the note and the parts that the new head no longer refers to.
+func (head *Head) remember(former Head, note Note) {
+	accepted := Accepted{Note: note.ID, Release: head.Release, Author: note.Author, Digest: note.Digest()}
+	head.Recent = append([]Accepted{accepted}, former.Recent[:min(len(former.Recent), RecentNotes-1)]...)
+	head.Retired = nil
+	for _, retired := range former.Retired {
+		if retired.Release > head.Release-RetiredAfter && !slices.Contains(head.Parts, retired.Digest) {
+			head.Retired = append(head.Retired, retired)
+		}
+	}
+	for _, digest := range former.Parts {
+		if digest != "" && !slices.Contains(head.Parts, digest) {
+			head.Retired = append(head.Retired, Retired{Digest: digest, Release: head.Release})
+		}
+	}
+}
+
+// Expired returns the parts that may be deleted once next has replaced former.
+func Expired(former, next Head) []Digest {
+	var expired []Digest
+	for _, retired := range former.Retired {
+		if retired.Release <= next.Release-RetiredAfter && !slices.Contains(next.Parts, retired.Digest) {
+			expired = append(expired, retired.Digest)
+		}
+	}
+	return expired
+}
+
+func (state State) split(buckets int) ([][]byte, error) {
+	lists := make([][]Entry, buckets)
+	for _, key := range slices.Sorted(maps.Keys(state.Entries)) {
+		bucket := xxhash.Sum64String(string(key)) % uint64(buckets)
+		lists[bucket] = append(lists[bucket], state.Entries[key])
+	}
+	parts := make([][]byte, buckets)
+	for i, list := range lists {
+		if len(list) == 0 {
+			continue
+		}
+		part, err := json.Marshal(list)
+		if err != nil {
+			return nil, fail("pack", Invalid, "%s", err)
+		}
+		parts[i] = part
+	}
+	return parts, nil
+}
+
+func tooLarge(parts [][]byte) bool {
+	return slices.ContainsFunc(parts, func(part []byte) bool { return len(part) > MaxPart })
+}
--- /dev/null
+++ b/core/rpc/doc.go
@@ -0,0 +1,2 @@
+// Package rpc holds the messages that entry VMs exchange over JSON-RPC 2.0.
+package rpc
--- /dev/null
+++ b/core/rpc/rpc.go
@@ -0,0 +1,113 @@
+package rpc
+
+import (
+	"poplarpin.dev/core/config"
+	"poplarpin.dev/core/release"
+	"poplarpin.dev/core/search"
+)
+
+// The JSON-RPC methods between entry VMs.
+const (
+	MethodHello   = "link.hello"     // call: Hello, first on a link
+	MethodPing    = "link.ping"      // call without parameters
+	MethodMember  = "member"         // notification: member.Message
+	MethodRun     = "query.run"      // notification: Batch
+	MethodCancel  = "query.cancel"   // notification: Cancel
+	MethodPart    = "query.part"     // notification: Part
+	MethodPull    = "release.pull"   // call: Pull, answered by Pulled
+	MethodReport  = "status.report"  // notification: api.VMStatus
+	MethodLeaving = "target.leaving" // notification: Leaving
+	MethodStatus  = "status.domain"  // call without parameters, answered by a list of api.VMStatus
+)
+
+// Hello names the VM at the other end of a link.
+type Hello struct {
+	VM          string `json:"vm"`
+	Incarnation int64  `json:"incarnation"`
+}
+
+// Batch asks an owner to make calls to its targets for one query.
+type Batch struct {
+	Query   string          `json:"query"` // unique to the entry VM's incarnation
+	Class   string          `json:"class"`
+	Started int64           `json:"started"` // age order within a class, microseconds since the epoch
+	Timeout config.Duration `json:"timeout"`
+	Calls   []Call          `json:"calls"`
+	Request string          `json:"request"`
+	Service string          `json:"service"`
+	Version int64           `json:"version"`
+	Text    string          `json:"text"`
+	Top     int             `json:"top"`
+	Once    bool            `json:"once,omitempty"` // the calls are not idempotent
+}
+
+// Call is one call of a batch.
+type Call struct {
+	ID     int64          `json:"id"`
+	Target string         `json:"target"`
+	Shards []search.Shard `json:"shards,omitempty"`
+}
+
+// Cancel withdraws calls of a query; only their ids and targets count.
+type Cancel struct {
+	Query string `json:"query"`
+	Calls []Call `json:"calls"`
+}
+
+// Part carries results of a batch back to the entry VM.
+type Part struct {
+	Query   string   `json:"query"`
+	Results []Result `json:"results"`
+}
+
+// Outcome says how one call ended.
+type Outcome string
+
+// The outcomes of calls.
+const (
+	OK             Outcome = "ok"
+	NotSent        Outcome = "notSent"        // no byte reached the target
+	Shed           Outcome = "shed"           // refused before it was run
+	Draining       Outcome = "draining"       // refused before it was run, the target is leaving
+	VersionNotHeld Outcome = "versionNotHeld" // refused before it was run
+	Expired        Outcome = "expired"        // not sent, its time ran out
+	Failed         Outcome = "failed"         // the target answered with an error
+	Lost           Outcome = "lost"           // sent to the target, it may have run
+	OwnerLost      Outcome = "ownerLost"      // sent to the owner, it may have run
+
+	OwnerNotReached Outcome = "ownerNotReached" // no byte reached the owner
+)
+
+// Ran reports whether the call may have cost the target work.
+func (outcome Outcome) Ran() bool {
+	return outcome == OK || outcome == Failed || outcome == Lost || outcome == OwnerLost
+}
+
+// Result is the end of one call.
+type Result struct {
+	Call    int64                `json:"call"`
+	Target  string               `json:"target"`
+	Outcome Outcome              `json:"outcome"`
+	Version int64                `json:"version,omitempty"`
+	Request string               `json:"request,omitempty"`
+	Shards  []search.ShardResult `json:"shards,omitempty"`
+	Wait    config.Duration      `json:"wait,omitzero"`     // expected wait at the owner
+	Leaving bool                 `json:"leaving,omitempty"` // the owner knows that the target is leaving
+}
+
+// Leaving names targets that the platform lists as leaving.
+type Leaving struct {
+	Targets []string `json:"targets"`
+}
+
+// Pull asks for a release newer than the one held, with the parts that are missing.
+type Pull struct {
+	Have  int64            `json:"have"`
+	Parts []release.Digest `json:"parts,omitempty"` // held already
+}
+
+// Pulled is the answer to a Pull; a head of release 0 means nothing newer.
+type Pulled struct {
+	Head  release.Head              `json:"head"`
+	Parts map[release.Digest][]byte `json:"parts,omitempty"`
+}
--- /dev/null
+++ b/core/search/search.go
@@ -0,0 +1,68 @@
+package search
+
+import (
+	"poplarpin.dev/core/api"
+	"poplarpin.dev/core/config"
+)
+
+// Paths of a target's HTTP interface.
+const (
+	Path       = "/search"
+	HealthPath = "/health"
+)
+
+// Call asks a target to search some shards of one index version.
+type Call struct {
+	Request       string          `json:"request"`
+	Service       string          `json:"service"`
+	Version       int64           `json:"version"`
+	Shards        []Shard         `json:"shards"`
+	Query         string          `json:"query"`
+	Top           int             `json:"top"`
+	Timeout       config.Duration `json:"timeout"`
+	NonIdempotent bool            `json:"nonIdempotent,omitempty"`
+}
+
+// Shard names a shard and its key range.
+type Shard struct {
+	Name string `json:"name"`
+	From int64  `json:"from,omitempty"`
+	To   int64  `json:"to,omitempty"`
+}
+
+// Reply is a target's answer to a Call.
+type Reply struct {
+	Request string        `json:"request"`
+	Version int64         `json:"version"`
+	Shards  []ShardResult `json:"shards"`
+	State   State         `json:"state,omitempty"`
+}
+
+// ShardResult is the part of a Reply for one shard.
+type ShardResult struct {
+	Name    string       `json:"name"`
+	Records []api.Record `json:"records,omitempty"`
+}
+
+// State is what a target says of itself in replies, refusals and health answers.
+type State string
+
+// The states of a target.
+const (
+	Serving  State = "serving"
+	Cold     State = "cold"
+	Draining State = "draining"
+	Shedding State = "shedding"
+)
+
+// Refusal is the body of a reply with status 503 (State) or 409 (version not held).
+type Refusal struct {
+	State      State           `json:"state"`
+	RetryAfter config.Duration `json:"retryAfter,omitzero"`
+}
+
+// Health is the body of a health answer.
+type Health struct {
+	State State   `json:"state"`
+	Load  float64 `json:"load"` // busy slots over slots
+}
--- /dev/null
+++ b/core/status/doc.go
@@ -0,0 +1,2 @@
+// Package status counts for one failure domain which release its entry VMs have in force.
+package status
--- /dev/null
+++ b/poplarpin/client/client.go
@@ -0,0 +1,148 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"poplarpin.dev/core/api"
+	"poplarpin.dev/core/release"
+)
+
+const timeout = 70 * time.Second
+
+// TLS names the files that secure the connection, all empty for plain HTTP.
+type TLS struct {
+	Certificate string
+	Key         string
+	Authority   string
+}
+
+// Client calls one entry VM.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the entry VM at a URL.
+func New(base string, files TLS) (*Client, error) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, MaxIdleConns: 1024, IdleConnTimeout: time.Minute}
+	if files.Authority != "" {
+		config, err := files.config()
+		if err != nil {
+			return nil, err
+		}
+		transport.TLSClientConfig = config
+	}
+	return &Client{base, &http.Client{Transport: transport, Timeout: timeout}}, nil
+}
+
+func (files TLS) config() (*tls.Config, error) {
+	authority, err := os.ReadFile(files.Authority)
+	if err != nil {
+		return nil, errors.Annotate(err, "authority")
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: x509.NewCertPool()}
+	if !config.RootCAs.AppendCertsFromPEM(authority) {
+		return nil, errors.NotValidf("authority %s", files.Authority)
+	}
+	if files.Certificate != "" {
+		certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+		if err != nil {
+			return nil, errors.Annotate(err, "certificate")
+		}
+		config.Certificates = []tls.Certificate{certificate}
+	}
+	return config, nil
+}
+
+// Query sends a request of a caller; a refusal is an api.Error.
+func (client *Client) Query(ctx context.Context, request api.Request) (api.Answer, error) {
+	var answer api.Answer
+	return answer, client.call(ctx, http.MethodPost, "/v1/query", request, &answer)
+}
+
+// Apply submits a release note.
+func (client *Client) Apply(ctx context.Context, note release.Note) (api.Release, error) {
+	var accepted api.Release
+	return accepted, client.call(ctx, http.MethodPost, "/v1/releases", note, &accepted)
+}
+
+// Diff asks what a release note would change.
+func (client *Client) Diff(ctx context.Context, note release.Note) ([]api.Change, error) {
+	var changes []api.Change
+	return changes, client.call(ctx, http.MethodPost, "/v1/diff", note, &changes)
+}
+
+// History lists the accepted notes, newest first.
+func (client *Client) History(ctx context.Context) ([]api.Release, error) {
+	var list []api.Release
+	return list, client.call(ctx, http.MethodGet, "/v1/releases", nil, &list)
+}
+
+// Show returns the note of a release.
+func (client *Client) Show(ctx context.Context, number int64) (release.Note, error) {
+	var note release.Note
+	return note, client.call(ctx, http.MethodGet, "/v1/releases/"+strconv.FormatInt(number, 10), nil, &note)
+}
+
+// Status returns the fleet as the entry VM sees it.
+func (client *Client) Status(ctx context.Context) (api.Status, error) {
+	var status api.Status
+	return status, client.call(ctx, http.MethodGet, "/v1/status", nil, &status)
+}
+
+// Dump returns the state of the entry VM's process.
+func (client *Client) Dump(ctx context.Context) (json.RawMessage, error) {
+	var dump json.RawMessage
+	return dump, client.call(ctx, http.MethodGet, "/v1/dump", nil, &dump)
+}
+
+// Healthy reports whether the entry VM takes new requests.
+func (client *Client) Healthy(ctx context.Context) bool {
+	return client.call(ctx, http.MethodGet, "/health", nil, nil) == nil
+}
+
+// call makes one call; an answer that carries an outcome is no error whatever its status.
+func (client *Client) call(ctx context.Context, method, path string, body, result any) error {
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, method, client.base+path, bytes.NewReader(data))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	request.GetBody = nil // a request is sent once
+	response, err := client.http.Do(request)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer response.Body.Close()
+	data, err = io.ReadAll(response.Body)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		var failure api.Error
+		if json.Unmarshal(data, &failure) == nil && failure.Kind != "" {
+			return &failure
+		}
+	}
+	if result == nil || len(data) == 0 {
+		return nil
+	}
+	return errors.Trace(json.Unmarshal(data, result))
+}
--- /dev/null
+++ b/poplarpin/commands.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/google/uuid"
+
+	"poplarpin.dev/core/api"
+	"poplarpin.dev/core/config"
+	"poplarpin.dev/core/release"
+)
+
+// releaseCommands are the commands on release notes.
+type releaseCommands struct {
+	Apply   applyCommand   `cmd:"" help:"Submit a release note; submitting the same note again is harmless."`
+	Diff    diffCommand    `cmd:"" help:"Show what a release note would change."`
+	History historyCommand `cmd:"" help:"List the accepted notes, newest first."`
+	Show    showCommand    `cmd:"" help:"Print the note of a release."`
+}
+
+type applyCommand struct {
+	Note string `arg:"" type:"existingfile" help:"Release note in YAML."`
+}
+
+type diffCommand struct {
+	Note string `arg:"" type:"existingfile" help:"Release note in YAML."`
+}
+
+type historyCommand struct{}
+
+type showCommand struct {
+	Release int64 `arg:"" help:"Number of the release."`
+}
+
+type statusCommand struct{}
+
+type dumpCommand struct{}
+
+// configCommands are the checks of files.
+type configCommands struct {
+	Check checkCommand `cmd:"" help:"Check a release note; exit code 2 names file, line and field of the first error."`
+}
+
+type checkCommand struct {
+	Note string `arg:"" type:"existingfile" help:"Release note in YAML."`
+}
+
+type queryCommand struct {
+	Service       string          `arg:"" help:"Search service."`
+	Query         string          `arg:"" help:"What to search for."`
+	Class         string          `help:"Class of the request; the service's first class if not given."`
+	Deadline      config.Duration `help:"Time for the answer, such as 200ms; the service's if not given."`
+	Top           int             `help:"Records wanted." default:"100"`
+	LeastCoverage *float64        `help:"Coverage below which the exit code is 3."`
+	ID            string          `help:"Id of the request; a new one if not given."`
+	NonIdempotent bool            `help:"Run the request at most once; needs --shard and keeps --id for retries."`
+	Shard         string          `help:"The one shard that a non-idempotent request runs on."`
+}
+
+func readNote(path string) (release.Note, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return release.Note{}, err
+	}
+	note, err := release.ParseNote(path, data)
+	if err != nil {
+		return note, &exitError{exitUsage, err.Error()}
+	}
+	return note, nil
+}
+
+// Run submits the note.
+func (command *applyCommand) Run(globals *globals) error {
+	note, err := readNote(command.Note)
+	if err != nil {
+		return err
+	}
+	client, err := globals.client()
+	if err != nil {
+		return err
+	}
+	accepted, err := client.Apply(context.Background(), note)
+	if err != nil {
+		return err
+	}
+	return globals.print(accepted)
+}
+
+// Run prints the changes.
+func (command *diffCommand) Run(globals *globals) error {
+	note, err := readNote(command.Note)
+	if err != nil {
+		return err
+	}
+	client, err := globals.client()
+	if err != nil {
+		return err
+	}
+	changes, err := client.Diff(context.Background(), note)
+	if err != nil {
+		return err
+	}
+	return globals.print(changes)
+}
+
+// Run prints the accepted notes.
+func (command *historyCommand) Run(globals *globals) error {
+	client, err := globals.client()
+	if err != nil {
+		return err
+	}
+	list, err := client.History(context.Background())
+	if err != nil {
+		return err
+	}
+	return globals.print(list)
+}
+
+// Run prints one note.
+func (command *showCommand) Run(globals *globals) error {
+	client, err := globals.client()
+	if err != nil {
+		return err
+	}
+	note, err := client.Show(context.Background(), command.Release)
+	if err != nil {
+		return err
+	}
+	return globals.print(note)
+}
+
+// Run prints the fleet's status.
+func (command *statusCommand) Run(globals *globals) error {
+	client, err := globals.client()
+	if err != nil {
+		return err
+	}
+	status, err := client.Status(context.Background())
+	if err != nil {
+		return err
+	}
+	return globals.print(status)
+}
+
+// Run prints the process's state.
+func (command *dumpCommand) Run(globals *globals) error {
+	client, err := globals.client()
+	if err != nil {
+		return err
+	}
+	dump, err := client.Dump(context.Background())
+	if err != nil {
+		return err
+	}
+	return globals.print(dump)
+}
+
+// Run checks a note without an entry VM.
+func (command *checkCommand) Run(*globals) error {
+	_, err := readNote(command.Note)
+	return err
+}
+
+// Run sends one request and prints its answer.
+func (command *queryCommand) Run(globals *globals) error {
+	client, err := globals.client()
+	if err != nil {
+		return err
+	}
+	request := api.Request{ID: command.ID, Service: command.Service, Class: command.Class, Query: command.Query, Top: command.Top,
+		Deadline: command.Deadline, NonIdempotent: command.NonIdempotent, Shard: command.Shard, LeastCoverage: command.LeastCoverage}
+	if request.ID == "" {
+		request.ID = uuid.NewString()
+	}
+	if err := request.Validate(); err != nil {
+		return &exitError{exitUsage, err.Error()}
+	}
+	answer, err := client.Query(context.Background(), request)
+	if err != nil {
+		return err
+	}
+	if err := globals.print(answer); err != nil {
+		return err
+	}
+	return verdict(answer)
+}
+
+// verdict turns an answer that is not what was asked for into an exit code.
+func verdict(answer api.Answer) error {
+	switch {
+	case answer.Outcome == api.Unknown:
+		return &exitError{exitUnknown, "it is not known whether the request ran"}
+	case answer.Outcome == api.NotRun, answer.Outcome == api.Failed:
+		return &exitError{exitFailed, fmt.Sprintf("the request ended as %s", answer.Outcome)}
+	case answer.Outcome == api.Partial && !answer.Sufficient:
+		return &exitError{exitPartial, fmt.Sprintf("coverage %.4f is below the least coverage", answer.Coverage)}
+	}
+	return nil
+}
--- /dev/null
+++ b/poplarpin/doc.go
@@ -0,0 +1,2 @@
+// Command poplarpin is the command line of operators and callers.
+package main
--- /dev/null
+++ b/poplarpin/main.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/juju/errors"
+
+	"poplarpin.dev/core/api"
+	"poplarpin.dev/poplarpin/client"
+	"poplarpin.dev/poplarpin/output"
+)
+
+// version is set by the build.
+var version = "unset"
+
+// The exit codes.
+const (
+	exitFailed   = 1 // the command failed or was refused
+	exitUsage    = 2 // the command line or an input file is wrong
+	exitPartial  = 3 // the answer is partial and below the least coverage
+	exitUnknown  = 4 // it is not known whether the request or the note took effect
+	exitConflict = 5 // another release note won
+)
+
+// globals are the flags of all commands.
+type globals struct {
+	Server      string        `help:"URL of an entry VM: its operator address, or its caller address for query." env:"POPLARPIN_SERVER" default:"http://127.0.0.1:7301"`
+	Output      output.Format `help:"How to print: table or json." enum:"table,json" default:"table" short:"o"`
+	Certificate string        `help:"Certificate of the operator." type:"path"`
+	Key         string        `help:"Key of the certificate." type:"path"`
+	Authority   string        `help:"Certificate that signs those of entry VMs; empty for plain HTTP." type:"path"`
+}
+
+// cli is the command line.
+type cli struct {
+	globals
+	Release releaseCommands  `cmd:"" help:"Apply, compare and list release notes."`
+	Status  statusCommand    `cmd:"" help:"Show for each failure domain which release is in force."`
+	Query   queryCommand     `cmd:"" help:"Send one request to a search service."`
+	Dump    dumpCommand      `cmd:"" help:"Print the state of an entry VM's process."`
+	Config  configCommands   `cmd:"" help:"Check files without applying them."`
+	Load    loadCommand      `cmd:"" help:"Run an experiment with load and faults and check every answer."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+const description = `Command line of operators and callers.
+
+Exit codes: 0 done; 1 failed or refused; 2 wrong usage or input file; 3 answer below the least coverage;
+4 unknown whether it took effect; 5 conflict with another release note.
+
+Examples:
+  poplarpin release diff note.yaml
+  poplarpin release apply note.yaml --server https://10.0.0.4:7301
+  poplarpin status -o json
+  poplarpin query heat "shed 14" --server http://10.0.0.4:7201 --class alarm --deadline 200ms
+  poplarpin load examples/sahm.yaml`
+
+func main() {
+	var cli cli
+	context := kong.Parse(&cli, kong.Name("poplarpin"), kong.Description(description),
+		kong.Vars{"version": version}, kong.UsageOnError(),
+		kong.Exit(func(code int) {
+			if code != 0 {
+				code = exitUsage
+			}
+			os.Exit(code)
+		}))
+	if err := context.Run(&cli.globals); err != nil {
+		fmt.Fprintln(os.Stderr, "poplarpin:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func (globals *globals) client() (*client.Client, error) {
+	return client.New(globals.Server, client.TLS{Certificate: globals.Certificate, Key: globals.Key, Authority: globals.Authority})
+}
+
+func (globals *globals) print(value any) error {
+	return output.New(os.Stdout, globals.Output).Print(value)
+}
+
+// exitError carries the exit code of a command that printed its result.
+type exitError struct {
+	code    int
+	message string
+}
+
+// Error implements error.
+func (err *exitError) Error() string { return err.message }
+
+func exitCode(err error) int {
+	var exit *exitError
+	var refused *api.Error
+	switch {
+	case errors.As(err, &exit):
+		return exit.code
+	case errors.As(err, &refused) && refused.Kind == api.ConflictKind:
+		return exitConflict
+	case errors.As(err, &refused) && refused.Kind == api.UnknownKind:
+		return exitUnknown
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/poplarpin/output/doc.go
@@ -0,0 +1,2 @@
+// Package output prints results as tables or JSON.
+package output
--- /dev/null
+++ b/poplarpind/entry/accept.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"poplarpin.dev/core/api"
+	"poplarpin.dev/core/release"
+	"poplarpin.dev/poplarpind/platform"
+)
+
+const (
+	acceptTimeout = 20 * time.Second
+	acceptPause   = 50 * time.Millisecond // before a call that failed is repeated, doubled up to the longest
+	longestPause  = time.Second
+	platformRetry = 5 * time.Second // when an operator may come back after an outage
+)
+
+// Apply turns a note into a release; the error is an api.Error.
+func (vm *VM) Apply(ctx context.Context, note release.Note) (api.Release, error) {
+	if vm.stopping.Load() {
+		return api.Release{}, &api.Error{Op: "apply", Kind: api.Stopping, Message: "this VM is stopping; ask another", Outcome: api.NotRun}
+	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	vm.releases.RLock()
+	former := vm.releases.adopter.Head()
+	acceptor := release.NewAcceptor(note, maps.Clone(vm.releases.adopter.Parts()))
+	vm.releases.RUnlock()
+	done, err := vm.accept(ctx, acceptor)
+	if err != nil {
+		return api.Release{}, applyError(err)
+	}
+	if err := vm.adopt(done.State.Head, acceptor.Parts(), "operator"); err != nil {
+		vm.log.Error("accepted release cannot be adopted", zap.Error(err))
+	}
+	vm.record(note, done, former)
+	return api.Release{Note: done.Accepted.Note, Release: done.Accepted.Release, Author: done.Accepted.Author}, nil
+}
+
+// accept carries out the acceptor's actions until it is done.
+func (vm *VM) accept(ctx context.Context, acceptor *release.Acceptor) (release.Done, error) {
+	action := acceptor.Step(release.Begin{})
+	pause := acceptPause
+	for {
+		switch final := action.(type) {
+		case release.Done:
+			return final, nil
+		case release.Refused:
+			return release.Done{}, final.Err
+		}
+		event := vm.perform(ctx, action)
+		if failed(event) {
+			select {
+			case <-time.After(pause/2 + rand.N(pause)):
+			case <-ctx.Done():
+			}
+			pause = min(2*pause, longestPause)
+		}
+		action = acceptor.Step(event)
+		if ctx.Err() != nil && failed(event) {
+			action = acceptor.GiveUp()
+		}
+	}
+}
+
+func failed(event release.Event) bool {
+	switch event.(type) {
+	case release.NotSent, release.Lost, release.Stale:
+		return true
+	}
+	return false
+}
+
+// perform makes the platform calls of one action.
+func (vm *VM) perform(ctx context.Context, action release.Action) release.Event {
+	switch action := action.(type) {
+	case release.ReadHead:
+		head, version, err := vm.readHead(ctx)
+		if err != nil {
+			return outcome(err)
+		}
+		return release.HeadRead{Head: head, Version: version}
+	case release.ReadParts:
+		parts := map[release.Digest][]byte{}
+		for _, digest := range action.Digests {
+			found, err := vm.platform.Get(ctx, partPrefix+string(digest))
+			if platform.KindOf(err) == platform.NotFound {
+				return release.Stale{}
+			}
+			if err != nil {
+				return outcome(err)
+			}
+			parts[digest] = found.Value
+		}
+		return release.PartsRead{Parts: parts}
+	case release.WriteParts:
+		for digest, part := range action.Parts {
+			if _, err := vm.platform.Put(ctx, partPrefix+string(digest), 0, part); err != nil && platform.KindOf(err) != platform.Stale {
+				return outcome(err)
+			}
+		}
+		return release.Written{}
+	case release.UpdateHead:
+		value, err := json.Marshal(action.Head)
+		if err != nil {
+			return release.NotSent{}
+		}
+		if _, err := vm.platform.Put(ctx, headObject, action.Version, value); err != nil {
+			return outcome(err)
+		}
+		return release.Written{}
+	}
+	return release.NotSent{}
+}
+
+func outcome(err error) release.Event {
+	switch platform.KindOf(err) {
+	case platform.Stale:
+		return release.Stale{}
+	case platform.Lost:
+		return release.Lost{}
+	}
+	return release.NotSent{}
+}
+
+// record keeps the note for the history and deletes parts that have expired; the release does not depend on either.
+func (vm *VM) record(note release.Note, done release.Done, former release.Head) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+		defer cancel()
+		value, err := json.Marshal(note)
+		if err == nil {
+			_, err = vm.platform.Put(ctx, notePrefix+strconv.FormatInt(done.Accepted.Release, 10), 0, value)
+		}
+		if err != nil && platform.KindOf(err) != platform.Stale {
+			vm.log.Warn("note is not kept for the history", zap.Int64("release", done.Accepted.Release), zap.Error(err))
+		}
+		for _, digest := range release.Expired(former, done.State.Head) {
+			_ = vm.platform.Delete(ctx, partPrefix+string(digest))
+		}
+	}()
+}
+
+// Note reads the note of a release.
+func (vm *VM) Note(ctx context.Context, number int64) (release.Note, error) {
+	var note release.Note
+	found, err := vm.platform.Get(ctx, notePrefix+strconv.FormatInt(number, 10))
+	if err != nil {
+		return note, platformError("show", err)
+	}
+	return note, json.Unmarshal(found.Value, &note)
+}
+
+// History returns the accepted notes that the head in force remembers, newest first.
+func (vm *VM) History() []release.Accepted {
+	vm.releases.RLock()
+	defer vm.releases.RUnlock()
+	return vm.releases.adopter.Head().Recent
+}
+
+func platformError(op string, err error) error {
+	if platform.KindOf(err) == platform.NotFound {
+		return &api.Error{Op: op, Kind: api.NotFound, Message: "no such release is kept"}
+	}
+	return &api.Error{Op: op, Kind: api.Unavailable, Message: err.Error(), RetryAfter: retry(platformRetry)}
+}
+
+func applyError(err error) error {
+	failure := &api.Error{Op: "apply", Kind: api.BadRequest, Message: err.Error(), Outcome: api.NotRun}
+	var refused *release.Error
+	if !errors.As(err, &refused) {
+		return failure
+	}
+	failure.Winner = refused.Winner
+	switch refused.Kind {
+	case release.Conflict, release.TooOld, release.Missing, release.Exists:
+		failure.Kind = api.ConflictKind
+	case release.Unavailable:
+		failure.Kind, failure.RetryAfter = api.Unavailable, retry(platformRetry)
+	case release.Unknown:
+		failure.Kind, failure.Outcome, failure.RetryAfter = api.UnknownKind, api.Unknown, retry(platformRetry)
+	case release.Corrupt:
+		failure.Kind = api.Unavailable
+	}
+	return failure
+}
+
+// Diff returns what a note would change in the release in force, or why it would be refused.
+func (vm *VM) Diff(note release.Note) ([]api.Change, error) {
+	vm.releases.RLock()
+	state, err := release.Load(vm.releases.adopter.Head(), vm.releases.adopter.Parts())
+	vm.releases.RUnlock()
+	if err != nil {
+		return nil, applyError(err)
+	}
+	if _, err := state.Propose(note); err != nil {
+		return nil, applyError(err)
+	}
+	return state.Diff(note), nil
+}
--- /dev/null
+++ b/poplarpind/entry/dump.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"time"
+
+	"poplarpin.dev/core/latency"
+	"poplarpin.dev/core/member"
+	"poplarpin.dev/poplarpind/target"
+)
+
+// ServiceDump is what the queries of one service share.
+type ServiceDump struct {
+	Limit      float64
+	HedgeDelay time.Duration
+	Calls      int // in the last ten seconds
+	Extra      int // hedges and retries of these
+	Targets    []latency.TargetView
+}
+
+// Dump is the state of the process.
+type Dump struct {
+	VM          string
+	Incarnation int64
+	State       string
+	Release     int64
+	Adopted     time.Time
+	Platform    bool
+	Requests    int64
+	Queries     int
+	Members     []member.Member
+	Links       []string
+	Services    map[string]ServiceDump
+	Targets     []target.View // that this VM calls
+}
+
+// Dump returns the state of the process.
+func (vm *VM) Dump() Dump {
+	dump := Dump{VM: vm.settings.Name, Incarnation: vm.incarnation, State: vm.state(), Platform: vm.platformUp.Load(),
+		Requests: vm.requests.Load(), Links: vm.mesh.Links(), Targets: vm.owner.View(), Services: map[string]ServiceDump{}}
+	vm.releases.RLock()
+	dump.Release, dump.Adopted = vm.releases.adopter.Release(), vm.releases.adopted
+	vm.releases.RUnlock()
+	vm.members.Lock()
+	dump.Members = vm.members.list.Members()
+	vm.members.Unlock()
+	vm.queries.Lock()
+	dump.Queries = len(vm.queries.active)
+	vm.queries.Unlock()
+	vm.services.Lock()
+	defer vm.services.Unlock()
+	for name, service := range vm.services.byName {
+		dump.Services[name] = service.dump(time.Now())
+	}
+	return dump
+}
+
+func (service *service) dump(now time.Time) ServiceDump {
+	service.Lock()
+	defer service.Unlock()
+	calls, extra := service.shared.Budget.Counts(now)
+	return ServiceDump{Limit: service.limiter.Limit(), HedgeDelay: service.shared.Tracker.HedgeDelay(),
+		Calls: calls, Extra: extra, Targets: service.shared.Tracker.View(now)}
+}
--- /dev/null
+++ b/poplarpind/entry/entry.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"poplarpin.dev/core/config"
+	"poplarpin.dev/core/member"
+	"poplarpin.dev/core/owner"
+	"poplarpin.dev/core/release"
+	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/core/status"
+	"poplarpin.dev/poplarpind/peer"
+	"poplarpin.dev/poplarpind/platform"
+	"poplarpin.dev/poplarpind/settings"
+	"poplarpin.dev/poplarpind/target"
+)
+
+// VM is the process of one entry VM.
+type VM struct {
+	settings    settings.Settings
+	incarnation int64
+	log         *zap.Logger
+	platform    *platform.Client
+	mesh        *peer.Mesh
+	owner       *target.Owner
+
+	releases struct {
+		sync.RWMutex
+		adopter *release.Adopter
+		version int64 // of the head in the platform
+		adopted time.Time
+		pulling atomic.Bool
+	}
+	members struct {
+		sync.Mutex
+		list  *member.List
+		table *owner.Table
+		known map[string]owner.VM // in the table
+		epoch int64
+	}
+	services struct {
+		sync.Mutex
+		byName map[string]*service
+	}
+	queries struct {
+		sync.Mutex
+		counter int64
+		active  map[string]waiter
+	}
+	counter  *status.Counter
+	counting sync.Mutex
+
+	platformUp atomic.Bool
+	stopping   atomic.Bool
+	requests   atomic.Int64 // of callers, in flight
+}
+
+// New returns a VM that has not started.
+func New(settings settings.Settings, log *zap.Logger, client *tls.Config) *VM {
+	vm := &VM{
+		settings:    settings,
+		incarnation: time.Now().UnixMicro(),
+		log:         log.With(zap.String("vm", settings.Name)),
+		platform:    platform.New(settings.Platform, settings.FailureDomain),
+		owner:       target.New(limits(settings)),
+		counter:     status.New(),
+	}
+	vm.mesh = peer.New(rpc.Hello{VM: settings.Name, Incarnation: vm.incarnation}, vm, client)
+	vm.releases.adopter = release.NewAdopter()
+	vm.members.list = member.New(vm.self(), member.Default(), random())
+	vm.members.table = owner.New()
+	vm.members.known = map[string]owner.VM{}
+	vm.members.epoch = -1
+	vm.services.byName = map[string]*service{}
+	vm.queries.active = map[string]waiter{}
+	return vm
+}
+
+func limits(configured settings.Settings) target.Limits {
+	switch configured.Mode {
+	case settings.Direct:
+		return target.Limits{Unlimited: true}
+	case settings.Split:
+		return target.Limits{Extra: *configured.Extra, Parts: splitParts}
+	}
+	return target.Limits{Extra: *configured.Extra}
+}
+
+// splitParts is the number of entry VMs that split mode divides a target's limits by.
+const splitParts = 6
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (vm *VM) self() member.Member {
+	return member.Member{Name: vm.settings.Name, FailureDomain: vm.settings.FailureDomain,
+		Address: vm.settings.PeerAddress, Incarnation: vm.incarnation}
+}
+
+// Mesh returns the links to peers, which serve the peer listener.
+func (vm *VM) Mesh() *peer.Mesh { return vm.mesh }
+
+// Run keeps the VM's membership, configuration and status until the context ends.
+func (vm *VM) Run(ctx context.Context) {
+	vm.start(ctx)
+	go vm.owner.Watch(ctx)
+	go vm.watchHead(ctx)
+	go vm.watchVMs(ctx)
+	vm.tick(ctx)
+}
+
+const tickInterval = 50 * time.Millisecond
+
+// tick drives the timers of membership, release pulls and status reports.
+func (vm *VM) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	report := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		vm.tickMembers(time.Now())
+		vm.pullNewest(ctx)
+		if now := time.Now(); !now.Before(report) {
+			vm.report()
+			report = now.Add(reportInterval)
+		}
+	}
+}
+
+// configuration returns the configuration in force, nil for none.
+func (vm *VM) configuration() *config.Configuration {
+	vm.releases.RLock()
+	defer vm.releases.RUnlock()
+	return vm.releases.adopter.Configuration()
+}
+
+// queryID returns an id that no other query of any VM has.
+func (vm *VM) queryID() string {
+	vm.queries.Lock()
+	defer vm.queries.Unlock()
+	vm.queries.counter++
+	return fmt.Sprintf("%s/%x/%x", vm.settings.Name, vm.incarnation, vm.queries.counter)
+}
--- /dev/null
+++ b/poplarpind/entry/handler.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"poplarpin.dev/core/api"
+	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/poplarpind/peer"
+)
+
+// Notify implements peer.Handler.
+func (vm *VM) Notify(from, method string, params json.RawMessage) error {
+	switch method {
+	case rpc.MethodMember:
+		return handle(params, vm.receive)
+	case rpc.MethodRun:
+		return handle(params, func(batch rpc.Batch) { vm.runFor(from, batch) })
+	case rpc.MethodCancel:
+		return handle(params, vm.owner.Cancel)
+	case rpc.MethodPart:
+		return handle(params, vm.merge)
+	case rpc.MethodReport:
+		return handle(params, vm.reported)
+	case rpc.MethodLeaving:
+		return handle(params, func(leaving rpc.Leaving) { vm.owner.MarkLeaving(leaving.Targets) })
+	}
+	return &peer.Error{Op: method, Kind: peer.Unwelcome, Detail: "no such notification"}
+}
+
+func handle[T any](params json.RawMessage, do func(T)) error {
+	var message T
+	if err := json.Unmarshal(params, &message); err != nil {
+		return &peer.Error{Op: "decode", Kind: peer.Unwelcome, Detail: fmt.Sprintf("%T: %s", message, err)}
+	}
+	do(message)
+	return nil
+}
+
+// Call implements peer.Handler.
+func (vm *VM) Call(_ context.Context, _, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case rpc.MethodPull:
+		var request rpc.Pull
+		if err := json.Unmarshal(params, &request); err != nil {
+			return nil, err
+		}
+		return vm.pulled(request), nil
+	case rpc.MethodStatus:
+		return vm.counted(), nil
+	}
+	return nil, &peer.Error{Op: method, Kind: peer.Unwelcome, Detail: "no such call"}
+}
+
+// runFor makes the calls of another VM's batch and sends it each result.
+func (vm *VM) runFor(from string, batch rpc.Batch) {
+	vm.owner.Run(&batch, func(result rpc.Result) {
+		vm.members.Lock()
+		entry, ok := vm.members.list.Find(from)
+		vm.members.Unlock()
+		if ok {
+			vm.mesh.Notify(entry.Name, entry.Address, rpc.MethodPart, rpc.Part{Query: batch.Query, Results: []rpc.Result{result}}, func() {})
+		}
+	})
+}
+
+func (vm *VM) merge(part rpc.Part) {
+	for _, result := range part.Results {
+		vm.deliverResult(part.Query, result)
+	}
+}
+
+func (vm *VM) reported(status api.VMStatus) {
+	vm.counting.Lock()
+	defer vm.counting.Unlock()
+	vm.counter.Report(status, time.Now())
+}
+
+func (vm *VM) counted() []api.VMStatus {
+	vm.counting.Lock()
+	defer vm.counting.Unlock()
+	return vm.counter.VMs(time.Now())
+}
--- /dev/null
+++ b/poplarpind/entry/query.go
@@ -0,0 +1,254 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"poplarpin.dev/core/admit"
+	"poplarpin.dev/core/api"
+	"poplarpin.dev/core/budget"
+	"poplarpin.dev/core/config"
+	"poplarpin.dev/core/latency"
+	"poplarpin.dev/core/member"
+	"poplarpin.dev/core/query"
+	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/poplarpind/settings"
+)
+
+const noReleaseRetry = time.Second // when a caller may come back to a VM without a configuration
+
+// service is what the queries of one search service share on this VM.
+type service struct {
+	sync.Mutex
+	shared  query.Shared
+	limiter *admit.Limiter
+}
+
+func (vm *VM) service(name string, extraLoad float64) *service {
+	vm.services.Lock()
+	defer vm.services.Unlock()
+	found, ok := vm.services.byName[name]
+	if !ok {
+		found = &service{limiter: admit.New(), shared: query.Shared{
+			Versions: query.NewVersions(), Tracker: latency.New(random()), Budget: budget.New(extraLoad)}}
+		vm.services.byName[name] = found
+	}
+	return found
+}
+
+// Query runs a request to its final answer; the error is an api.Error.
+func (vm *VM) Query(ctx context.Context, request api.Request) (api.Answer, error) {
+	vm.requests.Add(1)
+	defer vm.requests.Add(-1)
+	configuration := vm.configuration()
+	if configuration == nil {
+		return api.Answer{}, &api.Error{Op: "query", Kind: api.NoRelease, Message: "no configuration is in force on this VM yet",
+			Outcome: api.NotRun, RetryAfter: retry(noReleaseRetry)}
+	}
+	class, err := check(request, configuration)
+	if err != nil {
+		return api.Answer{}, err
+	}
+	if request.NonIdempotent {
+		return vm.runOnce(ctx, request, configuration, class)
+	}
+	return vm.search(ctx, request, configuration, class)
+}
+
+// check finds the request's service and class in the configuration.
+func check(request api.Request, configuration *config.Configuration) (config.Class, error) {
+	declared, ok := configuration.Services[request.Service]
+	if !ok {
+		return config.Class{}, &api.Error{Op: "query", Kind: api.NotFound, Field: "service", Message: "is not in force: " + request.Service, Outcome: api.NotRun}
+	}
+	if len(configuration.Indexes[request.Service]) == 0 {
+		return config.Class{}, &api.Error{Op: "query", Kind: api.NoRelease, Field: "service", Message: "has no index version in force",
+			Outcome: api.NotRun, RetryAfter: retry(noReleaseRetry)}
+	}
+	name := request.Class
+	if name == "" {
+		name = declared.Classes[0]
+	}
+	for _, allowed := range declared.Classes {
+		if allowed == name {
+			return configuration.Classes[name], nil
+		}
+	}
+	return config.Class{}, &api.Error{Op: "query", Kind: api.BadRequest, Field: "class", Message: "is not one of the service's classes: " + name, Outcome: api.NotRun}
+}
+
+// search runs an idempotent query.
+func (vm *VM) search(ctx context.Context, request api.Request, configuration *config.Configuration, class config.Class) (api.Answer, error) {
+	service := vm.service(request.Service, configuration.Services[request.Service].ExtraLoad)
+	if vm.settings.Mode != settings.Direct {
+		service.Lock()
+		ok, after := service.limiter.Admit(admit.Class{Name: class.Name, Priority: class.Priority, Share: class.Share})
+		service.Unlock()
+		if !ok {
+			return api.Answer{}, &api.Error{Op: "query", Kind: api.Overloaded, Message: "the service's targets are busy with requests of this class and higher ones",
+				Outcome: api.NotRun, RetryAfter: retry(after)}
+		}
+	}
+	running := &scatter{vm: vm, service: service, class: class.Name, request: request, configuration: configuration,
+		id: vm.queryID(), owners: map[int64]member.Member{}, done: make(chan api.Answer, 1)}
+	vm.register(running.id, running)
+	defer vm.unregister(running.id)
+	running.start()
+	select {
+	case answer := <-running.done:
+		answer.VM = vm.settings.Name
+		return answer, nil
+	case <-ctx.Done():
+		running.abort()
+		return api.Answer{}, &api.Error{Op: "query", Kind: api.Unavailable, Message: "the caller has gone"}
+	}
+}
+
+// scatter drives one query.Run; the service's lock guards it.
+type scatter struct {
+	vm            *VM
+	service       *service
+	class         string
+	request       api.Request
+	configuration *config.Configuration
+	id            string
+	run           *query.Run
+	owners        map[int64]member.Member // by call
+	timer         *time.Timer
+	done          chan api.Answer
+	ended         bool
+}
+
+func (scatter *scatter) start() {
+	scatter.service.Lock()
+	defer scatter.service.Unlock()
+	now := time.Now()
+	hedged := scatter.vm.settings.Mode != settings.Direct
+	policy := query.Policy{Hedge: hedged && !scatter.vm.settings.NoHedge, Retry: hedged}
+	scatter.run = query.New(scatter.request, scatter.configuration, scatter.service.shared, policy, now)
+	scatter.perform(scatter.run.Start(now))
+	if !scatter.ended {
+		scatter.timer = time.AfterFunc(time.Until(scatter.run.Next()), scatter.tick)
+	}
+}
+
+func (scatter *scatter) tick() {
+	scatter.service.Lock()
+	defer scatter.service.Unlock()
+	if scatter.ended {
+		return
+	}
+	scatter.perform(scatter.run.Tick(time.Now()))
+	scatter.rearm()
+}
+
+// rearm sets the timer to the run's next decision.
+func (scatter *scatter) rearm() {
+	if !scatter.ended && scatter.timer != nil {
+		scatter.timer.Reset(max(0, time.Until(scatter.run.Next())))
+	}
+}
+
+// result implements waiter.
+func (scatter *scatter) result(result rpc.Result) {
+	scatter.service.Lock()
+	defer scatter.service.Unlock()
+	if scatter.ended {
+		return
+	}
+	scatter.perform(scatter.run.Result(time.Now(), result))
+	if result.Outcome != rpc.OK {
+		scatter.rearm()
+	}
+}
+
+// lost implements waiter.
+func (scatter *scatter) lost(owner string) {
+	scatter.service.Lock()
+	defer scatter.service.Unlock()
+	for call, through := range scatter.owners {
+		if through.Name == owner && !scatter.ended {
+			scatter.perform(scatter.run.Lost(time.Now(), call))
+		}
+	}
+	scatter.rearm()
+}
+
+func (scatter *scatter) abort() {
+	scatter.service.Lock()
+	defer scatter.service.Unlock()
+	if !scatter.ended {
+		scatter.perform(scatter.run.Abort(time.Now()))
+		scatter.end(false)
+	}
+}
+
+func (scatter *scatter) end(overloaded bool) {
+	scatter.ended = true
+	if scatter.timer != nil {
+		scatter.timer.Stop()
+	}
+	scatter.service.limiter.Done(time.Now(), scatter.class, overloaded)
+}
+
+// perform carries out the run's actions; the caller holds the lock.
+func (scatter *scatter) perform(actions []query.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case query.Send:
+			scatter.send(action.Calls)
+		case query.Cancel:
+			scatter.cancel(action.Calls)
+		case query.Finish:
+			scatter.end(action.Overloaded)
+			scatter.done <- action.Answer
+		}
+	}
+}
+
+// send groups calls by owner and sends one batch to each.
+func (scatter *scatter) send(calls []rpc.Call) {
+	byOwner := map[string][]rpc.Call{}
+	owners := map[string]member.Member{}
+	for _, call := range calls {
+		owner := scatter.vm.ownerOf(scatter.configuration.Targets[call.Target])
+		scatter.owners[call.ID] = owner
+		owners[owner.Name] = owner
+		byOwner[owner.Name] = append(byOwner[owner.Name], call)
+	}
+	for name, owner := range owners {
+		scatter.vm.send(owner, scatter.batch(byOwner[name]))
+	}
+}
+
+func (scatter *scatter) batch(calls []rpc.Call) rpc.Batch {
+	return rpc.Batch{
+		Query:   scatter.id,
+		Class:   scatter.class,
+		Started: scatter.run.Started().UnixMicro(),
+		Timeout: config.Duration(time.Until(scatter.run.Deadline())),
+		Calls:   calls,
+		Request: scatter.request.ID,
+		Service: scatter.request.Service,
+		Version: scatter.run.Version(),
+		Text:    scatter.request.Query,
+		Top:     scatter.request.Limit(),
+	}
+}
+
+func (scatter *scatter) cancel(calls []rpc.Call) {
+	byOwner := map[member.Member][]rpc.Call{}
+	for _, call := range calls {
+		owner := scatter.owners[call.ID]
+		byOwner[owner] = append(byOwner[owner], rpc.Call{ID: call.ID, Target: call.Target})
+	}
+	for owner, calls := range byOwner {
+		cancel := rpc.Cancel{Query: scatter.id, Calls: calls}
+		if owner.Name == scatter.vm.settings.Name {
+			go scatter.vm.owner.Cancel(cancel)
+			continue
+		}
+		scatter.vm.mesh.Notify(owner.Name, owner.Address, rpc.MethodCancel, cancel, func() {})
+	}
+}
--- /dev/null
+++ b/poplarpind/entry/releases.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+
+	"poplarpin.dev/core/member"
+	"poplarpin.dev/core/release"
+	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/poplarpind/platform"
+)
+
+const (
+	headObject   = "head"
+	partPrefix   = "parts/"
+	notePrefix   = "notes/"
+	startTimeout = 2 * time.Second // that a starting VM gives the platform before it goes on without
+	pullTimeout  = time.Second
+	watchBackoff = 5 * time.Second // between two watches of an absent platform at the most
+)
+
+// start reads the platform once; what is missing comes from peers or from the watch later.
+func (vm *VM) start(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := vm.readVMs(ctx); err != nil {
+		vm.log.Warn("platform's VM list is unavailable at the start", zap.Error(err))
+	}
+	head, version, err := vm.readHead(ctx)
+	if err == nil {
+		err = vm.fetch(ctx, head, version)
+	}
+	vm.platformState(err)
+}
+
+// readHead reads the head; a platform without one has release 0.
+func (vm *VM) readHead(ctx context.Context) (release.Head, int64, error) {
+	found, err := vm.platform.Get(ctx, headObject)
+	return decodeHead(found.Value, found.Version, err)
+}
+
+func decodeHead(value []byte, version int64, err error) (release.Head, int64, error) {
+	var head release.Head
+	if platform.KindOf(err) == platform.NotFound {
+		return head, 0, nil
+	}
+	if err != nil {
+		return head, 0, err
+	}
+	return head, version, json.Unmarshal(value, &head)
+}
+
+// watchHead waits for new heads while this VM is a watcher.
+func (vm *VM) watchHead(ctx context.Context) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = 100*time.Millisecond, watchBackoff
+	for ctx.Err() == nil {
+		pause := listInterval
+		if vm.isWatcher() {
+			err := vm.watchOnce(ctx)
+			vm.platformState(err)
+			if err == nil {
+				retry.Reset()
+				continue
+			}
+			pause = retry.NextBackOff()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (vm *VM) watchOnce(ctx context.Context) error {
+	vm.releases.RLock()
+	seen := vm.releases.version
+	vm.releases.RUnlock()
+	found, err := vm.platform.Watch(ctx, headObject, seen)
+	head, version, err := decodeHead(found.Value, found.Version, err)
+	if err != nil || version == 0 {
+		return err
+	}
+	return vm.fetch(ctx, head, version)
+}
+
+// fetch reads the missing parts of a head from the platform and adopts it.
+func (vm *VM) fetch(ctx context.Context, head release.Head, version int64) error {
+	vm.releases.RLock()
+	newer := head.Release > vm.releases.adopter.Release()
+	missing := vm.releases.adopter.Missing(head)
+	vm.releases.RUnlock()
+	parts := map[release.Digest][]byte{}
+	if newer {
+		for _, digest := range missing {
+			found, err := vm.platform.Get(ctx, partPrefix+string(digest))
+			if err != nil {
+				return err
+			}
+			parts[digest] = found.Value
+		}
+	}
+	err := vm.adopt(head, parts, "platform")
+	if err == nil {
+		vm.releases.Lock()
+		vm.releases.version = max(vm.releases.version, version)
+		vm.releases.Unlock()
+	}
+	return err
+}
+
+// adopt puts a release in force if it is higher, and tells peers.
+func (vm *VM) adopt(head release.Head, parts map[release.Digest][]byte, from string) error {
+	vm.releases.Lock()
+	adopted, err := vm.releases.adopter.Adopt(head, parts)
+	configuration := vm.releases.adopter.Configuration()
+	if adopted {
+		vm.releases.adopted = time.Now()
+	}
+	vm.releases.Unlock()
+	if err != nil {
+		vm.log.Error("release refused", zap.Int64("release", head.Release), zap.String("from", from), zap.Error(err))
+		return err
+	}
+	if !adopted {
+		return nil
+	}
+	vm.owner.Configure(configuration)
+	vm.members.Lock()
+	vm.members.list.SetRelease(head.Release)
+	vm.members.table.Forget()
+	outgoing := vm.members.list.Announce()
+	vm.members.Unlock()
+	vm.deliver(outgoing)
+	vm.report()
+	vm.log.Info("release in force", zap.Int64("release", head.Release), zap.String("from", from))
+	return nil
+}
+
+// pullNewest fetches a higher release from the peer that has it, one pull at a time.
+func (vm *VM) pullNewest(ctx context.Context) {
+	vm.members.Lock()
+	newest, from := vm.members.list.Newest()
+	vm.members.Unlock()
+	vm.releases.RLock()
+	have := vm.releases.adopter.Release()
+	vm.releases.RUnlock()
+	if newest <= have || !vm.releases.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer vm.releases.pulling.Store(false)
+		if err := vm.pull(ctx, from, have); err != nil {
+			vm.members.Lock()
+			vm.members.list.Unheard(from.Name)
+			vm.members.Unlock()
+		}
+	}()
+}
+
+func (vm *VM) pull(ctx context.Context, from member.Member, have int64) error {
+	vm.releases.RLock()
+	request := rpc.Pull{Have: have}
+	for digest := range vm.releases.adopter.Parts() {
+		request.Parts = append(request.Parts, digest)
+	}
+	vm.releases.RUnlock()
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	var pulled rpc.Pulled
+	if err := vm.mesh.Call(ctx, from.Name, from.Address, rpc.MethodPull, request, &pulled); err != nil {
+		return err
+	}
+	return vm.adopt(pulled.Head, pulled.Parts, from.Name)
+}
+
+// pulled answers a peer's pull.
+func (vm *VM) pulled(request rpc.Pull) rpc.Pulled {
+	vm.releases.RLock()
+	defer vm.releases.RUnlock()
+	head := vm.releases.adopter.Head()
+	if head.Release <= request.Have {
+		return rpc.Pulled{}
+	}
+	held := map[release.Digest]bool{}
+	for _, digest := range request.Parts {
+		held[digest] = true
+	}
+	answer := rpc.Pulled{Head: head, Parts: map[release.Digest][]byte{}}
+	for digest, part := range vm.releases.adopter.Parts() {
+		if !held[digest] {
+			answer.Parts[digest] = part
+		}
+	}
+	return answer
+}
+
+// platformState logs when the platform becomes available or unavailable.
+func (vm *VM) platformState(err error) {
+	up := err == nil
+	if vm.platformUp.Swap(up) != up {
+		vm.log.Info("platform", zap.Bool("available", up), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/poplarpind/peer/peer.go
@@ -0,0 +1,366 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"poplarpin.dev/core/rpc"
+)
+
+const (
+	dialTimeout  = 300 * time.Millisecond
+	pingInterval = 150 * time.Millisecond // while messages were sent lately
+	pingTimeout  = 350 * time.Millisecond // without an answer, after which a link is given up
+	quietAfter   = time.Second            // without messages, after which pings pause
+	closeAfter   = 2 * time.Minute        // without messages, after which a link is closed
+	avoidSpan    = 400 * time.Millisecond // after a failure, during which no new link is tried
+	queueLength  = 8192                   // messages that wait for one link
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds of errors.
+const (
+	Unreachable Kind = "unreachable" // no link; nothing was sent
+	Broken      Kind = "broken"      // the link ended; the message may have arrived
+	Unwelcome   Kind = "unwelcome"   // the peer may not speak with this VM
+)
+
+// Error reports why a message did not arrive or may not have.
+type Error struct {
+	Op     string
+	Kind   Kind
+	Detail string
+}
+
+// Error implements error.
+func (err *Error) Error() string { return err.Op + ": " + string(err.Kind) + ": " + err.Detail }
+
+var (
+	sentMessages = expvar.NewMap("peerMessages")
+	sentBytes    = expvar.NewInt("peerBytesSent")
+	linksLost    = expvar.NewInt("peerLinksLost")
+)
+
+// Handler takes the messages of peers; it must not block.
+type Handler interface {
+	Notify(from string, method string, params json.RawMessage) error
+	Call(ctx context.Context, from string, method string, params json.RawMessage) (any, error)
+	Down(name string) // a link on which messages were sent has ended
+}
+
+// Mesh keeps the links of one VM.
+type Mesh struct {
+	self    rpc.Hello
+	handler Handler
+	client  *tls.Config // nil for plain TCP
+	mu      sync.Mutex
+	links   map[string]*link // by peer's name
+	avoided map[string]time.Time
+	closed  bool
+	inbound map[net.Conn]bool
+}
+
+// New returns a mesh without links; client secures the links that it opens, if set.
+func New(self rpc.Hello, handler Handler, client *tls.Config) *Mesh {
+	return &Mesh{self: self, handler: handler, client: client, links: map[string]*link{},
+		avoided: map[string]time.Time{}, inbound: map[net.Conn]bool{}}
+}
+
+// message is one notification that waits for its link.
+type message struct {
+	method string
+	params any
+	unsent func()
+}
+
+// link is a connection that this VM opened to a peer.
+type link struct {
+	mesh    *Mesh
+	name    string
+	address string
+	queue   chan message
+	ready   chan struct{} // closed once rpc is set or the link has failed
+	rpc     *jsonrpc2.Conn
+	done    chan struct{}
+	closing sync.Once
+	mu      sync.Mutex
+	used    time.Time
+	sent    bool
+}
+
+// Up reports whether a peer may be reached as far as is known.
+func (mesh *Mesh) Up(name string) bool {
+	mesh.mu.Lock()
+	defer mesh.mu.Unlock()
+	return time.Since(mesh.avoided[name]) > avoidSpan
+}
+
+// Notify sends a message without an answer; unsent is called if it surely did not leave.
+func (mesh *Mesh) Notify(name, address, method string, params any, unsent func()) {
+	link := mesh.link(name, address)
+	if link == nil {
+		unsent()
+		return
+	}
+	sentMessages.Add(method, 1)
+	select {
+	case link.queue <- message{method, params, unsent}:
+	default:
+		link.close()
+		unsent()
+	}
+}
+
+// Call sends a message and waits for its answer.
+func (mesh *Mesh) Call(ctx context.Context, name, address, method string, params, result any) error {
+	link := mesh.link(name, address)
+	if link == nil {
+		return &Error{method, Unreachable, name + " was unreachable a moment ago"}
+	}
+	sentMessages.Add(method, 1)
+	select {
+	case <-link.ready:
+	case <-ctx.Done():
+		return &Error{method, Unreachable, ctx.Err().Error()}
+	}
+	if link.rpc == nil {
+		return &Error{method, Unreachable, "no link to " + name}
+	}
+	link.touch()
+	if err := link.rpc.Call(ctx, method, params, result); err != nil {
+		return &Error{method, Broken, err.Error()}
+	}
+	return nil
+}
+
+// link returns the open link to a peer, or opens one; it is nil while the peer is avoided.
+func (mesh *Mesh) link(name, address string) *link {
+	mesh.mu.Lock()
+	defer mesh.mu.Unlock()
+	if found, ok := mesh.links[name]; ok && found.address == address {
+		return found
+	}
+	if mesh.closed || time.Since(mesh.avoided[name]) <= avoidSpan {
+		return nil
+	}
+	opened := &link{mesh: mesh, name: name, address: address, queue: make(chan message, queueLength),
+		ready: make(chan struct{}), done: make(chan struct{}), used: time.Now()}
+	mesh.links[name] = opened
+	go opened.run()
+	return opened
+}
+
+// run opens the connection and writes messages until the link ends.
+func (link *link) run() {
+	defer link.drain()
+	if err := link.open(); err != nil {
+		link.close()
+		close(link.ready)
+		return
+	}
+	close(link.ready)
+	go link.ping()
+	ctx := context.Background()
+	for {
+		select {
+		case message := <-link.queue:
+			link.touch()
+			if err := link.rpc.Notify(ctx, message.method, message.params); err != nil {
+				link.close()
+				return
+			}
+		case <-link.rpc.DisconnectNotify():
+			link.close()
+			return
+		case <-link.done:
+			return
+		}
+	}
+}
+
+func (link *link) open() error {
+	conn, err := link.mesh.dial(link.address)
+	if err != nil {
+		return err
+	}
+	stream := jsonrpc2.NewBufferedStream(counted{conn}, jsonrpc2.VarintObjectCodec{})
+	rpcConn := jsonrpc2.NewConn(context.Background(), stream, ignore{})
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	var hello rpc.Hello
+	if err := rpcConn.Call(ctx, rpc.MethodHello, link.mesh.self, &hello); err != nil {
+		_ = rpcConn.Close()
+		return err
+	}
+	if hello.VM != link.name || !certified(conn, link.name) {
+		_ = rpcConn.Close()
+		return &Error{"open", Unwelcome, fmt.Sprintf("%s answers at the address of %s", hello.VM, link.name)}
+	}
+	link.rpc = rpcConn
+	return nil
+}
+
+func (mesh *Mesh) dial(address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if mesh.client == nil {
+		return dialer.Dial("tcp", address)
+	}
+	return tls.DialWithDialer(dialer, "tcp", address, mesh.client)
+}
+
+// ping finds a link that has gone silent.
+func (link *link) ping() {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-link.done:
+			return
+		case <-ticker.C:
+		}
+		idle := link.idle()
+		if idle > closeAfter {
+			link.close()
+			return
+		}
+		if idle > quietAfter {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+		err := link.rpc.Call(ctx, rpc.MethodPing, nil, nil)
+		cancel()
+		if err != nil {
+			link.close()
+			return
+		}
+	}
+}
+
+func (link *link) touch() {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	link.used, link.sent = time.Now(), true
+}
+
+func (link *link) idle() time.Duration {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	return time.Since(link.used)
+}
+
+// close ends the link and tells the handler that messages on it may be lost.
+func (link *link) close() {
+	link.closing.Do(func() {
+		close(link.done)
+		link.mesh.remove(link)
+		if link.rpc != nil {
+			go func() { _ = link.rpc.Close() }()
+		}
+		link.mu.Lock()
+		sent := link.sent
+		link.mu.Unlock()
+		if sent {
+			linksLost.Add(1)
+			go link.mesh.handler.Down(link.name)
+		}
+	})
+}
+
+// drain reports the messages that were never written.
+func (link *link) drain() {
+	for {
+		select {
+		case message := <-link.queue:
+			message.unsent()
+		case <-time.After(pingTimeout):
+			return
+		}
+	}
+}
+
+func (mesh *Mesh) remove(link *link) {
+	mesh.mu.Lock()
+	defer mesh.mu.Unlock()
+	if mesh.links[link.name] == link {
+		delete(mesh.links, link.name)
+	}
+	if link.idle() < closeAfter {
+		mesh.avoided[link.name] = time.Now()
+	}
+}
+
+// Serve takes the links that peers open until the listener ends.
+func (mesh *Mesh) Serve(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		mesh.mu.Lock()
+		mesh.inbound[conn] = true
+		mesh.mu.Unlock()
+		go mesh.serve(conn)
+	}
+}
+
+func (mesh *Mesh) serve(conn net.Conn) {
+	stream := jsonrpc2.NewBufferedStream(counted{conn}, jsonrpc2.VarintObjectCodec{})
+	rpcConn := jsonrpc2.NewConn(context.Background(), stream, &inbound{mesh: mesh, conn: conn})
+	<-rpcConn.DisconnectNotify()
+	mesh.mu.Lock()
+	delete(mesh.inbound, conn)
+	mesh.mu.Unlock()
+}
+
+// Close ends all links.
+func (mesh *Mesh) Close() {
+	mesh.mu.Lock()
+	mesh.closed = true
+	links := make([]*link, 0, len(mesh.links))
+	for _, link := range mesh.links {
+		links = append(links, link)
+	}
+	for conn := range mesh.inbound {
+		_ = conn.Close()
+	}
+	mesh.mu.Unlock()
+	for _, link := range links {
+		link.close()
+	}
+}
+
+// Links returns the names of the peers with an open link.
+func (mesh *Mesh) Links() []string {
+	mesh.mu.Lock()
+	defer mesh.mu.Unlock()
+	names := make([]string, 0, len(mesh.links))
+	for name := range mesh.links {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// counted counts the bytes that are written.
+type counted struct{ net.Conn }
+
+// Write implements io.Writer.
+func (counted counted) Write(data []byte) (int, error) {
+	if err := counted.SetWriteDeadline(time.Now().Add(pingTimeout)); err != nil {
+		return 0, err
+	}
+	count, err := counted.Conn.Write(data)
+	sentBytes.Add(int64(count))
+	return count, err
+}
--- /dev/null
+++ b/poplarpind/settings/settings.go
@@ -0,0 +1,162 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"poplarpin.dev/core/config"
+)
+
+// Mode says who calls targets.
+type Mode string
+
+// The modes.
+const (
+	Owner  Mode = "owner"  // each target is called by its owner
+	Split  Mode = "split"  // each VM calls every target within its part of the target's limits
+	Direct Mode = "direct" // each VM calls every target without limits, classes, hedges or retries
+)
+
+// Defaults of settings that are left out.
+const (
+	DefaultDrainWait = 5 * time.Second
+	DefaultExtra     = 1
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+// TLS names the files of keys and certificates, which are read anew when they change.
+type TLS struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"` // signs the certificates of entry VMs and operators
+}
+
+// Settings are the settings of one entry VM's process.
+type Settings struct {
+	Name            string          `yaml:"name"`
+	FailureDomain   string          `yaml:"failureDomain"`
+	PeerAddress     string          `yaml:"peerAddress"`
+	CallerAddress   string          `yaml:"callerAddress"`
+	OperatorAddress string          `yaml:"operatorAddress"`
+	Platform        string          `yaml:"platform"`
+	Mode            Mode            `yaml:"mode"`
+	Extra           *int            `yaml:"extra"` // calls in flight at a target beyond its slots
+	NoHedge         bool            `yaml:"noHedge"`
+	DrainWait       config.Duration `yaml:"drainWait"`    // from the first sign of a planned stop to the last new request
+	PlainCallers    bool            `yaml:"plainCallers"` // HTTP without TLS on the caller address
+	Log             string          `yaml:"log"`
+	Operators       []string        `yaml:"operators"` // names in operators' certificates; empty without TLS
+	TLS             *TLS            `yaml:"tls"`
+}
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds of errors.
+const (
+	Unreadable Kind = "unreadable"
+	Invalid    Kind = "invalid"
+)
+
+// Error reports what is wrong with the settings.
+type Error struct {
+	Op     string
+	Kind   Kind
+	Field  string
+	Detail string
+}
+
+// Error implements error.
+func (err *Error) Error() string {
+	return fmt.Sprintf("%s: %s: %s: %s", err.Op, err.Kind, err.Field, err.Detail)
+}
+
+// Load reads settings from a file and checks them.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, &Error{Op: "settings", Kind: Unreadable, Field: "file", Detail: err.Error()}
+	}
+	return Parse(path, data)
+}
+
+// Parse reads settings and reports errors with file, line and field.
+func Parse(file string, data []byte) (Settings, error) {
+	settings := Settings{Mode: Owner, Log: "info", DrainWait: config.Duration(DefaultDrainWait)}
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&settings); err != nil {
+		return settings, &Error{Op: file, Kind: Unreadable, Field: "yaml", Detail: strings.ReplaceAll(err.Error(), "\n", "")}
+	}
+	if settings.Extra == nil {
+		extra := DefaultExtra
+		settings.Extra = &extra
+	}
+	if field, detail := settings.check(); field != "" {
+		return settings, &Error{Op: fmt.Sprintf("%s:%d", file, lineOf(data, field)), Kind: Invalid, Field: field, Detail: detail}
+	}
+	return settings, nil
+}
+
+// check returns the first field that is wrong and why.
+func (settings *Settings) check() (field, detail string) {
+	for field, name := range map[string]string{"name": settings.Name, "failureDomain": settings.FailureDomain} {
+		if !namePattern.MatchString(name) {
+			return field, fmt.Sprintf("%.70q must match %s", name, namePattern)
+		}
+	}
+	addresses := map[string]string{"peerAddress": settings.PeerAddress,
+		"callerAddress": settings.CallerAddress, "operatorAddress": settings.OperatorAddress}
+	for field, address := range addresses {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return field, fmt.Sprintf("%q is not an IP address and port", address)
+		}
+	}
+	if platform, err := url.Parse(settings.Platform); err != nil || platform.Host == "" {
+		return "platform", fmt.Sprintf("%q is not a URL", settings.Platform)
+	}
+	switch settings.Mode {
+	case Owner, Split, Direct:
+	default:
+		return "mode", fmt.Sprintf("%q is not owner, split or direct", settings.Mode)
+	}
+	if *settings.Extra < 0 || *settings.Extra > 1024 {
+		return "extra", fmt.Sprintf("%d is not in [0, 1024]", *settings.Extra)
+	}
+	if wait := settings.DrainWait.Std(); wait < 0 || wait > 10*time.Minute {
+		return "drainWait", fmt.Sprintf("%s is not in [0s, 10m]", wait)
+	}
+	return settings.checkTLS()
+}
+
+func (settings *Settings) checkTLS() (field, detail string) {
+	if settings.TLS == nil {
+		if len(settings.Operators) > 0 {
+			return "operators", "names need tls"
+		}
+		return "", ""
+	}
+	if settings.TLS.Certificate == "" || settings.TLS.Key == "" || settings.TLS.Authority == "" {
+		return "tls", "certificate, key and authority are required"
+	}
+	return "", ""
+}
+
+// lineOf returns the line of a top-level field, or 1.
+func lineOf(data []byte, field string) int {
+	for i, line := range strings.Split(string(data), "\n") {
+		if strings.HasPrefix(line, field+":") {
+			return i + 1
+		}
+	}
+	return 1
+}
--- /dev/null
+++ b/poplarpind/target/doc.go
@@ -0,0 +1,2 @@
+// Package target calls targets on behalf of their owner, within their slots and connections.
+package target
--- /dev/null
+++ b/standin/admin/admin.go
@@ -0,0 +1,119 @@
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"poplarpin.dev/core/object"
+	"poplarpin.dev/standin/platform"
+	"poplarpin.dev/standin/target"
+)
+
+// TargetFaults sets the faults of targets; no names means all.
+type TargetFaults struct {
+	Targets []string      `json:"targets"`
+	Faults  target.Faults `json:"faults"`
+}
+
+// Counters are the counters of all stand-ins of a process.
+type Counters struct {
+	Platform *platform.Counters         `json:"platform,omitempty"`
+	Targets  map[string]target.Counters `json:"targets"`
+}
+
+// Admin switches the faults of the stand-ins of a process.
+type Admin struct {
+	platform *platform.Platform // nil where the process has none
+	targets  map[string]*target.Target
+}
+
+// New returns the HTTP handler.
+func New(platform *platform.Platform, targets map[string]*target.Target) http.Handler {
+	admin := &Admin{platform, targets}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /faults/targets", admin.setTargets)
+	mux.HandleFunc("POST /faults/platform", admin.setPlatform)
+	mux.HandleFunc("PUT /vms", admin.setVMs)
+	mux.HandleFunc("GET /counters", admin.counters)
+	mux.HandleFunc("GET /runs", admin.runs)
+	return mux
+}
+
+func (admin *Admin) setTargets(writer http.ResponseWriter, request *http.Request) {
+	var body TargetFaults
+	if !decode(writer, request, &body) {
+		return
+	}
+	names := body.Targets
+	if len(names) == 0 {
+		for name := range admin.targets {
+			names = append(names, name)
+		}
+	}
+	for _, name := range names {
+		target, ok := admin.targets[name]
+		if !ok {
+			http.Error(writer, "no target "+name, http.StatusNotFound)
+			return
+		}
+		if err := target.SetFaults(body.Faults); err != nil {
+			http.Error(writer, err.Error(), http.StatusInternalServerError)
+			return
+		}
+	}
+}
+
+func (admin *Admin) setPlatform(writer http.ResponseWriter, request *http.Request) {
+	var faults platform.Faults
+	if admin.platform == nil {
+		http.Error(writer, "no platform here", http.StatusNotFound)
+		return
+	}
+	if decode(writer, request, &faults) {
+		admin.platform.SetFaults(faults)
+	}
+}
+
+func (admin *Admin) setVMs(writer http.ResponseWriter, request *http.Request) {
+	var vms object.VMs
+	if admin.platform == nil {
+		http.Error(writer, "no platform here", http.StatusNotFound)
+		return
+	}
+	if decode(writer, request, &vms) {
+		admin.platform.SetVMs(vms.VMs)
+	}
+}
+
+func (admin *Admin) counters(writer http.ResponseWriter, _ *http.Request) {
+	counters := Counters{Targets: map[string]target.Counters{}}
+	if admin.platform != nil {
+		platform := admin.platform.Counters()
+		counters.Platform = &platform
+	}
+	for name, target := range admin.targets {
+		counters.Targets[name] = target.Counters()
+	}
+	_ = json.NewEncoder(writer).Encode(counters)
+}
+
+// runs adds up the runs of non-idempotent requests on all targets.
+func (admin *Admin) runs(writer http.ResponseWriter, _ *http.Request) {
+	runs := map[string]int{}
+	for _, target := range admin.targets {
+		for id, count := range target.Runs() {
+			runs[id] += count
+		}
+	}
+	_ = json.NewEncoder(writer).Encode(runs)
+}
+
+func decode(writer http.ResponseWriter, request *http.Request, value any) bool {
+	decoder := json.NewDecoder(request.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/standin/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin serves the stand-ins' fault switches and counters over HTTP.
+package admin
--- /dev/null
+++ b/standin/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads the stand-ins' YAML settings.
+package settings
