Whole path runs as separate processes, with a demonstration

Cause: nothing had been run end to end. Change: testbed starts stand-ins and entry VMs on loopback; make demo applies a note, queries, loses a shard's targets and stops a VM; poplarpin load with a checker of answers. Before: no run. Conclusion: the frame stands; failures and load come next.

--- a/poplarpin/load.go
+++ b/poplarpin/load.go
@@ -1,7 +1,44 @@
 package main
 
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"poplarpin.dev/poplarpin/load"
+	"poplarpin.dev/poplarpin/output"
+)
+
 // loadCommand runs an experiment.
-type loadCommand struct{}
+type loadCommand struct {
+	Plan string `arg:"" type:"existingfile" help:"Plan of the experiment in YAML."`
+	Plot string `help:"SVG or PNG file for the latency over time." type:"path"`
+}
 
-// Run is not there yet.
-func (command *loadCommand) Run(*globals) error { return &exitError{exitFailed, "not there yet"} }
+// Run prints the report and fails if a promise was broken.
+func (command *loadCommand) Run(globals *globals) error {
+	plan, err := load.Read(command.Plan)
+	if err != nil {
+		return &exitError{exitUsage, err.Error()}
+	}
+	experiment, err := load.New(plan)
+	if err != nil {
+		return err
+	}
+	report, err := experiment.Run(context.Background())
+	if err != nil {
+		return err
+	}
+	if globals.Output == output.JSON {
+		err = globals.print(report)
+	} else {
+		report.Table(os.Stdout)
+	}
+	if err == nil && command.Plot != "" {
+		err = report.Plot(command.Plot, command.Plan)
+	}
+	if err == nil && report.Broken > 0 {
+		err = &exitError{exitFailed, fmt.Sprintf("%d promises were broken", report.Broken)}
+	}
+	return err
+}
--- /dev/null
+++ b/testbed/main.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"github.com/alecthomas/kong"
+)
+
+// globals are the flags of all commands.
+type globals struct {
+	Bin string `help:"Folder of the programs." default:"bin" type:"path"`
+}
+
+// cli is the command line.
+type cli struct {
+	globals
+	Demo demoCommand `cmd:"" help:"Show the whole path on a small fleet."`
+}
+
+func main() {
+	var cli cli
+	context := kong.Parse(&cli, kong.Name("testbed"), kong.Description("Runs a small fleet of real processes on loopback."))
+	context.FatalIfErrorf(context.Run(&cli.globals))
+}
