Measure against plain scatter-gather in the same run

Cause: no figure stood against a baseline, so no decision could be judged. Before: nothing measured.

--- a/core/latency/latency.go
+++ b/core/latency/latency.go
@@ -140,6 +140,13 @@
 	return order
 }
 
+// Shuffle returns the replicas in random order.
+func (tracker *Tracker) Shuffle(replicas []string) []string {
+	order := slices.Clone(replicas)
+	tracker.random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	return order
+}
+
 // compare puts targets that can be reached first, then those that are clearly faster.
 func (tracker *Tracker) compare(a, b string, now time.Time) int {
 	first, second := tracker.target(a), tracker.target(b)
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -39,8 +39,9 @@
 
 // Policy switches the measures against stragglers and failures.
 type Policy struct {
-	Hedge bool
-	Retry bool
+	Hedge    bool
+	Retry    bool
+	Adaptive bool // replicas are chosen by what calls have shown, not at random
 }
 
 type shard struct {
@@ -201,7 +202,7 @@
 
 // choose takes the best replica among those that were tried least.
 func (run *Run) choose(now time.Time, shard *shard) string {
-	order := run.tracker.Order(shard.Replicas, now)
+	order := run.order(shard.Replicas, now)
 	for _, replica := range order {
 		if !slices.Contains(shard.tried, replica) {
 			return replica
@@ -210,6 +211,13 @@
 	return order[shard.attempts%len(order)]
 }
 
+func (run *Run) order(replicas []string, now time.Time) []string {
+	if run.policy.Adaptive {
+		return run.tracker.Order(replicas, now)
+	}
+	return run.tracker.Shuffle(replicas)
+}
+
 func (run *Run) add(now time.Time, target string, shards []int, extra bool) *call {
 	added := &call{Call: rpc.Call{ID: int64(len(run.calls)), Target: target}, shards: shards, started: now, extra: extra}
 	for _, i := range shards {
--- a/core/release/acceptor.go
+++ b/core/release/acceptor.go
@@ -1,5 +1,7 @@
 package release
 
+import "slices"
+
 // Action is what an Acceptor asks its driver to do next.
 type Action interface{ action() }
 
@@ -18,25 +20,22 @@
 	Version int64
 }
 
-// DeleteParts asks to delete parts, without need for success.
-type DeleteParts struct{ Digests []Digest }
-
 // Done reports the release that the note became.
 type Done struct {
 	Accepted Accepted
 	State    State
+	Orphans  []Digest // parts of attempts that lost, which no head can refer to any more
 }
 
 // Refused reports that the note did not and will not become a release, unless the error's kind is Unknown.
 type Refused struct{ Err error }
 
-func (ReadHead) action()    {}
-func (ReadParts) action()   {}
-func (WriteParts) action()  {}
-func (UpdateHead) action()  {}
-func (DeleteParts) action() {}
-func (Done) action()        {}
-func (Refused) action()     {}
+func (ReadHead) action()   {}
+func (ReadParts) action()  {}
+func (WriteParts) action() {}
+func (UpdateHead) action() {}
+func (Done) action()       {}
+func (Refused) action()    {}
 
 // Event is what the driver tells an Acceptor about the last action.
 type Event interface{ event() }
@@ -125,6 +124,7 @@
 	case Written:
 		return acceptor.written()
 	case Stale:
+		acceptor.orphan()
 		return acceptor.retry(ReadHead{})
 	case NotSent:
 		return acceptor.retry(acceptor.last)
@@ -147,7 +147,7 @@
 		if accepted.Digest != acceptor.note.Digest() {
 			return Refused{fail("accept", Conflict, "the id %s was used by another note, which is release %d", accepted.Note, accepted.Release)}
 		}
-		return Done{accepted, state}
+		return acceptor.done(accepted, state)
 	}
 	if acceptor.version != acceptor.unsure {
 		acceptor.unsure = settled
@@ -188,7 +188,22 @@
 	if err != nil {
 		return Refused{err}
 	}
-	return Done{state.Head.Recent[0], state}
+	return acceptor.done(state.Head.Recent[0], state)
+}
+
+// orphan notes the parts of an attempt whose head was refused: a head that refers to them would need the same version.
+func (acceptor *Acceptor) orphan() {
+	if _, ok := acceptor.last.(UpdateHead); !ok {
+		return
+	}
+	for digest := range acceptor.proposal.Parts {
+		acceptor.orphans = append(acceptor.orphans, digest)
+	}
+}
+
+func (acceptor *Acceptor) done(accepted Accepted, state State) Action {
+	orphans := slices.DeleteFunc(acceptor.orphans, func(digest Digest) bool { return slices.Contains(state.Head.Parts, digest) })
+	return Done{accepted, state, orphans}
 }
 
 // lost reads the head again, since only the head tells whether the update took effect.
--- a/poplarpind/entry/accept.go
+++ b/poplarpind/entry/accept.go
@@ -143,7 +143,7 @@
 		if err != nil && platform.KindOf(err) != platform.Stale {
 			vm.log.Warn("note is not kept for the history", zap.Int64("release", done.Accepted.Release), zap.Error(err))
 		}
-		for _, digest := range release.Expired(former, done.State.Head) {
+		for _, digest := range append(release.Expired(former, done.State.Head), done.Orphans...) {
 			_ = vm.platform.Delete(ctx, partPrefix+string(digest))
 		}
 	}()
--- a/poplarpind/entry/query.go
+++ b/poplarpind/entry/query.go
@@ -124,8 +124,8 @@
 	scatter.service.Lock()
 	defer scatter.service.Unlock()
 	now := time.Now()
-	hedged := scatter.vm.settings.Mode != settings.Direct
-	policy := query.Policy{Hedge: hedged && !scatter.vm.settings.NoHedge, Retry: hedged}
+	full := scatter.vm.settings.Mode != settings.Direct
+	policy := query.Policy{Hedge: full && !scatter.vm.settings.NoHedge, Retry: full, Adaptive: full}
 	scatter.run = query.New(scatter.request, scatter.configuration, scatter.service.shared, policy, now)
 	scatter.perform(scatter.run.Start(now))
 	if !scatter.ended {
--- a/testbed/fleet/topology.go
+++ b/testbed/fleet/topology.go
@@ -53,7 +53,7 @@
 
 // Sahm is the fleet of Sahm's sizes of today.
 func Sahm() Topology {
-	pair := Group{Replicas: 2, Slots: 2, Connections: 25, ConnectionCost: 6 * time.Millisecond, Median: 4 * time.Millisecond,
+	pair := Group{Replicas: 2, Slots: 2, Connections: 25, ConnectionCost: 6 * time.Millisecond, Median: 10 * time.Millisecond,
 		Sigma: serviceSigma, Deadline: 500 * time.Millisecond, LeastCoverage: 0.9}
 	desk := Group{Shards: 3, Replicas: 1, Slots: 4, Connections: 45, ConnectionCost: time.Millisecond, Median: 4 * time.Millisecond,
 		Sigma: serviceSigma, Deadline: time.Second, LeastCoverage: 0.5}
@@ -73,7 +73,7 @@
 
 // Association is the fleet of the meter testers' association's sizes of today.
 func Association() Topology {
-	pair := Group{Replicas: 2, Slots: 2, Connections: 25, ConnectionCost: 6 * time.Millisecond, Median: 4 * time.Millisecond,
+	pair := Group{Replicas: 2, Slots: 2, Connections: 25, ConnectionCost: 6 * time.Millisecond, Median: 10 * time.Millisecond,
 		Sigma: serviceSigma, Deadline: time.Second, LeastCoverage: 1}
 	wide := Group{Replicas: 2, Slots: 2, Connections: 100, ConnectionCost: time.Millisecond, Median: 4 * time.Millisecond,
 		Sigma: serviceSigma, Deadline: time.Second, LeastCoverage: 0.9}
@@ -96,7 +96,8 @@
 	return group
 }
 
-func targetName(service string, shard, replica int) string {
+// TargetName returns the name of a stand-in target.
+func TargetName(service string, shard, replica int) string {
 	return fmt.Sprintf("%s-%02d-%c", service, shard, 'a'+replica)
 }
 
@@ -121,7 +122,7 @@
 		shard.Documents = shard.To - shard.From
 		home := (i + int(version) - 1) % group.Shards
 		for replica := range group.Replicas {
-			shard.Replicas = append(shard.Replicas, targetName(group.Service, home, replica))
+			shard.Replicas = append(shard.Replicas, TargetName(group.Service, home, replica))
 		}
 		index.Shards = append(index.Shards, shard)
 	}
@@ -135,7 +136,7 @@
 		for shard := range group.Shards {
 			for replica := range group.Replicas {
 				targets = append(targets, standin.Target{
-					Target: config.Target{Name: targetName(group.Service, shard, replica), Address: ports.next(),
+					Target: config.Target{Name: TargetName(group.Service, shard, replica), Address: ports.next(),
 						FailureDomain: topology.Domains[(shard+replica)%len(topology.Domains)],
 						Slots:         group.Slots, Connections: group.Connections},
 					ConnectionCost: config.Duration(group.ConnectionCost),
--- a/testbed/main.go
+++ b/testbed/main.go
@@ -12,7 +12,8 @@
 // cli is the command line.
 type cli struct {
 	globals
-	Demo demoCommand `cmd:"" help:"Show the whole path on a small fleet."`
+	Demo  demoCommand  `cmd:"" help:"Show the whole path on a small fleet."`
+	Bench benchCommand `cmd:"" help:"Measure against plain scatter-gather in the same run."`
 }
 
 func main() {
