Prove the core protocol by Spin models with rejected broken variants

A nested 'if' with 'else' at the head of an option was flattened by Spin and hid the BLIND_CREATE run; such options now begin with 'true'.

--- /dev/null
+++ b/model/once.pml
@@ -0,0 +1,127 @@
+/* At most once and "not run".
+ *
+ * One non-idempotent request is submitted through two entry VMs. Each claims it by a conditional create in the platform,
+ * whose answer can be lost, sends it to an owner, and the owner sends it to the target. Entry VM and owner can crash or
+ * be frozen at any point (an interleaving), messages can be lost, and calls can arrive late.
+ *
+ * Broken variants:
+ *   NO_CLAIM      the request is sent without a claim
+ *   STEAL         a claim that another holds counts as released
+ *   RESEND        the call is sent again when its result is lost
+ *   LOST_NOTRUN   a lost result is reported as "not run"
+ *   RELEASE_LOST  a lost result releases the claim
+ *   BLIND_CREATE  a create without an answer counts as done
+ */
+#define SUBMISSIONS 2
+#define FREE 0
+#define HELD 1
+#define RELEASED 2
+
+#define NONE 0
+#define RAN 1
+#define NOTRUN 2
+#define UNKNOWN 3
+
+byte claim = FREE;
+byte holder = 9;
+byte runs = 0;
+byte answer[SUBMISSIONS];
+byte calls[SUBMISSIONS];   /* calls on their way to the target */
+byte result[SUBMISSIONS];  /* 0 none, 1 ran, 2 surely not run */
+
+/* The way through the owner to the target: the call may be refused before it ran, run, run late, or vanish. */
+proctype Way(byte me) {
+end: do
+  :: calls[me] > 0 -> atomic {
+       calls[me]--;
+       if
+       :: runs++; result[me] = 1            /* ran and answered */
+       :: runs++                            /* ran, answer lost */
+       :: result[me] = 2                    /* refused before it ran */
+       :: skip                              /* owner crashed or cut off */
+       fi }
+  od
+}
+
+proctype Entry(byte me) {
+  byte tries = 0; bool mine = false;
+  if
+  :: skip                                   /* goes on */
+  :: goto crashed
+  fi;
+#ifdef NO_CLAIM
+  mine = true;
+#else
+  do
+  :: mine -> break
+  :: !mine && tries == 3 -> answer[me] = UNKNOWN; goto done
+  :: !mine && tries < 3 -> tries++;
+     if
+     :: atomic { /* create or take over, answered */
+          true;
+          if
+          :: claim == FREE || claim == RELEASED -> claim = HELD; holder = me; mine = true
+#ifdef STEAL
+          :: claim == HELD && holder != me -> holder = me; mine = true
+#else
+          :: claim == HELD && holder != me -> answer[me] = UNKNOWN
+#endif
+          :: claim == HELD && holder == me -> mine = true
+          fi }
+     :: atomic { /* took effect or was refused, answer lost */
+          true;
+          if
+          :: claim == FREE || claim == RELEASED -> claim = HELD; holder = me
+          :: else
+          fi;
+#ifdef BLIND_CREATE
+          mine = true
+#endif
+        }
+     :: skip /* not sent */
+     fi;
+     if :: answer[me] == UNKNOWN -> goto done :: else fi
+  od;
+#endif
+  if
+  :: skip
+  :: goto crashed                           /* claimed and gone */
+  fi;
+  calls[me]++;
+  do
+  :: result[me] == 1 -> answer[me] = RAN; break
+  :: result[me] == 2 ->
+     if
+     :: atomic { holder == me -> claim = RELEASED }  /* released */
+     :: skip                                          /* the release is lost; the claim stays held */
+     fi;
+     answer[me] = NOTRUN; break
+  :: true -> /* deadline, or the link to the owner broke */
+#ifdef LOST_NOTRUN
+     answer[me] = NOTRUN;
+#else
+     answer[me] = UNKNOWN;
+#endif
+#ifdef RESEND
+     if :: tries < 4 -> tries = 4; calls[me]++; goto waitAgain :: else fi;
+#endif
+#ifdef RELEASE_LOST
+     atomic { if :: holder == me -> claim = RELEASED :: else fi };
+#endif
+     break;
+#ifdef RESEND
+waitAgain: skip
+#endif
+  od;
+  goto done;
+crashed: skip;
+done: skip
+}
+
+init { atomic { run Entry(0); run Entry(1); run Way(0); run Way(1) } }
+
+ltl atMostOnce { [] (runs <= 1) }
+/* If nobody was told anything but "not run", it has not run and never will. */
+ltl honest { [] ((answer[0] == NOTRUN && answer[1] == NOTRUN) -> (runs == 0)) }
+/* A submission that says "not run" has not run it and never will. */
+ltl mine0 { [] (answer[0] == NOTRUN -> (calls[0] == 0 && result[0] != 1)) }
