Keep overload of a low class and slow replicas away from the rest

Cause: (1) one limit a service: sheds of the low class lowered the high class's limit too; (2) replica cost was latency times calls in flight, so a good replica under load looked like one 20 times slower, and half of the calls went there; (3) a server that takes calls and never answers was only ever 'slow'. Ruled out: the hedge budget (extra load was 0.033 of 0.05) and probes (3 a second a target). Change: a limit for each class, lowered when its own queries waited over a quarter of their time at owners; replicas compared by latency first, by calls in flight among alike ones; three calls in a row without an answer mark a target as down.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -4,10 +4,10 @@
 
 const (
 	firstLimit  = 32.0
-	leastLimit  = 2.0
+	leastLimit  = 1.0
 	mostLimit   = 4096.0
 	decrease    = 0.85                   // factor on a sign of overload
-	cooldown    = 50 * time.Millisecond  // between two decreases
+	cooldown    = 50 * time.Millisecond  // between two decreases of one class
 	leastRetry  = 100 * time.Millisecond // retry time at the least
 	retryPerHit = 10 * time.Millisecond  // added for each query over the limit
 	mostRetry   = 5 * time.Second
@@ -20,57 +20,82 @@
 	Share    float64
 }
 
-// Limiter adapts the number of queries in flight to what a service's targets can take.
-type Limiter struct {
-	limit    float64
-	inFlight map[string]int
-	classes  map[string]Class
+// lane is the state of one class.
+type lane struct {
+	class    Class
+	limit    float64 // queries of this class and higher ones in flight
+	inFlight int
 	lowered  time.Time
 	refusals float64
 }
 
-// New returns a limiter with a moderate limit.
-func New() *Limiter {
-	return &Limiter{limit: firstLimit, inFlight: map[string]int{}, classes: map[string]Class{}}
+// Limiter adapts for each class the number of queries in flight to what a service's targets can take.
+type Limiter struct {
+	lanes map[string]*lane
 }
 
-// Limit returns the number of queries that may be in flight.
-func (limiter *Limiter) Limit() float64 { return limiter.limit }
+// New returns a limiter with a moderate limit for each class.
+func New() *Limiter { return &Limiter{lanes: map[string]*lane{}} }
 
-// Admit takes a query in, or says when the caller should come back.
-func (limiter *Limiter) Admit(class Class) (ok bool, retryAfter time.Duration) {
-	limiter.classes[class.Name] = class
-	ahead := 0
-	for name, count := range limiter.inFlight {
-		if limiter.classes[name].Priority <= class.Priority {
-			ahead += count
+func (limiter *Limiter) lane(class Class) *lane {
+	found, ok := limiter.lanes[class.Name]
+	if !ok {
+		found = &lane{limit: firstLimit}
+		limiter.lanes[class.Name] = found
+	}
+	found.class = class
+	return found
+}
+
+// Limits returns the limit of each class, for dumps.
+func (limiter *Limiter) Limits() map[string]float64 {
+	limits := map[string]float64{}
+	for name, lane := range limiter.lanes {
+		limits[name] = lane.limit
+	}
+	return limits
+}
+
+// ahead counts the queries in flight of a class and of those that go before it.
+func (limiter *Limiter) ahead(class Class) int {
+	sum := 0
+	for _, lane := range limiter.lanes {
+		if lane.class.Priority <= class.Priority {
+			sum += lane.inFlight
 		}
 	}
-	guaranteed := float64(limiter.inFlight[class.Name]) < class.Share*limiter.limit
-	if float64(ahead) >= limiter.limit && !guaranteed {
-		limiter.refusals++
-		return false, min(mostRetry, leastRetry+time.Duration(limiter.refusals)*retryPerHit)
+	return sum
+}
+
+// Admit takes a query in, or says when the caller should come back.
+func (limiter *Limiter) Admit(class Class) (ok bool, retryAfter time.Duration) {
+	lane := limiter.lane(class)
+	guaranteed := float64(lane.inFlight) < class.Share*lane.limit
+	if float64(limiter.ahead(class)) >= lane.limit && !guaranteed {
+		lane.refusals++
+		return false, min(mostRetry, leastRetry+time.Duration(lane.refusals)*retryPerHit)
 	}
-	limiter.refusals = max(0, limiter.refusals-1)
-	limiter.inFlight[class.Name]++
+	lane.refusals = max(0, lane.refusals-1)
+	lane.inFlight++
 	return true, 0
 }
 
 // Done ends a query; overloaded says that targets refused part of it or made it wait too long.
 func (limiter *Limiter) Done(now time.Time, class string, overloaded bool) {
-	total := 0
-	for _, count := range limiter.inFlight {
-		total += count
+	lane, ok := limiter.lanes[class]
+	if !ok {
+		return
 	}
-	limiter.inFlight[class]--
+	ahead := float64(limiter.ahead(lane.class))
+	lane.inFlight--
 	if !overloaded {
-		if float64(total) > limiter.limit/2 {
-			limiter.limit = min(mostLimit, limiter.limit+1/limiter.limit)
+		if ahead > lane.limit/2 {
+			lane.limit = min(mostLimit, lane.limit+1/lane.limit)
 		}
 		return
 	}
-	if now.Sub(limiter.lowered) >= cooldown {
-		limiter.limit = max(leastLimit, min(limiter.limit, float64(total))*decrease)
-		limiter.lowered = now
+	if now.Sub(lane.lowered) >= cooldown {
+		lane.limit = max(leastLimit, min(lane.limit, ahead)*decrease)
+		lane.lowered = now
 	}
 }
--- a/core/latency/latency.go
+++ b/core/latency/latency.go
@@ -20,6 +20,7 @@
 	maxDownSpan    = 4 * time.Second
 	leavingSpan    = 5 * time.Second // how long a mark of leaving lasts without renewal
 	probeInterval  = 2 * time.Second // between probes of an avoided target
+	silentCalls    = 3               // calls in a row without an answer, from which a target counts as down
 	slowerFactor   = 2.0             // replicas within this factor of the best are alike
 	hedgeQuantile  = 96.0
 	maxMicrosecond = 60_000_000
@@ -31,6 +32,7 @@
 	inFlight int
 	downTill time.Time
 	downSpan time.Duration
+	silent   int       // calls in a row that were given up without an answer
 	leaving  time.Time // until when it counts as leaving
 	probed   time.Time
 }
@@ -70,6 +72,7 @@
 func (tracker *Tracker) Answered(name string, latency time.Duration) {
 	target := tracker.target(name)
 	target.inFlight--
+	target.silent = 0
 	target.downTill, target.downSpan = time.Time{}, 0
 	target.sample(latency)
 	_ = tracker.history.Current.RecordValue(min(max(latency.Microseconds(), 1), maxMicrosecond))
@@ -82,13 +85,18 @@
 	}
 }
 
-// Abandoned records a call that was cancelled after a time: its latency is at least that.
-func (tracker *Tracker) Abandoned(name string, after time.Duration) {
+// Abandoned records a call that was cancelled after a time: its latency is at least that. A target that lets several
+// calls in a row come to this counts as down.
+func (tracker *Tracker) Abandoned(name string, after time.Duration, now time.Time) {
 	target := tracker.target(name)
 	target.inFlight--
 	if after > target.average {
 		target.sample(after)
 	}
+	target.silent++
+	if target.silent >= silentCalls {
+		target.down(now)
+	}
 }
 
 // Refused records a call that ended without being run and says nothing on latency.
@@ -98,6 +106,14 @@
 func (tracker *Tracker) Unreachable(name string, now time.Time) {
 	target := tracker.target(name)
 	target.inFlight--
+	target.down(now)
+}
+
+// down avoids a target for a while that doubles with each failure in a row.
+func (target *targetState) down(now time.Time) {
+	if now.Before(target.downTill) {
+		return
+	}
 	target.downSpan = min(max(downSpan, target.downSpan*2), maxDownSpan)
 	target.downTill = now.Add(target.downSpan)
 }
@@ -147,7 +163,7 @@
 	return order
 }
 
-// compare puts targets that can be reached first, then those that are clearly faster.
+// compare puts targets that can be reached first, then those that are clearly faster, then those with fewer calls.
 func (tracker *Tracker) compare(a, b string, now time.Time) int {
 	first, second := tracker.target(a), tracker.target(b)
 	firstDown, secondDown := now.Before(first.downTill), now.Before(second.downTill)
@@ -157,18 +173,18 @@
 		}
 		return -1
 	}
-	x, y := first.cost(), second.cost()
-	if x > y*slowerFactor {
+	if slower(first, second) {
 		return 1
 	}
-	if y > x*slowerFactor {
+	if slower(second, first) {
 		return -1
 	}
-	return 0
+	return cmp.Compare(first.inFlight, second.inFlight)
 }
 
-func (target *targetState) cost() float64 {
-	return float64(target.average) * float64(1+max(0, target.inFlight))
+// slower reports whether a target's calls clearly take longer than another's.
+func slower(a, b *targetState) bool {
+	return float64(a.average) > slowerFactor*float64(b.average) && a.average > leastDelay
 }
 
 // Probe returns an avoided replica that is due for one call to learn whether it has recovered.
@@ -178,7 +194,7 @@
 		if name == chosen || now.Before(target.leaving) || target.samples == 0 && target.downSpan == 0 {
 			continue
 		}
-		avoided := target.downSpan > 0 || float64(target.average) > slowerFactor*float64(tracker.target(chosen).average)
+		avoided := target.downSpan > 0 || slower(target, tracker.target(chosen))
 		if avoided && !now.Before(target.downTill) && now.Sub(target.probed) >= probeInterval {
 			target.probed = now
 			return name, true
--- a/core/query/finish.go
+++ b/core/query/finish.go
@@ -9,7 +9,10 @@
 	"poplarpin.dev/core/config"
 )
 
-const partialRetry = 250 * time.Millisecond // when a caller may ask again after a partial answer
+const (
+	partialRetry   = 250 * time.Millisecond // when a caller may ask again after a partial answer
+	overloadedPart = 4                      // a wait at an owner of one such part of the query's time is a sign of overload
+)
 
 // finish makes the final answer from what was merged.
 func (run *Run) finish(now time.Time) []Action {
@@ -25,7 +28,7 @@
 		Hedges:   run.extra,
 	}
 	answer.Sufficient = answer.Coverage >= run.least
-	finish := Finish{}
+	finish := Finish{Overloaded: run.waited > run.deadline.Sub(run.started)/overloadedPart}
 	for i := range run.shards {
 		shard := &run.shards[i]
 		if shard.merged {
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -85,6 +85,7 @@
 	merged     int64
 	unresolved int
 	extra      int
+	waited     time.Duration // longest wait of a call at its owner
 	restarted  bool
 	finished   bool
 }
@@ -251,6 +252,7 @@
 		return nil
 	}
 	call.ended = true
+	run.waited = max(run.waited, result.Wait.Std())
 	run.note(now, call, result)
 	for _, i := range call.shards {
 		run.shards[i].pending--
@@ -339,7 +341,7 @@
 
 func (run *Run) abandon(now time.Time, call *call) {
 	call.ended = true
-	run.tracker.Abandoned(call.Target, now.Sub(call.started))
+	run.tracker.Abandoned(call.Target, now.Sub(call.started), now)
 	for _, i := range call.shards {
 		run.shards[i].pending--
 	}
--- a/core/rpc/rpc.go
+++ b/core/rpc/rpc.go
@@ -91,7 +91,7 @@
 	Version int64                `json:"version,omitempty"`
 	Request string               `json:"request,omitempty"`
 	Shards  []search.ShardResult `json:"shards,omitempty"`
-	Wait    config.Duration      `json:"wait,omitzero"`     // expected wait at the owner
+	Wait    config.Duration      `json:"wait,omitzero"`     // at the owner, or the wait that it expected
 	Leaving bool                 `json:"leaving,omitempty"` // the owner knows that the target is leaving
 }
 
--- a/poplarpind/entry/dump.go
+++ b/poplarpind/entry/dump.go
@@ -10,7 +10,7 @@
 
 // ServiceDump is what the queries of one service share.
 type ServiceDump struct {
-	Limit      float64
+	Limits     map[string]float64 // of queries in flight, by class
 	HedgeDelay time.Duration
 	Calls      int // in the last ten seconds
 	Extra      int // hedges and retries of these
@@ -58,6 +58,6 @@
 	service.Lock()
 	defer service.Unlock()
 	calls, extra := service.shared.Budget.Counts(now)
-	return ServiceDump{Limit: service.limiter.Limit(), HedgeDelay: service.shared.Tracker.HedgeDelay(),
+	return ServiceDump{Limits: service.limiter.Limits(), HedgeDelay: service.shared.Tracker.HedgeDelay(),
 		Calls: calls, Extra: extra, Targets: service.shared.Tracker.View(now)}
 }
--- a/poplarpind/operator/operator.go
+++ b/poplarpind/operator/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"net/http"
+	"net/http/pprof"
 	"slices"
 	"strconv"
 
@@ -29,6 +30,8 @@
 	mux.HandleFunc("GET /v1/status", handler.status)
 	mux.HandleFunc("GET /v1/dump", handler.dump)
 	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	return mux
 }
 
--- a/poplarpind/target/owner.go
+++ b/poplarpind/target/owner.go
@@ -103,7 +103,7 @@
 	deadline := now.Add(batch.Timeout.Std())
 	class := owner.class(batch.Class)
 	for _, call := range batch.Calls {
-		queued := &job{query: batch.Query, call: call, batch: batch, reply: reply}
+		queued := &job{query: batch.Query, call: call, batch: batch, reply: reply, queued: now}
 		target, ok := owner.target(call.Target)
 		if !ok {
 			queued.end(rpc.Result{Outcome: rpc.NotSent})
--- a/poplarpind/target/target.go
+++ b/poplarpind/target/target.go
@@ -31,6 +31,8 @@
 	call   rpc.Call
 	batch  *rpc.Batch
 	reply  func(rpc.Result)
+	queued time.Time
+	waited time.Duration
 	cancel context.CancelFunc // set while the call is in flight
 }
 
@@ -110,6 +112,7 @@
 		var ctx context.Context
 		if ok {
 			ctx, item.Value.cancel = context.WithDeadline(context.Background(), item.Deadline)
+			item.Value.waited = now.Sub(item.Value.queued)
 			target.running[item.Value] = true
 			target.counts.Calls++
 		}
@@ -214,6 +217,9 @@
 
 func (job *job) end(result rpc.Result) {
 	result.Call, result.Target = job.call.ID, job.call.Target
+	if result.Wait == 0 {
+		result.Wait = config.Duration(job.waited)
+	}
 	job.reply(result)
 }
 
