Run entry VMs as the small machines they are

Cause: six processes with eight scheduler threads each spent much of their time waking and looking for work, and the heap of a few MB was collected at every few queries. Change: testbed gives each entry VM two cores; poplarpind lets the heap grow by 400% up to a soft limit of 192 MB.

--- a/poplarpind/main.go
+++ b/poplarpind/main.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -22,7 +23,11 @@
 	"poplarpin.dev/poplarpind/settings"
 )
 
-const stopLimit = 5 * time.Minute // that a planned stop may take
+const (
+	stopLimit   = 5 * time.Minute // that a planned stop may take
+	heapGrowth  = 400             // percent, between two garbage collections
+	memoryLimit = 192 << 20       // bytes, from which on collections come sooner
+)
 
 // version is set by the build.
 var version = "unset"
@@ -43,6 +48,8 @@
 	if cli.Check {
 		return
 	}
+	debug.SetGCPercent(heapGrowth)
+	debug.SetMemoryLimit(memoryLimit)
 	log, err := logger(settings.Log)
 	context.FatalIfErrorf(err)
 	context.FatalIfErrorf(run(settings, log))
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -30,6 +30,7 @@
 const (
 	pollInterval = 20 * time.Millisecond
 	readyTimeout = 20 * time.Second
+	smallVM      = "2" // cores of an entry VM
 )
 
 // Options are what differs between fleets of one topology.
@@ -121,6 +122,9 @@
 	fleet.logs = append(fleet.logs, file)
 	command := exec.Command(filepath.Join(fleet.options.Bin, program), argument)
 	command.Stdout, command.Stderr = file, file
+	if program == "poplarpind" {
+		command.Env = append(os.Environ(), "GOMAXPROCS="+smallVM)
+	}
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return command, command.Start()
 }
