--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -117,27 +117,29 @@
 	return next, true, expired
 }
 
-// choose earns each waiting class its share of credit and serves one that has a whole call's credit, else the first by priority.
+// choose earns each waiting class its share of a call, and serves the class that is owed a whole one, else the first by priority.
 func (queue *Queue[T]) choose() *lane[T] {
-	var first, due *lane[T]
+	var first, owed *lane[T]
 	for _, lane := range queue.lanes {
 		if len(lane.items) == 0 {
 			lane.credit = 0
 			continue
 		}
-		lane.credit = min(lane.credit+lane.class.Share, 1)
+		lane.credit += lane.class.Share
 		if first == nil {
 			first = lane
 		}
-		if due == nil && lane.credit >= 1 {
-			due = lane
+		if lane.credit >= 1 && (owed == nil || lane.credit > owed.credit) {
+			owed = lane
 		}
 	}
-	if due == nil {
-		return first
+	if owed == nil {
+		owed = first
 	}
-	due.credit = 0
-	return due
+	if owed != nil {
+		owed.credit = max(0, owed.credit-1)
+	}
+	return owed
 }
 
 func (queue *Queue[T]) expire(now time.Time) []Item[T] {
--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,212 @@
+package member_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"poplarpin.dev/core/member"
+)
+
+const step = 100 * time.Millisecond
+
+// fleet drives lists with a clock of its own; messages arrive at once unless one end is down or the way is cut.
+type fleet struct {
+	now      time.Time
+	lists    map[string]*member.List
+	names    []string
+	frozen   map[string]bool
+	cut      map[[2]string]bool
+	messages int
+	bytes    int
+}
+
+func newFleet(size int, seed uint64) *fleet {
+	fleet := &fleet{now: time.Unix(1000, 0), lists: map[string]*member.List{}, frozen: map[string]bool{}, cut: map[[2]string]bool{}}
+	for i := range size {
+		name := fmt.Sprintf("vm%04d", i)
+		self := member.Member{Name: name, FailureDomain: fmt.Sprintf("d%d", i%3), Address: name, Incarnation: 1}
+		fleet.lists[name] = member.New(self, member.Default(), rand.New(rand.NewPCG(seed, uint64(i))))
+		fleet.names = append(fleet.names, name)
+	}
+	fleet.seed()
+	return fleet
+}
+
+// seed shows every member the platform's list.
+func (fleet *fleet) seed() {
+	var listed []member.Member
+	for _, name := range fleet.names {
+		listed = append(listed, member.Member{Name: name, FailureDomain: fleet.lists[name].Self().FailureDomain, Address: name})
+	}
+	for _, name := range fleet.names {
+		fleet.send(name, fleet.lists[name].Seed(fleet.now, listed))
+	}
+}
+
+func (fleet *fleet) send(from string, outgoing []member.Outgoing) {
+	for _, out := range outgoing {
+		fleet.messages++
+		to := out.To.Name
+		if fleet.frozen[to] || fleet.cut[[2]string{from, to}] || fleet.lists[to] == nil {
+			continue
+		}
+		fleet.send(to, fleet.lists[to].Receive(fleet.now, out.Message))
+	}
+}
+
+func (fleet *fleet) run(duration time.Duration) {
+	for end := fleet.now.Add(duration); fleet.now.Before(end); fleet.now = fleet.now.Add(step) {
+		for _, name := range fleet.names {
+			if !fleet.frozen[name] {
+				fleet.send(name, fleet.lists[name].Tick(fleet.now))
+			}
+		}
+	}
+}
+
+// owners returns the members that one member takes for up.
+func (fleet *fleet) owners(name string) []string {
+	var names []string
+	for _, owner := range fleet.lists[name].Owners() {
+		names = append(names, owner.Name)
+	}
+	return names
+}
+
+func assertAllUp(t assert.TestingT, fleet *fleet) {
+	for _, name := range fleet.names {
+		assert.DeepEqual(t, fleet.owners(name), fleet.names)
+	}
+}
+
+func assertGone(t *testing.T, fleet *fleet, gone string) {
+	t.Helper()
+	for _, name := range fleet.names {
+		if name != gone && !fleet.frozen[name] {
+			assert.Assert(t, !slices.Contains(fleet.owners(name), gone), "%s still counts for %s", gone, name)
+		}
+	}
+}
+
+func TestMembership(t *testing.T) {
+	t.Run("all find each other", func(t *testing.T) {
+		fleet := newFleet(9, 1)
+		fleet.run(10 * time.Second)
+		assertAllUp(t, fleet)
+	})
+	t.Run("a frozen member is taken for dead and comes back", func(t *testing.T) {
+		fleet := newFleet(9, 2)
+		fleet.run(10 * time.Second)
+		fleet.frozen["vm0003"] = true
+		fleet.run(20 * time.Second)
+		assertGone(t, fleet, "vm0003")
+		fleet.frozen["vm0003"] = false
+		fleet.run(30 * time.Second)
+		assertAllUp(t, fleet)
+	})
+	t.Run("old news does not undo a restart", func(t *testing.T) {
+		fleet := newFleet(3, 7)
+		fleet.run(5 * time.Second)
+		restarted := fleet.lists["vm0001"].Self()
+		restarted.Incarnation = 9
+		fleet.lists["vm0000"].Receive(fleet.now, member.Message{Kind: member.Announce, From: restarted})
+		restarted.Incarnation, restarted.State = 1, member.Left
+		fleet.lists["vm0000"].Receive(fleet.now, member.Message{Kind: member.Announce, From: fleet.lists["vm0002"].Self(), Updates: []member.Member{restarted}})
+		found, _ := fleet.lists["vm0000"].Find("vm0001")
+		assert.Equal(t, found.Incarnation, int64(9))
+		assert.Equal(t, found.State, member.Alive)
+	})
+	t.Run("a farewell ends ownership at once", func(t *testing.T) {
+		fleet := newFleet(9, 3)
+		fleet.run(10 * time.Second)
+		fleet.send("vm0004", fleet.lists["vm0004"].Leave(member.Leaving))
+		fleet.run(3 * time.Second)
+		assertGone(t, fleet, "vm0004")
+	})
+	t.Run("a way that is cut in one direction harms nobody", func(t *testing.T) {
+		fleet := newFleet(9, 4)
+		fleet.run(10 * time.Second)
+		fleet.cut[[2]string{"vm0001", "vm0002"}] = true
+		for range 60 {
+			fleet.run(time.Second)
+			assertAllUp(t, fleet)
+		}
+	})
+	t.Run("a whole domain goes and comes back", func(t *testing.T) {
+		fleet := newFleet(9, 5)
+		fleet.run(10 * time.Second)
+		inside := func(name string) bool { return fleet.lists[name].Self().FailureDomain == "d1" }
+		for _, a := range fleet.names {
+			for _, b := range fleet.names {
+				if inside(a) != inside(b) {
+					fleet.cut[[2]string{a, b}] = true
+				}
+			}
+		}
+		fleet.run(40 * time.Second)
+		assert.Equal(t, len(fleet.owners("vm0000")), 6)
+		assert.Equal(t, len(fleet.owners("vm0001")), 3)
+		clear(fleet.cut)
+		fleet.run(60 * time.Second)
+		assertAllUp(t, fleet)
+	})
+	t.Run("news of a release reaches all", func(t *testing.T) {
+		fleet := newFleet(30, 6)
+		fleet.run(20 * time.Second)
+		fleet.lists["vm0000"].SetRelease(7)
+		fleet.send("vm0000", fleet.lists["vm0000"].Announce())
+		for range 40 {
+			for _, name := range fleet.names {
+				if newest, _ := fleet.lists[name].Newest(); newest == 7 {
+					fleet.lists[name].SetRelease(7)
+				}
+			}
+			fleet.run(step)
+		}
+		for _, name := range fleet.names[1:] {
+			newest, _ := fleet.lists[name].Newest()
+			assert.Equal(t, newest, int64(7), "%s", name)
+		}
+	})
+}
+
+// TestConverges freezes and cuts at random and checks that all are up for all some time after the last fault.
+func TestConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := newFleet(5, rapid.Uint64().Draw(t, "seed"))
+		for range rapid.IntRange(0, 6).Draw(t, "faults") {
+			a := rapid.SampledFrom(fleet.names).Draw(t, "a")
+			b := rapid.SampledFrom(fleet.names).Draw(t, "b")
+			if rapid.Bool().Draw(t, "freeze") {
+				fleet.frozen[a] = !fleet.frozen[a]
+			} else {
+				fleet.cut[[2]string{a, b}] = !fleet.cut[[2]string{a, b}]
+			}
+			fleet.run(time.Duration(rapid.IntRange(0, 8).Draw(t, "seconds")) * time.Second)
+		}
+		clear(fleet.frozen)
+		clear(fleet.cut)
+		fleet.run(60 * time.Second)
+		assertAllUp(t, fleet)
+	})
+}
+
+func FuzzMessage(f *testing.F) {
+	f.Add([]byte(`{"kind":"ping","from":{"name":"a","incarnation":1},"updates":[{"name":"b","state":4}]}`))
+	f.Add([]byte(`{"kind":"sync","from":{"name":"a","state":9}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		fleet := newFleet(2, 1)
+		var message member.Message
+		if json.Unmarshal(data, &message) == nil {
+			fleet.lists["vm0000"].Receive(fleet.now, message)
+			fleet.lists["vm0000"].Tick(fleet.now)
+		}
+	})
+}
--- /dev/null
+++ b/core/owner/owner_test.go
@@ -0,0 +1,72 @@
+package owner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"poplarpin.dev/core/owner"
+)
+
+const keys = 200
+
+func ranks(table *owner.Table) [][]string {
+	var all [][]string
+	for i := range keys {
+		all = append(all, table.Rank("sohar", fmt.Sprintf("target-%d", i)))
+	}
+	return all
+}
+
+// TestMinimalMoves checks that a change moves only what it must, and that the kept ranks equal fresh ones.
+func TestMinimalMoves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := owner.New()
+		members := map[string]bool{}
+		for range rapid.IntRange(1, 20).Draw(t, "changes") {
+			before := ranks(table)
+			vm := owner.VM{Name: fmt.Sprintf("vm%d", rapid.IntRange(0, 8).Draw(t, "vm")), FailureDomain: "sohar"}
+			if members[vm.Name] {
+				table.Leave(vm)
+				delete(members, vm.Name)
+			} else {
+				table.Join(vm)
+				members[vm.Name] = true
+			}
+			after := ranks(table)
+			for i := range before {
+				if !slices.Contains(before[i], vm.Name) && !slices.Contains(after[i], vm.Name) {
+					assert.DeepEqual(t, before[i], after[i])
+				}
+			}
+		}
+		fresh := owner.New()
+		for name := range members {
+			fresh.Join(owner.VM{Name: name, FailureDomain: "sohar"})
+		}
+		assert.DeepEqual(t, ranks(table), ranks(fresh))
+	})
+}
+
+// BenchmarkJoin measures a membership change at the sizes of docs/CAPACITY.md.
+func BenchmarkJoin(b *testing.B) {
+	for _, size := range []struct{ vms, targets int }{{10, 60}, {100, 600}, {470, 2714}} {
+		b.Run(fmt.Sprintf("vms=%d/targets=%d", size.vms, size.targets), func(b *testing.B) {
+			table := owner.New()
+			for i := range size.vms {
+				table.Join(owner.VM{Name: fmt.Sprintf("vm%d", i), FailureDomain: "sohar"})
+			}
+			vm := owner.VM{Name: "new", FailureDomain: "sohar"}
+			for b.Loop() {
+				for i := range size.targets {
+					table.Rank("sohar", fmt.Sprintf("target-%d", i))
+				}
+				table.Join(vm)
+				table.Leave(vm)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/query/query_test.go
@@ -0,0 +1,230 @@
+package query_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"poplarpin.dev/core/api"
+	"poplarpin.dev/core/budget"
+	"poplarpin.dev/core/config"
+	"poplarpin.dev/core/latency"
+	"poplarpin.dev/core/query"
+	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/core/search"
+)
+
+const shards = 6
+
+var (
+	start = time.Unix(1000, 0)
+	full  = query.Policy{Hedge: true, Retry: true, Adaptive: true}
+)
+
+func index(version int64) config.Index {
+	index := config.Index{Service: "heat", Version: version}
+	for i := range shards {
+		index.Shards = append(index.Shards, config.Shard{Name: fmt.Sprintf("v%d-s%d", version, i), Documents: int64(10 * (i + 1)),
+			Replicas: []string{fmt.Sprintf("t%d-a", i/2), fmt.Sprintf("t%d-b", (i+1)/2)}})
+	}
+	return index
+}
+
+func configuration() *config.Configuration {
+	return &config.Configuration{Release: 1,
+		Services: map[string]config.Service{"heat": {Name: "heat", Deadline: config.Duration(time.Second), LeastCoverage: 0.9}},
+		Indexes:  map[string][]config.Index{"heat": {index(2), index(1)}}}
+}
+
+func shared() query.Shared {
+	return query.Shared{Versions: query.NewVersions(), Tracker: latency.New(rand.New(rand.NewPCG(1, 1))), Budget: budget.New(0.05)}
+}
+
+func newRun(policy query.Policy) *query.Run {
+	return query.New(api.Request{ID: "r1", Service: "heat"}, configuration(), shared(), policy, start)
+}
+
+// reply answers a call as a target does, for a request and a version.
+func reply(call rpc.Call, request string, version int64) rpc.Result {
+	result := rpc.Result{Call: call.ID, Target: call.Target, Outcome: rpc.OK, Request: request, Version: version}
+	for _, shard := range call.Shards {
+		record := api.Record{ID: shard.Name, Data: json.RawMessage(fmt.Sprintf("%q", origin(request, version)))}
+		result.Shards = append(result.Shards, search.ShardResult{Name: shard.Name, Records: []api.Record{record}})
+	}
+	return result
+}
+
+// origin names what a record was found for.
+func origin(request string, version int64) string { return fmt.Sprintf("%s@%d", request, version) }
+
+// driver carries out a run's actions and keeps what a checker needs.
+type driver struct {
+	open     []rpc.Call
+	sent     map[int64]rpc.Call
+	finished []query.Finish
+}
+
+func newDriver() *driver { return &driver{sent: map[int64]rpc.Call{}} }
+
+func (driver *driver) take(actions []query.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case query.Send:
+			for _, call := range action.Calls {
+				driver.sent[call.ID] = call
+				driver.open = append(driver.open, call)
+			}
+		case query.Finish:
+			driver.finished = append(driver.finished, action)
+		}
+	}
+}
+
+func assertHonest(t assert.TestingT, answer api.Answer) {
+	missing := map[string]bool{}
+	for _, shard := range answer.Missing {
+		missing[shard.Shard] = true
+	}
+	declared := index(answer.Snapshot.Version)
+	var merged int64
+	expected := map[string]bool{}
+	for _, shard := range declared.Shards {
+		if !missing[shard.Name] {
+			merged += shard.Documents
+			expected[shard.Name] = true
+		}
+	}
+	assert.Equal(t, answer.Coverage, float64(merged)/float64(declared.Documents()))
+	assert.Equal(t, len(answer.Records), len(expected), "%v", answer.Records)
+	for _, record := range answer.Records {
+		assert.Assert(t, expected[record.ID], "record %s of version %d", record.ID, answer.Snapshot.Version)
+		assert.Equal(t, string(record.Data), fmt.Sprintf("%q", origin(answer.ID, answer.Snapshot.Version)))
+	}
+	assert.Equal(t, answer.Outcome == api.Whole, len(missing) == 0)
+}
+
+// TestAnyOrder answers calls in any order, late, twice, for other requests and versions, with failures, and checks the answer.
+func TestAnyOrder(t *testing.T) {
+	outcomes := []rpc.Outcome{rpc.NotSent, rpc.Shed, rpc.Draining, rpc.VersionNotHeld, rpc.Lost, rpc.OwnerLost, rpc.Failed}
+	rapid.Check(t, func(t *rapid.T) {
+		generous := shared()
+		generous.Budget = budget.New(1)
+		run := query.New(api.Request{ID: "r1", Service: "heat"}, configuration(), generous, full, start)
+		driver, now := newDriver(), start
+		driver.take(run.Start(now))
+		for range 200 {
+			if len(driver.finished) > 0 {
+				break
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 3).Draw(t, "tick") == 0 || len(driver.open) == 0 {
+				driver.take(run.Tick(now))
+				continue
+			}
+			call := rapid.SampledFrom(driver.open).Draw(t, "call") // may be answered again
+			request := rapid.SampledFrom([]string{"r1", "r1", "r1", "r1", "r1", "r2"}).Draw(t, "request")
+			version := rapid.SampledFrom([]int64{run.Version(), run.Version(), run.Version(), 1, 2}).Draw(t, "version")
+			result := reply(call, request, version)
+			if rapid.IntRange(0, 3).Draw(t, "fails") == 0 {
+				result.Outcome = rapid.SampledFrom(outcomes).Draw(t, "outcome")
+			}
+			driver.take(run.Result(now, result))
+		}
+		driver.take(run.Tick(start.Add(time.Minute)))
+		assert.Equal(t, len(driver.finished), 1, "one final answer")
+		assertHonest(t, driver.finished[0].Answer)
+		for _, call := range driver.open {
+			assert.Equal(t, len(run.Result(now, reply(call, "r1", run.Version()))), 0, "nothing follows the answer")
+		}
+	})
+}
+
+func TestRun(t *testing.T) {
+	t.Run("whole", func(t *testing.T) {
+		run, driver := newRun(full), newDriver()
+		driver.take(run.Start(start))
+		for _, call := range driver.open {
+			driver.take(run.Result(start.Add(time.Millisecond), reply(call, "r1", 2)))
+		}
+		assert.Equal(t, driver.finished[0].Answer.Outcome, api.Whole)
+	})
+	t.Run("a version that is not held leads to one restart on the other", func(t *testing.T) {
+		run, driver := newRun(full), newDriver()
+		driver.take(run.Start(start))
+		for i := 0; i < len(driver.open) && len(driver.finished) == 0; i++ {
+			result := reply(driver.open[i], "r1", run.Version())
+			if run.Version() == 2 {
+				result = rpc.Result{Call: result.Call, Target: result.Target, Outcome: rpc.VersionNotHeld}
+			}
+			driver.take(run.Result(start.Add(time.Millisecond), result))
+		}
+		assert.Equal(t, driver.finished[0].Answer.Snapshot.Version, int64(1))
+		assert.Equal(t, driver.finished[0].Answer.Outcome, api.Whole)
+	})
+	t.Run("refusals everywhere end the query at once", func(t *testing.T) {
+		run, driver := newRun(full), newDriver()
+		driver.take(run.Start(start))
+		for i := 0; i < len(driver.open); i++ {
+			result := rpc.Result{Call: driver.open[i].ID, Target: driver.open[i].Target, Outcome: rpc.Draining}
+			driver.take(run.Result(start, result))
+		}
+		answer := driver.finished[0].Answer
+		assert.Equal(t, answer.Coverage, 0.0)
+		assert.Equal(t, len(answer.Missing), shards)
+		assert.Equal(t, answer.Missing[0].Reason, api.Draining)
+		assert.Assert(t, answer.RetryAfter > 0)
+	})
+	t.Run("without hedges a slow call is waited for", func(t *testing.T) {
+		run, driver := newRun(query.Policy{}), newDriver()
+		driver.take(run.Start(start))
+		sent := len(driver.open)
+		driver.take(run.Tick(start.Add(900 * time.Millisecond)))
+		assert.Equal(t, len(driver.open), sent)
+	})
+}
+
+// TestHedgeBudget runs many queries whose every call is slow, and checks that extra calls stay within a twentieth.
+func TestHedgeBudget(t *testing.T) {
+	with, now := shared(), start
+	first, extra := 0, 0
+	for i := range 400 {
+		now = now.Add(5 * time.Millisecond)
+		run, driver := query.New(api.Request{ID: fmt.Sprintf("r%d", i), Service: "heat"}, configuration(), with, full, now), newDriver()
+		driver.take(run.Start(now))
+		first += len(driver.open)
+		before := len(driver.open)
+		driver.take(run.Tick(now.Add(100 * time.Millisecond)))
+		extra += len(driver.open) - before
+	}
+	assert.Assert(t, extra > 0)
+	assert.Assert(t, float64(extra) <= 0.05*float64(first), "%d of %d", extra, first)
+}
+
+// BenchmarkRun measures the decisions of one query against the number of its shards.
+func BenchmarkRun(b *testing.B) {
+	for _, size := range []int{20, 200, 2000} {
+		b.Run(fmt.Sprintf("shards=%d", size), func(b *testing.B) {
+			wide := configuration()
+			large := config.Index{Service: "heat", Version: 3}
+			for i := range size {
+				large.Shards = append(large.Shards, config.Shard{Name: fmt.Sprintf("s%d", i), Documents: 1,
+					Replicas: []string{fmt.Sprintf("t%d-a", i), fmt.Sprintf("t%d-b", i)}})
+			}
+			wide.Indexes["heat"] = []config.Index{large}
+			with := shared()
+			b.ReportAllocs()
+			for b.Loop() {
+				run, driver := query.New(api.Request{ID: "r1", Service: "heat"}, wide, with, full, start), newDriver()
+				driver.take(run.Start(start))
+				for _, call := range driver.open {
+					driver.take(run.Result(start.Add(time.Millisecond), reply(call, "r1", 3)))
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/model/mutants.sh
@@ -0,0 +1,51 @@
+#!/usr/bin/env bash
+# Breaks one rule of the core at a time in a scratch copy and checks that its tests notice.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+passed=0
+failed=0
+
+# mutant NAME PACKAGE FILE PERL-SUBSTITUTION
+mutant() {
+  rm -rf "$work/core"
+  cp -r "$here/../core" "$work/core"
+  perl -0pi -e "$4" "$work/core/$2/$3"
+  if cmp -s "$work/core/$2/$3" "$here/../core/$2/$3"; then
+    printf '%-28s the rule was not found in %s\n' "$1" "$2/$3"
+    failed=$((failed + 1))
+  elif (cd "$work/core" && GOWORK=off go test "./$2" >"$work/out" 2>&1); then
+    printf '%-28s NOT NOTICED by %s\n' "$1" "$2"
+    failed=$((failed + 1))
+  elif grep -q 'build failed\|setup failed' "$work/out"; then
+    printf '%-28s does not build\n' "$1"
+    failed=$((failed + 1))
+  else
+    printf '%-28s noticed by %s\n' "$1" "$2"
+    passed=$((passed + 1))
+  fi
+}
+
+mutant "id not looked for" release acceptor.go 's/accepted, ok := acceptor.head.Accepted\(acceptor.note.ID\); ok/accepted, ok := acceptor.head.Accepted(acceptor.note.ID); ok && false/'
+mutant "unsure update settled early" release acceptor.go 's/acceptor.version != acceptor.unsure \{/true {/'
+mutant "lower release adopted" release adopter.go 's/head.Release <= adopter.head.Release/head.Release == adopter.head.Release/'
+mutant "digest not checked" release release.go 's/!ok \|\| DigestOf\(part\) != digest/!ok/'
+mutant "conflict not seen" release release.go 's/ok && entry.Release > note.Base/ok \&\& false/'
+mutant "any version merged" query query.go 's/result.Request != run.request.ID \|\| result.Version != run.Version\(\)/result.Request != run.request.ID/'
+mutant "any request merged" query query.go 's/result.Request != run.request.ID \|\| result.Version != run.Version\(\)/result.Version != run.Version()/'
+mutant "shard merged twice" query query.go 's/if shard.merged \{\n\t\t\tcontinue\n\t\t\}\n\t\tshard.merged = true/shard.merged = true/'
+mutant "hedges without budget" query query.go 's/len\(shards\) == 0 \|\| !run.budget.Spend\(now, 1\)/len(shards) == 0/'
+mutant "budget without window" budget budget.go 's/float64\(spent\+extra\) > budget.fraction\*float64\(calls\)/spent+calls < 0/'
+mutant "lost call reported not run" claim claim.go 's/case rpc.Lost, rpc.OwnerLost:/case rpc.Outcome("none"):/'
+mutant "held claim taken over" claim claim.go 's/case found.Claim.State == Released:/case found.Claim.State == Released || found.Claim.State == Held:/'
+mutant "given up reported not run" claim claim.go 's/if runner.sent \{\n\t\treturn runner.finish\(api.Unknown, callLost, nil\)/if runner.sent {\n\t\treturn runner.finish(api.NotRun, callLost, nil)/'
+mutant "false news not refuted" member receive.go 's/list.self.Incarnation = news.Incarnation \+ 1//'
+mutant "last news wins" member message.go 's/return member.Incarnation > known.Incarnation/return true/'
+mutant "dead never asked again" member member.go 's/entry.State == Dead && entry.listed/false/'
+mutant "share not guaranteed" dispatch dispatch.go 's/lane.credit >= 1 &&/false \&\&/'
+mutant "late call queued" dispatch dispatch.go 's/\.After\(item.Deadline\) \{\n\t\treturn false/.After(item.Deadline) {\n\t\treturn true/'
+mutant "whole table moved" owner owner.go 's/if slot.domain == vm.FailureDomain \{/if false {/'
+
+echo "$passed passed, $failed failed"
+[ "$failed" = 0 ]
