--- a/testbed/bench.go
+++ b/testbed/bench.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"text/tabwriter"
 
@@ -41,6 +42,9 @@
 	if command.JSON == "" {
 		return nil
 	}
+	if err := os.MkdirAll(filepath.Dir(command.JSON), 0o755); err != nil {
+		return err
+	}
 	data, err := json.MarshalIndent(bench.Rows, "", "  ")
 	if err != nil {
 		return err
