Answer a doubled submission with the outcome of the one that runs

Claims were also read at the rate of the control calls (20 a second). Ruled out: the lost answers of the platform, which lead to a second read only. Change: a submission that finds the claim held reads it again, with pauses and within its own time; claims have a rate of their own for reads too.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -31,8 +31,8 @@
 	Version int64
 }
 
-// Read asks for the claim.
-type Read struct{}
+// Read asks for the claim; Waiting says that another holds it and may end soon, so that the driver should pause first.
+type Read struct{ Waiting bool }
 
 // Send asks to send the call, which may happen once only.
 type Send struct{}
@@ -98,6 +98,7 @@
 	held      bool
 	sent      bool
 	releasing bool
+	waiting   bool // another submission holds the claim
 	done      bool
 	last      Action
 }
@@ -160,11 +161,13 @@
 		runner.version = found.Version
 		return runner.send()
 	case found.Claim.State == Released:
+		runner.waiting = false
 		return runner.retry(Write{Claim{Holder: runner.holder, State: Held}, found.Version})
 	case found.Claim.State == Ended:
 		return runner.finish(found.Claim.Outcome, "the outcome of an earlier submission of this id", nil)
 	}
-	return runner.finish(api.Unknown, otherHolds, nil)
+	runner.waiting = true
+	return Read{Waiting: true}
 }
 
 // noAnswer reads the claim, since only the claim tells whether the write took effect.
@@ -172,6 +175,9 @@
 	if runner.releasing {
 		return runner.finish(api.NotRun, "", nil)
 	}
+	if runner.waiting {
+		return Read{Waiting: true}
+	}
 	return runner.retry(Read{})
 }
 
@@ -209,6 +215,9 @@
 	if runner.sent {
 		return runner.finish(api.Unknown, callLost, nil)
 	}
+	if runner.waiting {
+		return runner.finish(api.Unknown, otherHolds, nil)
+	}
 	return runner.finish(api.Unknown, platformDown, nil)
 }
 
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -24,7 +24,6 @@
 	frozen   map[string]bool
 	cut      map[[2]string]bool
 	messages int
-	bytes    int
 }
 
 func newFleet(size int, seed uint64) *fleet {
@@ -201,7 +200,7 @@
 func FuzzMessage(f *testing.F) {
 	f.Add([]byte(`{"kind":"ping","from":{"name":"a","incarnation":1},"updates":[{"name":"b","state":4}]}`))
 	f.Add([]byte(`{"kind":"sync","from":{"name":"a","state":9}}`))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		fleet := newFleet(2, 1)
 		var message member.Message
 		if json.Unmarshal(data, &message) == nil {
--- a/poplarpind/entry/once.go
+++ b/poplarpind/entry/once.go
@@ -17,6 +17,7 @@
 
 const (
 	claimPrefix  = "claims/"
+	waitPause    = 50 * time.Millisecond // before a claim that another submission holds is read again
 	claimPause   = 20 * time.Millisecond // before a platform call for a claim is repeated
 	onceRetry    = time.Second           // when a caller may ask again what became of its request
 	resultBuffer = 4
@@ -110,6 +111,9 @@
 	case claim.Write:
 		return once.write(ctx, action)
 	case claim.Read:
+		if action.Waiting {
+			pause(ctx, waitPause)
+		}
 		return once.read(ctx)
 	case claim.Send:
 		return once.send(ctx)
@@ -134,7 +138,7 @@
 }
 
 func (once *once) read(ctx context.Context) claim.Event {
-	found, err := once.vm.platform.Get(ctx, once.object)
+	found, err := once.vm.platform.GetClaim(ctx, once.object)
 	if platform.KindOf(err) == platform.NotFound {
 		return claim.Found{}
 	}
--- a/poplarpind/platform/platform.go
+++ b/poplarpind/platform/platform.go
@@ -83,19 +83,24 @@
 
 // Get reads an object; the error's kind is NotFound if there is none.
 func (client *Client) Get(ctx context.Context, name string) (object.Object, error) {
-	return client.read(ctx, "get", name, "", callTimeout)
+	return client.read(ctx, client.limiter, "get", name, "", callTimeout)
+}
+
+// GetClaim is Get for the claims of non-idempotent requests, with a rate of its own.
+func (client *Client) GetClaim(ctx context.Context, name string) (object.Object, error) {
+	return client.read(ctx, client.claims, "getClaim", name, "", callTimeout)
 }
 
 // Watch waits until an object's version is above the given one, or a while has passed, and reads it.
 func (client *Client) Watch(ctx context.Context, name string, version int64) (object.Object, error) {
-	return client.read(ctx, "watch", name, "?watch="+strconv.FormatInt(version, 10), watchTimeout)
+	return client.read(ctx, client.limiter, "watch", name, "?watch="+strconv.FormatInt(version, 10), watchTimeout)
 }
 
-func (client *Client) read(ctx context.Context, op, name, query string, timeout time.Duration) (object.Object, error) {
+func (client *Client) read(ctx context.Context, limiter *rate.Limiter, op, name, query string, timeout time.Duration) (object.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	found := object.Object{Name: name}
-	response, err := client.do(ctx, client.limiter, op, http.MethodGet, object.ObjectsPath+name+query, nil)
+	response, err := client.do(ctx, limiter, op, http.MethodGet, object.ObjectsPath+name+query, nil)
 	if err != nil {
 		return found, err
 	}
