Make adoption and membership cost little at the target's size

Cause: benchmarks on the core showed (1) a small release at 19,000 targets cost a VM 206 ms and 195 KB, since every part was verified and decoded again and parts were up to 512 KB: at one release in 15 s 1.4% of a core and 13 KB/s, above the whole control budget; (2) a member spent 2.7 ms a second at 1,000 members, since each tick sorted all names. Ruled out: the gossip itself (2 messages and 1.6 KB a second, constant in the size). Change: an adopter keeps the decoded objects of each part and reads only new ones; parts are at most 128 KB; ticks look only at members that are not up, picks draw from a kept list, the newest release heard of is kept. Before: 206 ms, 195 KB; 2745 us/s at 1,000 members (263 at 100).

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -38,8 +38,18 @@
 	Indexes  map[string][]Index // by service, newest version first
 }
 
-// New indexes and cross-checks a set of objects.
+// New checks, indexes and cross-checks a set of objects.
 func New(release int64, objects []Object) (*Configuration, error) {
+	for _, object := range objects {
+		if err := object.Validate(); err != nil {
+			return nil, err
+		}
+	}
+	return Build(release, objects)
+}
+
+// Build indexes and cross-checks a set of objects that were checked one by one before, as Decode does.
+func Build(release int64, objects []Object) (*Configuration, error) {
 	configuration := &Configuration{
 		Release:  release,
 		Classes:  map[string]Class{},
@@ -48,9 +58,6 @@
 		Indexes:  map[string][]Index{},
 	}
 	for _, object := range objects {
-		if err := object.Validate(); err != nil {
-			return nil, err
-		}
 		configuration.put(object)
 	}
 	for service := range configuration.Indexes {
--- /dev/null
+++ b/core/member/bench_test.go
@@ -0,0 +1,59 @@
+package member_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"poplarpin.dev/core/member"
+)
+
+// BenchmarkControl measures what one member sends and spends a second against the number of members.
+func BenchmarkControl(b *testing.B) {
+	for _, size := range []int{10, 100, 1000, 3300} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			runtime.GC()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			fleet := settled(size)
+			runtime.ReadMemStats(&after)
+			fleet.messages, fleet.bytes, fleet.measure = 0, 0, true
+			const span = 2 * time.Second
+			seconds := 0.0
+			for b.Loop() {
+				fleet.run(span)
+				seconds += span.Seconds()
+			}
+			perMember := seconds * float64(size)
+			b.ReportMetric(float64(fleet.messages)/perMember, "messages/s")
+			b.ReportMetric(float64(fleet.bytes)/perMember, "bytes/s")
+			b.ReportMetric(b.Elapsed().Seconds()/perMember*1e6, "us/s")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size)/1024, "KB")
+		})
+	}
+}
+
+// settled returns a fleet in which everyone knows everyone.
+func settled(size int) *fleet {
+	fleet := newFleet(size, 1)
+	var all []member.Member
+	for _, name := range fleet.names {
+		all = append(all, fleet.lists[name].Self())
+	}
+	for _, name := range fleet.names {
+		fleet.lists[name].Receive(fleet.now, member.Message{Kind: member.SyncBack, From: all[0], Updates: all})
+	}
+	fleet.run(10 * time.Second)
+	return fleet
+}
+
+// size returns the length of a message on the wire.
+func size(message member.Message) int {
+	data, err := json.Marshal(message)
+	if err != nil {
+		panic(err) // plain data
+	}
+	return len(data)
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -37,6 +37,11 @@
 	}
 }
 
+const (
+	expireInterval = 500 * time.Millisecond // between looks at members that are not up
+	pickStride     = 7919
+)
+
 type entry struct {
 	Member
 	since  time.Time // of the state
@@ -72,12 +77,16 @@
 	syncAt   time.Time
 	epoch    int64
 	heard    map[string]int64 // newest release heard of by direct message
+	newest   string           // the member that the newest release was heard from
+	names    []string         // of all entries, in no order
+	doubtful map[string]bool  // entries that are not up
+	expireAt time.Time
 }
 
 // New returns a list that holds only the member itself.
 func New(self Member, settings Settings, random *rand.Rand) *List {
 	list := &List{settings: settings, random: random, self: self,
-		entries: map[string]*entry{}, heard: map[string]int64{}}
+		entries: map[string]*entry{}, heard: map[string]int64{}, doubtful: map[string]bool{}}
 	list.gossip(self)
 	return list
 }
@@ -119,16 +128,54 @@
 
 // Newest returns the highest release heard of and the member that has it in force.
 func (list *List) Newest() (release int64, from Member) {
-	for name, heard := range list.heard {
-		if entry, ok := list.entries[name]; ok && entry.State <= Leaving && heard > release {
-			release, from = heard, entry.Member
+	if entry, ok := list.entries[list.newest]; ok {
+		return list.heard[list.newest], entry.Member
+	}
+	return 0, Member{}
+}
+
+// hear takes the release that a member says it has in force.
+func (list *List) hear(name string, release int64) {
+	if release <= list.heard[name] {
+		return
+	}
+	list.heard[name] = release
+	if release > list.heard[list.newest] {
+		list.newest = name
+	}
+}
+
+// Unheard forgets the release heard of from a member that could not hand it over or has gone.
+func (list *List) Unheard(name string) {
+	delete(list.heard, name)
+	if list.newest != name {
+		return
+	}
+	list.newest = ""
+	for other, release := range list.heard {
+		if release > list.heard[list.newest] {
+			list.newest = other
 		}
 	}
-	return release, from
 }
 
-// Unheard forgets the release heard of from a member that could not hand it over.
-func (list *List) Unheard(name string) { delete(list.heard, name) }
+// add makes an entry for a name that is not known yet.
+func (list *List) add(name string, entry *entry) {
+	list.entries[name] = entry
+	list.names = append(list.names, name)
+	list.doubtful[name] = true
+}
+
+// forget removes an entry.
+func (list *List) forget(name string) {
+	delete(list.entries, name)
+	delete(list.doubtful, name)
+	list.Unheard(name)
+	at := slices.Index(list.names, name)
+	last := len(list.names) - 1
+	list.names[at] = list.names[last]
+	list.names = list.names[:last]
+}
 
 // Leave marks this member as leaving and returns the farewells.
 func (list *List) Leave(state State) []Outgoing {
@@ -150,8 +197,8 @@
 		if _, ok := list.entries[member.Name]; ok {
 			continue
 		}
-		list.entries[member.Name] = &entry{Member: Member{Name: member.Name, FailureDomain: member.FailureDomain,
-			Address: member.Address, State: Dead}, since: now}
+		list.add(member.Name, &entry{Member: Member{Name: member.Name, FailureDomain: member.FailureDomain,
+			Address: member.Address, State: Dead}, since: now})
 		if len(outgoing) < list.settings.Helpers {
 			outgoing = append(outgoing, Outgoing{member, list.message(Sync)})
 		}
@@ -221,7 +268,11 @@
 
 // expire declares suspects dead and forgets members that are gone for good.
 func (list *List) expire(now time.Time) {
-	for _, name := range slices.Sorted(maps.Keys(list.entries)) {
+	if now.Before(list.expireAt) {
+		return
+	}
+	list.expireAt = now.Add(expireInterval)
+	for _, name := range slices.Sorted(maps.Keys(list.doubtful)) {
 		entry := list.entries[name]
 		if entry.State == Suspect && now.Sub(entry.since) >= list.settings.SuspectTimeout {
 			news := entry.Member
@@ -229,8 +280,7 @@
 			list.learn(now, news)
 		}
 		if entry.State >= Dead && !entry.listed && now.Sub(entry.since) >= list.settings.ForgetAfter {
-			delete(list.entries, name)
-			delete(list.heard, name)
+			list.forget(name)
 		}
 	}
 }
@@ -257,7 +307,7 @@
 				return name, true
 			}
 		}
-		list.ring = slices.Sorted(maps.Keys(list.entries))
+		list.ring = slices.Clone(list.names)
 		list.random.Shuffle(len(list.ring), func(i, j int) { list.ring[i], list.ring[j] = list.ring[j], list.ring[i] })
 	}
 	return "", false
@@ -266,7 +316,7 @@
 // revive pings one dead member that the platform still lists, which may be back or behind a cut that has healed.
 func (list *List) revive() []Outgoing {
 	var dead []Member
-	for _, name := range slices.Sorted(maps.Keys(list.entries)) {
+	for _, name := range slices.Sorted(maps.Keys(list.doubtful)) {
 		if entry := list.entries[name]; entry.State == Dead && entry.listed {
 			dead = append(dead, entry.Member)
 		}
@@ -294,13 +344,23 @@
 // pick returns random members that are believed to be up.
 func (list *List) pick(count int, except string) []Member {
 	var up []Member
-	for _, name := range slices.Sorted(maps.Keys(list.entries)) {
-		if entry := list.entries[name]; entry.State <= Leaving && name != except {
-			up = append(up, entry.Member)
+	if len(list.names) == 0 {
+		return nil
+	}
+	start := list.random.IntN(len(list.names))
+	for i := range list.names {
+		// Steps by a stride that shares no factor with most lengths, so that picks are spread over the list.
+		name := list.names[(start+i*pickStride)%len(list.names)]
+		entry := list.entries[name]
+		taken := slices.ContainsFunc(up, func(member Member) bool { return member.Name == name })
+		if entry.State > Leaving || name == except || taken {
+			continue
+		}
+		if up = append(up, entry.Member); len(up) == count {
+			break
 		}
 	}
-	list.random.Shuffle(len(up), func(i, j int) { up[i], up[j] = up[j], up[i] })
-	return up[:min(count, len(up))]
+	return up
 }
 
 // message makes a message that carries the freshest rumors, or the whole list for an exchange.
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -24,6 +24,8 @@
 	frozen   map[string]bool
 	cut      map[[2]string]bool
 	messages int
+	bytes    int
+	measure  bool // count bytes
 }
 
 func newFleet(size int, seed uint64) *fleet {
@@ -52,6 +54,9 @@
 func (fleet *fleet) send(from string, outgoing []member.Outgoing) {
 	for _, out := range outgoing {
 		fleet.messages++
+		if fleet.measure {
+			fleet.bytes += size(out.Message)
+		}
 		to := out.To.Name
 		if fleet.frozen[to] || fleet.cut[[2]string{from, to}] || fleet.lists[to] == nil {
 			continue
--- a/core/member/receive.go
+++ b/core/member/receive.go
@@ -11,9 +11,7 @@
 	for _, update := range message.Updates {
 		list.learn(now, update)
 	}
-	if message.Release > list.heard[message.From.Name] {
-		list.heard[message.From.Name] = message.Release
-	}
+	list.hear(message.From.Name, message.Release)
 	switch message.Kind {
 	case Ping:
 		return list.ack(message)
@@ -76,15 +74,20 @@
 			return
 		}
 		known = &entry{Member: Member{State: Dead}}
-		list.entries[news.Name] = known
+		list.add(news.Name, known)
 	}
 	if (known.State <= Suspect) != (news.State <= Suspect) || known.Member.Name == "" {
 		list.epoch++
 	}
 	if known.Incarnation != news.Incarnation {
-		delete(list.heard, news.Name)
+		list.Unheard(news.Name)
 	}
 	known.Member, known.since = news, now
+	if news.State == Alive {
+		delete(list.doubtful, news.Name)
+	} else {
+		list.doubtful[news.Name] = true
+	}
 	list.gossip(news)
 }
 
--- a/core/release/adopter.go
+++ b/core/release/adopter.go
@@ -6,6 +6,7 @@
 type Adopter struct {
 	head          Head
 	parts         map[Digest][]byte
+	objects       map[Digest][]config.Object // of the parts in force, decoded once
 	configuration *config.Configuration
 }
 
@@ -35,22 +36,36 @@
 	if head.Release <= adopter.head.Release {
 		return false, nil
 	}
-	parts := map[Digest][]byte{}
+	parts, objects := map[Digest][]byte{}, map[Digest][]config.Object{}
+	var all []config.Object
 	for _, digest := range head.Parts {
-		if part, ok := fetched[digest]; ok {
-			parts[digest] = part
-		} else if part, ok := adopter.parts[digest]; ok {
-			parts[digest] = part
+		if digest == "" {
+			continue
 		}
+		part, decoded, err := adopter.part(digest, fetched)
+		if err != nil {
+			return false, err
+		}
+		parts[digest], objects[digest] = part, decoded
+		all = append(all, decoded...)
 	}
-	state, err := Load(head, parts)
+	configuration, err := config.Build(head.Release, all)
 	if err != nil {
 		return false, err
 	}
-	configuration, err := state.Configuration()
+	adopter.head, adopter.parts, adopter.objects, adopter.configuration = head, parts, objects, configuration
+	return true, nil
+}
+
+// part returns a part and its objects, from the release in force if it has them.
+func (adopter *Adopter) part(digest Digest, fetched map[Digest][]byte) ([]byte, []config.Object, error) {
+	if held, ok := adopter.parts[digest]; ok {
+		return held, adopter.objects[digest], nil
+	}
+	entries, err := decodePart(digest, fetched[digest])
 	if err != nil {
-		return false, err
+		return nil, nil, err
 	}
-	adopter.head, adopter.parts, adopter.configuration = head, parts, configuration
-	return true, nil
+	objects, err := decodeObjects(entries)
+	return fetched[digest], objects, err
 }
--- /dev/null
+++ b/core/release/bench_test.go
@@ -0,0 +1,64 @@
+package release_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"poplarpin.dev/core/config"
+	"poplarpin.dev/core/release"
+)
+
+// large returns a state with a number of targets and one index over all of them.
+func large(b *testing.B, targets int) (release.State, map[release.Digest][]byte) {
+	b.Helper()
+	setup := release.Note{ID: "setup", Add: release.Objects{Classes: []config.Class{{Name: "alarm"}},
+		Services: []config.Service{{Name: "heat", Classes: []string{"alarm"}, Deadline: 1e9}}}}
+	index := config.Index{Service: "heat", Version: 1}
+	for i := range targets {
+		name := fmt.Sprintf("target-%05d", i)
+		setup.Add.Targets = append(setup.Add.Targets, config.Target{Name: name, Address: "127.0.0.1:80",
+			FailureDomain: "sohar", Slots: 2, Connections: 25})
+		if i < 2000 {
+			index.Shards = append(index.Shards, config.Shard{Name: fmt.Sprintf("s%04d", i), Documents: 1, Replicas: []string{name}})
+		}
+	}
+	setup.Add.Indexes = []config.Index{index}
+	state, parts := empty()
+	proposal, err := state.Propose(setup)
+	assert.NilError(b, err)
+	for digest, part := range proposal.Parts {
+		parts[digest] = part
+	}
+	state, err = release.Load(proposal.Head, parts)
+	assert.NilError(b, err)
+	return state, parts
+}
+
+// BenchmarkAdopt measures what a VM spends on one small release against the size of the configuration.
+func BenchmarkAdopt(b *testing.B) {
+	for _, targets := range []int{200, 2000, 19_000} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			state, parts := large(b, targets)
+			change := config.Target{Name: "target-00007", Address: "127.0.0.1:81", FailureDomain: "sohar", Slots: 2, Connections: 25}
+			proposal, err := state.Propose(release.Note{ID: "change", Base: 1, Change: release.Objects{Targets: []config.Target{change}}})
+			assert.NilError(b, err)
+			size := 0
+			for _, part := range proposal.Parts {
+				size += len(part)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				adopter := release.NewAdopter()
+				_, err := adopter.Adopt(state.Head, parts)
+				assert.NilError(b, err)
+				b.StartTimer()
+				_, err = adopter.Adopt(proposal.Head, proposal.Parts)
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(size)/1024, "fetchedKB")
+		})
+	}
+}
--- a/core/release/release.go
+++ b/core/release/release.go
@@ -17,7 +17,7 @@
 	RecentNotes   = 256     // accepted notes that the head remembers
 	KeptReleases  = 1000    // releases for which a withdrawn key's entry is kept
 	RetiredAfter  = 32      // releases after which a replaced part is deleted
-	MaxPart       = 512_000 // bytes; larger parts double the number of buckets
+	MaxPart       = 128_000 // bytes; larger parts double the number of buckets
 	firstBuckets  = 8
 	largestBucket = 4096
 )
@@ -85,13 +85,9 @@
 		if digest == "" {
 			continue
 		}
-		part, ok := parts[digest]
-		if !ok || DigestOf(part) != digest {
-			return state, fail("load", Corrupt, "part %s of release %d is absent or altered", digest, head.Release)
-		}
-		var entries []Entry
-		if err := json.Unmarshal(part, &entries); err != nil {
-			return state, fail("load", Corrupt, "part %s: %s", digest, err)
+		entries, err := decodePart(digest, parts[digest])
+		if err != nil {
+			return state, err
 		}
 		for _, entry := range entries {
 			state.Entries[entry.Key] = entry
@@ -100,10 +96,22 @@
 	return state, nil
 }
 
-// Configuration decodes and checks the objects in force.
-func (state State) Configuration() (*config.Configuration, error) {
+// decodePart verifies and reads one part.
+func decodePart(digest Digest, part []byte) ([]Entry, error) {
+	if part == nil || DigestOf(part) != digest {
+		return nil, fail("load", Corrupt, "part %s is absent or altered", digest)
+	}
+	var entries []Entry
+	if err := json.Unmarshal(part, &entries); err != nil {
+		return nil, fail("load", Corrupt, "part %s: %s", digest, err)
+	}
+	return entries, nil
+}
+
+// decodeObjects reads and checks the objects in force of some entries.
+func decodeObjects(entries []Entry) ([]config.Object, error) {
 	var objects []config.Object
-	for _, entry := range state.Entries {
+	for _, entry := range entries {
 		if entry.Withdrawn {
 			continue
 		}
@@ -113,7 +121,16 @@
 		}
 		objects = append(objects, object)
 	}
-	return config.New(state.Head.Release, objects)
+	return objects, nil
+}
+
+// Configuration decodes and checks the objects in force.
+func (state State) Configuration() (*config.Configuration, error) {
+	objects, err := decodeObjects(slices.Collect(maps.Values(state.Entries)))
+	if err != nil {
+		return nil, err
+	}
+	return config.Build(state.Head.Release, objects)
 }
 
 // Proposal is the next release that a note asks for.
