Work out the target's size from measured slopes; report health only with a configuration

Cause: docs/CAPACITY.md must be made anew by a program. Read on the way, with causes: a starting VM told the balancer that it serves before it had a release; a service first met by a non-idempotent request had no hedge budget for good, and a changed extraLoad never took effect; at 9 VMs all calling one target directly 45 of its 25 connections could be open; what calls had shown of withdrawn targets was kept for ever. Change: testbed control and testbed capacity; health needs a configuration; the budget follows the configuration; a VM opens at most a twelfth of a target's connections; withdrawn services and targets are forgotten.

--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,7 @@
 
 clean:
 	rm -rf bin out
+
+# Makes the tables of docs/CAPACITY.md anew from the measured slopes.
+capacity: build
+	@bin/testbed capacity docs/slopes.yaml docs/CAPACITY.md
--- a/core/latency/latency.go
+++ b/core/latency/latency.go
@@ -203,6 +203,15 @@
 	return "", false
 }
 
+// Retain forgets the targets that a function does not name, but for those with calls under way.
+func (tracker *Tracker) Retain(keep func(string) bool) {
+	for name, target := range tracker.targets {
+		if !keep(name) && target.inFlight <= 0 {
+			delete(tracker.targets, name)
+		}
+	}
+}
+
 // TargetView is what is known of one target, for dumps.
 type TargetView struct {
 	Target   string
--- a/core/release/bench_test.go
+++ b/core/release/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -36,6 +37,25 @@
 	return state, parts
 }
 
+// held returns the bytes that an adopted release keeps.
+func held(b *testing.B, state release.State, parts map[release.Digest][]byte) float64 {
+	b.Helper()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	adopter := release.NewAdopter()
+	_, err := adopter.Adopt(state.Head, parts)
+	assert.NilError(b, err)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	sum := float64(after.HeapAlloc) - float64(before.HeapAlloc)
+	for _, part := range parts {
+		sum += float64(len(part))
+	}
+	runtime.KeepAlive(adopter)
+	return sum
+}
+
 // BenchmarkAdopt measures what a VM spends on one small release against the size of the configuration.
 func BenchmarkAdopt(b *testing.B) {
 	for _, targets := range []int{200, 2000, 19_000} {
@@ -59,6 +79,8 @@
 				assert.NilError(b, err)
 			}
 			b.ReportMetric(float64(size)/1024, "fetchedKB")
+			b.ReportMetric(float64(len(proposal.Head.Parts)), "parts")
+			b.ReportMetric(held(b, state, parts)/float64(targets), "heldB/target")
 		})
 	}
 }
--- a/poplarpind/caller/caller.go
+++ b/poplarpind/caller/caller.go
@@ -62,6 +62,10 @@
 		Fail(writer, &api.Error{Op: "health", Kind: api.Stopping, Message: "this VM is stopping"})
 		return
 	}
+	if !handler.vm.Ready() {
+		Fail(writer, &api.Error{Op: "health", Kind: api.NoRelease, Message: "no configuration is in force on this VM yet"})
+		return
+	}
 	writer.WriteHeader(http.StatusNoContent)
 }
 
--- a/poplarpind/entry/entry.go
+++ b/poplarpind/entry/entry.go
@@ -145,6 +145,9 @@
 	return vm.releases.adopter.Configuration()
 }
 
+// Ready reports whether a configuration is in force.
+func (vm *VM) Ready() bool { return vm.configuration() != nil }
+
 // queryID returns an id that no other query of any VM has.
 func (vm *VM) queryID() string {
 	vm.queries.Lock()
--- a/poplarpind/entry/once.go
+++ b/poplarpind/entry/once.go
@@ -71,7 +71,7 @@
 
 // replica chooses the target by what the service's other calls have shown.
 func (vm *VM) replica(name string, replicas []string) string {
-	service := vm.service(name, 0)
+	service := vm.service(name)
 	service.Lock()
 	defer service.Unlock()
 	return service.shared.Tracker.Order(replicas, time.Now())[0]
--- a/poplarpind/entry/query.go
+++ b/poplarpind/entry/query.go
@@ -25,18 +25,36 @@
 	limiter *admit.Limiter
 }
 
-func (vm *VM) service(name string, extraLoad float64) *service {
+func (vm *VM) service(name string) *service {
 	vm.services.Lock()
 	defer vm.services.Unlock()
 	found, ok := vm.services.byName[name]
 	if !ok {
 		found = &service{limiter: admit.New(), shared: query.Shared{
-			Versions: query.NewVersions(), Tracker: latency.New(random()), Budget: budget.New(extraLoad)}}
+			Versions: query.NewVersions(), Tracker: latency.New(random()), Budget: budget.New(0)}}
 		vm.services.byName[name] = found
 	}
 	return found
 }
 
+// retain forgets what calls have shown of services and targets that are not in force any more.
+func (vm *VM) retain(configuration *config.Configuration) {
+	vm.services.Lock()
+	defer vm.services.Unlock()
+	for name, service := range vm.services.byName {
+		if _, ok := configuration.Services[name]; !ok {
+			delete(vm.services.byName, name)
+			continue
+		}
+		service.Lock()
+		service.shared.Tracker.Retain(func(target string) bool {
+			_, ok := configuration.Targets[target]
+			return ok
+		})
+		service.Unlock()
+	}
+}
+
 // Query runs a request to its final answer; the error is an api.Error.
 func (vm *VM) Query(ctx context.Context, request api.Request) (api.Answer, error) {
 	vm.requests.Add(1)
@@ -80,7 +98,7 @@
 
 // search runs an idempotent query.
 func (vm *VM) search(ctx context.Context, request api.Request, configuration *config.Configuration, class config.Class) (api.Answer, error) {
-	service := vm.service(request.Service, configuration.Services[request.Service].ExtraLoad)
+	service := vm.service(request.Service)
 	if vm.settings.Mode != settings.Direct {
 		service.Lock()
 		ok, after := service.limiter.Admit(admit.Class{Name: class.Name, Priority: class.Priority, Share: class.Share})
@@ -124,6 +142,7 @@
 	scatter.service.Lock()
 	defer scatter.service.Unlock()
 	now := time.Now()
+	scatter.service.shared.Budget.SetFraction(scatter.configuration.Services[scatter.request.Service].ExtraLoad)
 	full := scatter.vm.settings.Mode != settings.Direct
 	policy := query.Policy{Hedge: full && !scatter.vm.settings.NoHedge, Retry: full, Adaptive: full}
 	scatter.run = query.New(scatter.request, scatter.configuration, scatter.service.shared, policy, now)
--- a/poplarpind/entry/releases.go
+++ b/poplarpind/entry/releases.go
@@ -130,6 +130,7 @@
 		return nil
 	}
 	vm.owner.Configure(configuration)
+	vm.retain(configuration)
 	vm.members.Lock()
 	vm.members.list.SetRelease(head.Release)
 	vm.members.table.Forget()
--- a/poplarpind/target/owner.go
+++ b/poplarpind/target/owner.go
@@ -13,9 +13,9 @@
 	"poplarpin.dev/core/rpc"
 )
 
-// connectionShares is in how many parts a target's connections are divided, so that a few VMs that all believe
-// that they own it stay within its limit.
-const connectionShares = 5
+// connectionShares is in how many parts a target's connections are divided, so that all of today's entry VMs of an
+// organisation could call it at once and stay within its limit; each connection carries many calls.
+const connectionShares = 12
 
 // unlimited stands for no limit on calls in flight.
 const unlimited = 1 << 20
--- a/testbed/fleet/cpu.go
+++ b/testbed/fleet/cpu.go
@@ -41,3 +41,26 @@
 	system, _ := strconv.ParseInt(fields[systemField], 10, 64)
 	return time.Duration(user+system) * clockTick
 }
+
+// Memory returns the resident bytes of all running entry VMs.
+func (fleet *Fleet) Memory() int64 {
+	var sum int64
+	for _, vm := range fleet.VMs {
+		sum += memory(vm.PID())
+	}
+	return sum
+}
+
+// memory returns the resident bytes of a process, 0 if it has ended.
+func memory(pid int) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
--- a/testbed/main.go
+++ b/testbed/main.go
@@ -12,8 +12,10 @@
 // cli is the command line.
 type cli struct {
 	globals
-	Demo  demoCommand  `cmd:"" help:"Show the whole path on a small fleet."`
-	Bench benchCommand `cmd:"" help:"Measure against plain scatter-gather in the same run."`
+	Demo     demoCommand     `cmd:"" help:"Show the whole path on a small fleet."`
+	Control  controlCommand  `cmd:"" help:"Measure what the control side costs and how fast releases are in force."`
+	Capacity capacityCommand `cmd:"" help:"Make the tables of docs/CAPACITY.md anew from measured slopes."`
+	Bench    benchCommand    `cmd:"" help:"Measure against plain scatter-gather in the same run."`
 }
 
 func main() {
