--- a/poplarpin/commands.go
+++ b/poplarpin/commands.go
@@ -10,6 +10,7 @@
 	"poplarpin.dev/core/api"
 	"poplarpin.dev/core/config"
 	"poplarpin.dev/core/release"
+	"poplarpin.dev/poplarpin/client"
 )
 
 // releaseCommands are the commands on release notes.
@@ -71,21 +72,26 @@
 	return note, nil
 }
 
-// Run submits the note.
-func (command *applyCommand) Run(globals *globals) error {
-	note, err := readNote(command.Note)
+// ask calls an entry VM and prints what it answers.
+func (globals *globals) ask(call func(context.Context, *client.Client) (any, error)) error {
+	client, err := globals.client()
 	if err != nil {
 		return err
 	}
-	client, err := globals.client()
+	result, err := call(context.Background(), client)
 	if err != nil {
 		return err
 	}
-	accepted, err := client.Apply(context.Background(), note)
+	return globals.print(result)
+}
+
+// Run submits the note.
+func (command *applyCommand) Run(globals *globals) error {
+	note, err := readNote(command.Note)
 	if err != nil {
 		return err
 	}
-	return globals.print(accepted)
+	return globals.ask(func(ctx context.Context, client *client.Client) (any, error) { return client.Apply(ctx, note) })
 }
 
 // Run prints the changes.
@@ -94,67 +100,29 @@
 	if err != nil {
 		return err
 	}
-	client, err := globals.client()
-	if err != nil {
-		return err
-	}
-	changes, err := client.Diff(context.Background(), note)
-	if err != nil {
-		return err
-	}
-	return globals.print(changes)
+	return globals.ask(func(ctx context.Context, client *client.Client) (any, error) { return client.Diff(ctx, note) })
 }
 
 // Run prints the accepted notes.
 func (command *historyCommand) Run(globals *globals) error {
-	client, err := globals.client()
-	if err != nil {
-		return err
-	}
-	list, err := client.History(context.Background())
-	if err != nil {
-		return err
-	}
-	return globals.print(list)
+	return globals.ask(func(ctx context.Context, client *client.Client) (any, error) { return client.History(ctx) })
 }
 
 // Run prints one note.
 func (command *showCommand) Run(globals *globals) error {
-	client, err := globals.client()
-	if err != nil {
-		return err
-	}
-	note, err := client.Show(context.Background(), command.Release)
-	if err != nil {
-		return err
-	}
-	return globals.print(note)
+	return globals.ask(func(ctx context.Context, client *client.Client) (any, error) {
+		return client.Show(ctx, command.Release)
+	})
 }
 
 // Run prints the fleet's status.
 func (command *statusCommand) Run(globals *globals) error {
-	client, err := globals.client()
-	if err != nil {
-		return err
-	}
-	status, err := client.Status(context.Background())
-	if err != nil {
-		return err
-	}
-	return globals.print(status)
+	return globals.ask(func(ctx context.Context, client *client.Client) (any, error) { return client.Status(ctx) })
 }
 
 // Run prints the process's state.
 func (command *dumpCommand) Run(globals *globals) error {
-	client, err := globals.client()
-	if err != nil {
-		return err
-	}
-	dump, err := client.Dump(context.Background())
-	if err != nil {
-		return err
-	}
-	return globals.print(dump)
+	return globals.ask(func(ctx context.Context, client *client.Client) (any, error) { return client.Dump(ctx) })
 }
 
 // Run checks a note without an entry VM.
--- a/poplarpind/certificate/certificate_test.go
+++ b/poplarpind/certificate/certificate_test.go
@@ -1,67 +1,30 @@
 package certificate_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"poplarpin.dev/poplarpind/certificate"
+	"poplarpin.dev/poplarpind/certificate/certificatetest"
 	"poplarpin.dev/poplarpind/settings"
 )
 
-// authority signs certificates for one test.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-}
-
-func sign(t *testing.T, template, parent *x509.Certificate, key, parentKey *ecdsa.PrivateKey) []byte {
+func newAuthority(t *testing.T) *certificatetest.Authority {
 	t.Helper()
-	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, parentKey)
+	authority, err := certificatetest.New()
 	assert.NilError(t, err)
-	return der
+	return authority
 }
 
-func newAuthority(t *testing.T) authority {
+func issue(t *testing.T, authority *certificatetest.Authority, folder, name string, until, written time.Time) *settings.TLS {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true,
-		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign, NotAfter: time.Now().Add(time.Hour)}
-	parsed, err := x509.ParseCertificate(sign(t, template, template, key, key))
+	files, err := authority.Issue(folder, name, until, written)
 	assert.NilError(t, err)
-	return authority{parsed, key}
-}
-
-// issue writes a key, a certificate and the authority to a folder; files written later are newer.
-func (authority authority) issue(t *testing.T, folder, name string, until time.Time, written time.Time) *settings.TLS {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	template := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: until,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
-	der := sign(t, template, authority.certificate, key, authority.key)
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	assert.NilError(t, err)
-	files := &settings.TLS{Certificate: filepath.Join(folder, "cert.pem"), Key: filepath.Join(folder, "key.pem"), Authority: filepath.Join(folder, "ca.pem")}
-	for path, block := range map[string]*pem.Block{files.Certificate: {Type: "CERTIFICATE", Bytes: der},
-		files.Key: {Type: "EC PRIVATE KEY", Bytes: keyDER}, files.Authority: {Type: "CERTIFICATE", Bytes: authority.certificate.Raw}} {
-		assert.NilError(t, os.WriteFile(path, pem.EncodeToMemory(block), 0o600))
-		assert.NilError(t, os.Chtimes(path, written, written))
-	}
 	return files
 }
 
@@ -103,7 +66,7 @@
 	members, strangers := newAuthority(t), newAuthority(t)
 	hour, past := time.Now().Add(time.Hour), time.Now().Add(-time.Minute)
 	good := func(name string) *certificate.Store {
-		return open(t, members.issue(t, t.TempDir(), name, hour, time.Now()))
+		return open(t, issue(t, members, t.TempDir(), name, hour, time.Now()))
 	}
 	t.Run("members accept each other", func(t *testing.T) {
 		name, err := handshake(t, good("vm1"), good("vm2"))
@@ -111,15 +74,15 @@
 		assert.Equal(t, name, "vm1")
 	})
 	t.Run("a stranger is refused as client", func(t *testing.T) {
-		_, err := handshake(t, good("vm1"), open(t, strangers.issue(t, t.TempDir(), "vm2", hour, time.Now())))
+		_, err := handshake(t, good("vm1"), open(t, issue(t, strangers, t.TempDir(), "vm2", hour, time.Now())))
 		assert.Assert(t, err != nil)
 	})
 	t.Run("a stranger is refused as server", func(t *testing.T) {
-		_, err := handshake(t, open(t, strangers.issue(t, t.TempDir(), "vm1", hour, time.Now())), good("vm2"))
+		_, err := handshake(t, open(t, issue(t, strangers, t.TempDir(), "vm1", hour, time.Now())), good("vm2"))
 		assert.Assert(t, err != nil)
 	})
 	t.Run("an expired certificate is refused", func(t *testing.T) {
-		_, err := handshake(t, good("vm1"), open(t, members.issue(t, t.TempDir(), "vm2", past, time.Now())))
+		_, err := handshake(t, good("vm1"), open(t, issue(t, members, t.TempDir(), "vm2", past, time.Now())))
 		assert.Assert(t, err != nil)
 	})
 }
@@ -127,9 +90,12 @@
 func TestReplacement(t *testing.T) {
 	members, hour := newAuthority(t), time.Now().Add(time.Hour)
 	folder := t.TempDir()
-	server := open(t, members.issue(t, folder, "old", hour, time.Now().Add(-time.Minute)))
-	client := open(t, members.issue(t, t.TempDir(), "vm2", hour, time.Now()))
-	members.issue(t, folder, "new", hour, time.Now())
+	files := issue(t, members, folder, "old", hour, time.Now().Add(-time.Minute))
+	server := open(t, files)
+	client := open(t, issue(t, members, t.TempDir(), "vm2", hour, time.Now()))
+	replacement := issue(t, members, folder, "new", hour, time.Now())
+	assert.NilError(t, os.Rename(replacement.Certificate, files.Certificate))
+	assert.NilError(t, os.Rename(replacement.Key, files.Key))
 	for {
 		name, err := handshake(t, server, client)
 		assert.NilError(t, err)
--- /dev/null
+++ b/poplarpind/certificate/certificatetest/doc.go
@@ -0,0 +1,2 @@
+// Package certificatetest issues certificates for tests.
+package certificatetest
--- a/testbed/experiment/experiment.go
+++ b/testbed/experiment/experiment.go
@@ -88,6 +88,8 @@
 		{"versions", versions},
 		{"entryVMs", entryVMs},
 		{"justInTime", justInTime},
+		{"shapes", shapes},
+		{"stops", stops},
 	}
 }
 
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -42,6 +42,14 @@
 	NoHedge   bool
 	DrainWait time.Duration
 	Seed      uint64
+	Secure    *Secure // nil for plain TCP and HTTP
+}
+
+// Secure is how a fleet uses TLS.
+type Secure struct {
+	Files     func(name string) (*settings.TLS, error) // of an entry VM
+	Operators []string
+	Operator  client.TLS // of the operator that the fleet's own calls use
 }
 
 // VM is one entry VM of a fleet.
@@ -53,6 +61,7 @@
 	Operator string
 	settings string
 	process  *exec.Cmd
+	secure   *Secure
 }
 
 // Fleet is a running fleet.
@@ -79,7 +88,7 @@
 	for d, domain := range topology.Domains {
 		for i := range topology.VMsPerDomain {
 			fleet.VMs = append(fleet.VMs, &VM{Name: fmt.Sprintf("vm%d-%s", i, domain), Domain: topology.Domains[d],
-				Peer: ports.next(), Caller: ports.next(), Operator: ports.next()})
+				Peer: ports.next(), Caller: ports.next(), Operator: ports.next(), secure: options.Secure})
 		}
 	}
 	path, err := fleet.write("standin.yaml", standin.Settings{Admin: adminAddress, Platform: fleet.platform,
@@ -131,10 +140,18 @@
 
 // Launch starts an entry VM, or starts it anew with an empty memory.
 func (fleet *Fleet) Launch(vm *VM) error {
-	path, err := fleet.write(vm.Name+".yaml", settings.Settings{Name: vm.Name, FailureDomain: vm.Domain,
+	configured := settings.Settings{Name: vm.Name, FailureDomain: vm.Domain,
 		PeerAddress: vm.Peer, CallerAddress: vm.Caller, OperatorAddress: vm.Operator, Platform: "http://" + fleet.platform,
 		Mode: fleet.mode(), Extra: fleet.options.Extra, NoHedge: fleet.options.NoHedge,
-		DrainWait: config.Duration(fleet.options.DrainWait), Log: "info"})
+		DrainWait: config.Duration(fleet.options.DrainWait), Log: "info", PlainCallers: true}
+	if secure := fleet.options.Secure; secure != nil {
+		files, err := secure.Files(vm.Name)
+		if err != nil {
+			return err
+		}
+		configured.TLS, configured.Operators = files, secure.Operators
+	}
+	path, err := fleet.write(vm.Name+".yaml", configured)
 	if err != nil {
 		return err
 	}
@@ -160,15 +177,20 @@
 func (vm *VM) Wait() error { return vm.process.Wait() }
 
 // Client returns a client of an entry VM's operator interface.
-func (vm *VM) Client() *client.Client { return mustClient("http://" + vm.Operator) }
+func (vm *VM) Client() *client.Client {
+	if vm.secure == nil {
+		return mustClient("http://"+vm.Operator, client.TLS{})
+	}
+	return mustClient("https://"+vm.Operator, vm.secure.Operator)
+}
 
 // Callers returns a client of an entry VM's caller interface.
-func (vm *VM) Callers() *client.Client { return mustClient("http://" + vm.Caller) }
+func (vm *VM) Callers() *client.Client { return mustClient("http://"+vm.Caller, client.TLS{}) }
 
-func mustClient(url string) *client.Client {
-	made, err := client.New(url, client.TLS{})
+func mustClient(url string, files client.TLS) *client.Client {
+	made, err := client.New(url, files)
 	if err != nil {
-		panic(err) // plain HTTP has nothing that can fail
+		panic(err) // the files are the fleet's own
 	}
 	return made
 }
--- a/testbed/fleet_test.go
+++ b/testbed/fleet_test.go
@@ -20,7 +20,10 @@
 	"poplarpin.dev/core/api"
 	"poplarpin.dev/core/config"
 	"poplarpin.dev/core/release"
+	"poplarpin.dev/poplarpin/client"
 	"poplarpin.dev/poplarpin/load"
+	"poplarpin.dev/poplarpind/certificate/certificatetest"
+	"poplarpin.dev/poplarpind/settings"
 	"poplarpin.dev/standin/platform"
 	"poplarpin.dev/standin/target"
 	"poplarpin.dev/testbed/fleet"
@@ -280,6 +283,44 @@
 	assert.Assert(t, report.Streams["heat/alarm"].Outcomes[api.Ran] > 0)
 }
 
+// TestSecured runs a fleet with TLS on all links and refuses a stranger, and a member that is no operator.
+func TestSecured(t *testing.T) {
+	folder, hour := t.TempDir(), time.Now().Add(time.Hour)
+	members, err := certificatetest.New()
+	assert.NilError(t, err)
+	strangers, err := certificatetest.New()
+	assert.NilError(t, err)
+	operator := func(authority *certificatetest.Authority, name string) client.TLS {
+		files, err := authority.Issue(t.TempDir(), name, hour, time.Now())
+		assert.NilError(t, err)
+		own, err := members.Issue(t.TempDir(), name, hour, time.Now()) // for the authority that signs the VMs' certificates
+		assert.NilError(t, err)
+		return client.TLS{Certificate: files.Certificate, Key: files.Key, Authority: own.Authority}
+	}
+	running, err := fleet.Start(fleet.Demo(), fleet.Options{Bin: bin, Folder: folder, Seed: 1, Secure: &fleet.Secure{
+		Files:     func(name string) (*settings.TLS, error) { return members.Issue(folder, name, hour, time.Now()) },
+		Operators: []string{"ana"}, Operator: operator(members, "ana")}})
+	assert.NilError(t, err)
+	t.Cleanup(running.Stop)
+	assert.NilError(t, running.Prepare())
+	assert.Equal(t, ask200(t, running.VMs[0], "secured").Outcome, api.Whole)
+	history, err := running.VMs[0].Client().History(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, history[0].Author, "ana")
+	apply := func(files client.TLS) error {
+		made, err := client.New("https://"+running.VMs[0].Operator, files)
+		assert.NilError(t, err)
+		_, err = made.Apply(context.Background(), classNote("theirs", 1, "theirs"))
+		return err
+	}
+	t.Run("a member that is no operator", func(t *testing.T) {
+		assert.ErrorContains(t, apply(operator(members, "badr")), "forbidden")
+	})
+	t.Run("a stranger", func(t *testing.T) {
+		assert.ErrorContains(t, apply(operator(strangers, "ana")), "certificate")
+	})
+}
+
 // TestLostTargets kills a target and silences connections; queries are whole again, and honest all the time.
 func TestLostTargets(t *testing.T) {
 	running := start(t)
