Check messages of peers, head and claims when they are decoded

Change: messages that can check themselves do so before they are handled; head and claims refuse bounds and states that no version of ours writes. Before: a batch with no service or a timeout of a year was taken.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"encoding/json"
+
 	"poplarpin.dev/core/api"
 	"poplarpin.dev/core/rpc"
 )
@@ -22,6 +24,35 @@
 	Outcome api.Outcome `json:"outcome,omitempty"`
 }
 
+// UnmarshalJSON decodes and checks the state.
+func (claim *Claim) UnmarshalJSON(data []byte) error {
+	type plain Claim
+	if err := json.Unmarshal(data, (*plain)(claim)); err != nil {
+		return err
+	}
+	switch claim.State {
+	case Held, Released, Ended:
+		return nil
+	}
+	return &Error{Op: "decode", Kind: BadState, Detail: string(claim.State)}
+}
+
+// Kind classifies an Error.
+type Kind string
+
+// BadState marks a claim in no known state.
+const BadState Kind = "badState"
+
+// Error reports a claim that cannot be used.
+type Error struct {
+	Op     string
+	Kind   Kind
+	Detail string
+}
+
+// Error implements error.
+func (err *Error) Error() string { return err.Op + ": " + string(err.Kind) + ": " + err.Detail }
+
 // Action is what a Runner asks its driver to do next.
 type Action interface{ action() }
 
--- a/core/release/release.go
+++ b/core/release/release.go
@@ -53,6 +53,18 @@
 	Retired []Retired  `json:"retired"`
 }
 
+// UnmarshalJSON decodes and checks the bounds.
+func (head *Head) UnmarshalJSON(data []byte) error {
+	type plain Head
+	if err := json.Unmarshal(data, (*plain)(head)); err != nil {
+		return err
+	}
+	if head.Release < 0 || len(head.Parts) > largestBucket || len(head.Recent) > RecentNotes {
+		return fail("head", Corrupt, "release %d with %d parts and %d notes", head.Release, len(head.Parts), len(head.Recent))
+	}
+	return nil
+}
+
 // Accepted finds a note among the recent ones.
 func (head *Head) Accepted(note string) (Accepted, bool) {
 	for _, accepted := range head.Recent {
--- a/poplarpind/entry/handler.go
+++ b/poplarpind/entry/handler.go
@@ -30,21 +30,32 @@
 	return &peer.Error{Op: method, Kind: peer.Unwelcome, Detail: "no such notification"}
 }
 
-func handle[T any](params json.RawMessage, do func(T)) error {
+// decode reads a message and lets it check itself.
+func decode[T any](params json.RawMessage) (T, error) {
 	var message T
 	if err := json.Unmarshal(params, &message); err != nil {
-		return &peer.Error{Op: "decode", Kind: peer.Unwelcome, Detail: fmt.Sprintf("%T: %s", message, err)}
+		return message, &peer.Error{Op: "decode", Kind: peer.Unwelcome, Detail: fmt.Sprintf("%T: %s", message, err)}
+	}
+	if checked, ok := any(message).(interface{ Validate() error }); ok {
+		return message, checked.Validate()
+	}
+	return message, nil
+}
+
+func handle[T any](params json.RawMessage, do func(T)) error {
+	message, err := decode[T](params)
+	if err == nil {
+		do(message)
 	}
-	do(message)
-	return nil
+	return err
 }
 
 // Call implements peer.Handler.
 func (vm *VM) Call(_ context.Context, _, method string, params json.RawMessage) (any, error) {
 	switch method {
 	case rpc.MethodPull:
-		var request rpc.Pull
-		if err := json.Unmarshal(params, &request); err != nil {
+		request, err := decode[rpc.Pull](params)
+		if err != nil {
 			return nil, err
 		}
 		return vm.pulled(request), nil
