--- a/core/query/finish.go
+++ b/core/query/finish.go
@@ -11,7 +11,7 @@
 
 const (
 	partialRetry   = 250 * time.Millisecond // when a caller may ask again after a partial answer
-	overloadedPart = 4                      // a wait at an owner of one such part of the query's time is a sign of overload
+	overloadedPart = 4                      // a mean wait at owners of one such part of the query's time is a sign of overload
 )
 
 // finish makes the final answer from what was merged.
@@ -28,7 +28,7 @@
 		Hedges:   run.extra,
 	}
 	answer.Sufficient = answer.Coverage >= run.least
-	finish := Finish{Overloaded: run.waited > run.deadline.Sub(run.started)/overloadedPart}
+	finish := Finish{Overloaded: run.busy()}
 	for i := range run.shards {
 		shard := &run.shards[i]
 		if shard.merged {
@@ -43,6 +43,14 @@
 	return append(actions, finish)
 }
 
+// busy reports whether calls waited long on the mean; a single slow target is no sign of overload.
+func (run *Run) busy() bool {
+	if run.answered == 0 {
+		return false
+	}
+	return run.waited/time.Duration(run.answered) > run.deadline.Sub(run.started)/overloadedPart
+}
+
 // coverage returns the merged part of the snapshot's documents, or of its shards where it has no documents.
 func (run *Run) coverage() float64 {
 	if run.documents > 0 {
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -85,7 +85,8 @@
 	unresolved int
 	settled    int // shards before this one are merged
 	extra      int
-	waited     time.Duration // longest wait of a call at its owner
+	waited     time.Duration // of all calls that were answered, at their owners
+	answered   int
 	restarted  bool
 	finished   bool
 }
--- a/core/query/results.go
+++ b/core/query/results.go
@@ -23,7 +23,8 @@
 		return nil
 	}
 	call.ended = true
-	run.waited = max(run.waited, result.Wait.Std())
+	run.waited += result.Wait.Std()
+	run.answered++
 	run.note(now, call, result)
 	for _, i := range call.shards {
 		run.shards[i].pending--
