--- a/testbed/capacity/capacity.go
+++ b/testbed/capacity/capacity.go
@@ -43,8 +43,7 @@
 		}
 		text.WriteString("\n")
 	}
-	text.WriteString(sheet.slopeTable())
-	return text.String()
+	return sheet.roleTable() + text.String() + sheet.slopeTable()
 }
 
 func (sheet Sheet) slopeTable() string {
