Remove code that nothing calls; one function for the slow calls of three experiments

Cause: reading the whole change again: rpc.Outcome.Ran, config.Key.Name, dispatch.Queue.SetLimit and a field of the test fleet were never used, and three experiments wrote the same fault anew. Ruled out: the seed_test.go twins (a TestMain belongs to its package) and the HTTP calls of load and fleet (two modules, one of which would have to depend on the stand-ins). Change: the dead code is gone; slowOneInHundred is the one fault.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -16,12 +16,6 @@
 	return kind
 }
 
-// Name returns the part of the key after the first slash.
-func (key Key) Name() string {
-	_, name, _ := strings.Cut(string(key), "/")
-	return name
-}
-
 // Object is one declared thing: a Class, a Target, a Service or an Index.
 type Object interface {
 	Key() Key
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -45,9 +45,6 @@
 	return &Queue[T]{limit: limit, service: firstService}
 }
 
-// SetLimit changes the number of calls in flight.
-func (queue *Queue[T]) SetLimit(limit int) { queue.limit = limit }
-
 // InFlight returns the number of calls in flight.
 func (queue *Queue[T]) InFlight() int { return queue.inFlight }
 
--- a/core/rpc/rpc.go
+++ b/core/rpc/rpc.go
@@ -78,11 +78,6 @@
 	OwnerNotReached Outcome = "ownerNotReached" // no byte reached the owner
 )
 
-// Ran reports whether the call may have cost the target work.
-func (outcome Outcome) Ran() bool {
-	return outcome == OK || outcome == Failed || outcome == Lost || outcome == OwnerLost
-}
-
 // Result is the end of one call.
 type Result struct {
 	Call    int64                `json:"call"`
--- a/testbed/experiment/latency.go
+++ b/testbed/experiment/latency.go
@@ -29,17 +29,19 @@
 	return nil
 }
 
+// slowOneInHundred adds to a plan that one call in a hundred is 20 times slower.
+func slowOneInHundred(_ *fleet.Fleet, plan *load.Plan) error {
+	plan.Faults = append(plan.Faults, load.Fault{Set: map[string]any{"slowPart": 0.01, "slowFactor": 20}})
+	return nil
+}
+
 // slowCalls makes one call in a hundred 20 times slower.
 func slowCalls(bench *Bench, site Site) error {
-	slow := func(_ *fleet.Fleet, plan *load.Plan) error {
-		plan.Faults = append(plan.Faults, load.Fault{Set: map[string]any{"slowPart": 0.01, "slowFactor": 20}})
-		return nil
-	}
-	plain, err := bench.arm(site, baseline, bench.plan(site, normalLoad), slow)
+	plain, err := bench.arm(site, baseline, bench.plan(site, normalLoad), slowOneInHundred)
 	if err != nil {
 		return err
 	}
-	full, err := bench.arm(site, poplarpin, bench.plan(site, normalLoad), slow)
+	full, err := bench.arm(site, poplarpin, bench.plan(site, normalLoad), slowOneInHundred)
 	if err != nil {
 		return err
 	}
@@ -93,10 +95,7 @@
 			{Name: "slots only", Mode: poplarpin.Mode, Extra: &tight},
 			{Name: "slots and one", Mode: poplarpin.Mode, Extra: &near},
 		} {
-			result, err := bench.arm(site, setup, bench.plan(site, part), func(_ *fleet.Fleet, plan *load.Plan) error {
-				plan.Faults = append(plan.Faults, load.Fault{Set: map[string]any{"slowPart": 0.01, "slowFactor": 20}})
-				return nil
-			})
+			result, err := bench.arm(site, setup, bench.plan(site, part), slowOneInHundred)
 			if err != nil {
 				return err
 			}
--- a/testbed/experiment/shapes.go
+++ b/testbed/experiment/shapes.go
@@ -1,9 +1,7 @@
 package experiment
 
 import (
-	"poplarpin.dev/poplarpin/load"
 	"poplarpin.dev/poplarpind/settings"
-	"poplarpin.dev/testbed/fleet"
 )
 
 // shapes compares calls through owners with direct calls within split limits, at normal load and under overload, with
@@ -13,10 +11,7 @@
 	setups := []Setup{poplarpin, {Name: "split", Mode: settings.Split}, baseline}
 	for _, part := range []float64{normalLoad, 0.6, overloadFactor} {
 		for _, setup := range setups {
-			result, err := bench.arm(site, setup, bench.plan(site, part), func(_ *fleet.Fleet, plan *load.Plan) error {
-				plan.Faults = append(plan.Faults, load.Fault{Set: map[string]any{"slowPart": 0.01, "slowFactor": 20}})
-				return nil
-			})
+			result, err := bench.arm(site, setup, bench.plan(site, part), slowOneInHundred)
 			if err != nil {
 				return err
 			}
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -59,7 +59,6 @@
 	Peer     string
 	Caller   string
 	Operator string
-	settings string
 	process  *exec.Cmd
 	secure   *Secure
 }
@@ -155,7 +154,6 @@
 	if err != nil {
 		return err
 	}
-	vm.settings = path
 	vm.process, err = fleet.run("poplarpind", path, vm.Name+".log")
 	return err
 }
