VMs of a failure domain tell each other what calls show of servers

Ruled out: cold connections as the cause of the late first seconds (the lateness ends with the slow servers, not with the warming); more hedges (the budget is 2 to 3 calls a VM in ten seconds). Change: core/place keeps findings (a call's latency over what is typical, where that is news), gateway/share.go tells them every 50 ms along the links by which VMs learn from the store's watcher, which passes them on; a finding counts like a call of one's own. Slowness fades from the last call that showed it.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -15,7 +15,7 @@
 	maxDownSpan    = 3 * time.Second
 	fullSpan       = 30 * time.Millisecond  // how long a server that refused for want of room is put last
 	crossFactor    = 1.6                    // how much slower a server of the own failure domain may be before another is better
-	forgetEvery    = 400 * time.Millisecond // without calls, after which a server's slowness counts less
+	forgetEvery    = 400 * time.Millisecond // without answers, after which a server's slowness counts less
 	brokenInRow    = 3                      // connections that broke without an answer in between, from which a server counts as down
 	penaltyDown    = 10 * time.Second
 	penaltyFull    = 200 * time.Millisecond
@@ -86,11 +86,11 @@
 	return cost
 }
 
-// remembered returns a server's slowness, of which less counts the longer it has had no calls.
+// remembered returns a server's slowness, of which less counts the longer no call has shown it.
 func (server *known) remembered(now time.Time) float64 {
 	pace := server.slowness
 	if pace > 1 {
-		idle := now.Sub(server.answered) / forgetEvery
+		idle := max(now.Sub(server.judged), 0) / forgetEvery
 		pace = 1 + (pace-1)*math.Pow(forgetFactor, float64(idle))
 	}
 	return pace
@@ -158,21 +158,28 @@
 	}
 	server := flight.server
 	flight.fleet.domain(server.Zone).answered()
-	server.slowness = server.remembered(now)
 	server.answered = now
 	server.downTill, server.downSpan, server.broken = time.Time{}, 0, 0
-	flight.learn(latency)
+	flight.learn(now, latency)
 	flight.route.record(latency)
 }
 
-func (flight *Flight) learn(latency time.Duration) {
-	server := flight.server
-	ratio := min(float64(latency)/float64(max(flight.route.Median(), time.Millisecond)), maxSlowness)
-	if ratio > server.slowness {
-		server.slowness = min(server.slowness*slownessStep, ratio)
+// learn takes what the call has shown of its server, and keeps it for other VMs.
+func (flight *Flight) learn(now time.Time, latency time.Duration) {
+	pace := min(float64(latency)/float64(max(flight.route.Median(), time.Millisecond)), maxSlowness)
+	flight.fleet.note(flight.server, pace)
+	flight.server.learn(now, pace)
+}
+
+// learn moves a server's slowness towards the pace of one call.
+func (server *known) learn(now time.Time, pace float64) {
+	slowness := server.remembered(now)
+	if pace > slowness {
+		slowness = min(slowness*slownessStep, pace)
 	} else {
-		server.slowness = max(server.slowness/slownessStep, ratio)
+		slowness = max(slowness/slownessStep, pace)
 	}
+	server.slowness, server.judged = slowness, now
 }
 
 // Refused records that the server had no room for the call.
@@ -237,7 +244,7 @@
 		return
 	}
 	if latency := now.Sub(flight.started); latency > 2*flight.expected {
-		flight.learn(latency)
+		flight.learn(now, latency)
 	}
 }
 
--- /dev/null
+++ b/core/place/finding.go
@@ -0,0 +1,46 @@
+package place
+
+import "time"
+
+const (
+	slowFinding  = 2.0 // times what is typical, from which a call's latency is worth telling to other VMs
+	doubtedFrom  = 1.3 // slowness from which every answer of a server is worth telling, as it may be well again
+	mostFindings = 256 // kept until they are told; later ones of the same span add little
+)
+
+// Finding is what one call has shown of a server's pace, for other VMs that call the same server.
+type Finding struct {
+	Server string  `json:"server"`
+	Pace   float64 `json:"pace"` // how much longer the call took than is typical of its route
+}
+
+// Valid reports whether a finding that was decoded can be used.
+func (finding Finding) Valid() bool {
+	return finding.Server != "" && finding.Pace > 0 && finding.Pace <= maxSlowness
+}
+
+// note keeps a finding for other VMs if it would change what they expect.
+func (fleet *Fleet) note(server *known, pace float64) {
+	if server.Peer || pace < slowFinding && server.slowness < doubtedFrom || pace <= 0 || len(fleet.findings) >= mostFindings {
+		return
+	}
+	fleet.findings = append(fleet.findings, Finding{Server: server.ID, Pace: pace})
+}
+
+// Findings returns what calls have shown since it was last asked.
+func (fleet *Fleet) Findings() []Finding {
+	findings := fleet.findings
+	fleet.findings = nil
+	return findings
+}
+
+// Hear takes a finding of another VM like a call of this one. It reports whether calls now go past the server, or to it again.
+func (fleet *Fleet) Hear(now time.Time, finding Finding) bool {
+	server, ok := fleet.servers[finding.Server]
+	if !ok {
+		return false
+	}
+	before := server.remembered(now)
+	server.learn(now, finding.Pace)
+	return (before < crossFactor) != (server.slowness < crossFactor)
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -39,6 +39,7 @@
 	warmAt    time.Time
 	missing   time.Time // since when it is not listed, for entries that may come back
 	slowness  float64   // how much longer its calls take than is typical of their route
+	judged    time.Time // when a call last showed it
 	flights   []*Flight
 	downTill  time.Time
 	downSpan  time.Duration
@@ -57,6 +58,7 @@
 	services map[string][]*known
 	domains  map[string]*domain
 	typical  map[string]*Typical
+	findings []Finding // that other VMs have not been told
 }
 
 // New returns a fleet without servers for a VM of a failure domain with some processor.
--- a/core/rpc/news.go
+++ b/core/rpc/news.go
@@ -1,11 +1,16 @@
 package rpc
 
-import "encoding/json"
+import (
+	"encoding/json"
 
-// The JSON-RPC methods by which entry VMs learn from each other what the platform's store holds.
+	"poplarpin.dev/core/place"
+)
+
+// The JSON-RPC methods by which entry VMs learn from each other what the platform's store holds and how servers do.
 const (
-	MethodFollow = "follow" // notification: Follow, again and again while news are wanted
-	MethodNews   = "news"   // notification: News
+	MethodFollow   = "follow"   // notification: Follow, again and again while news are wanted
+	MethodNews     = "news"     // notification: News
+	MethodFindings = "findings" // notification: Findings
 )
 
 // Follow asks for news since revisions of the store.
@@ -33,6 +38,21 @@
 	Through int64   `json:"through,omitempty"` // revision up to which the servers are known with this; 0 for no change
 }
 
+// Findings tells what calls have shown of servers.
+type Findings struct {
+	Findings []place.Finding `json:"findings"`
+}
+
+// Validate checks findings that were decoded.
+func (findings Findings) Validate() error {
+	for _, finding := range findings.Findings {
+		if !finding.Valid() {
+			return bad("findings", "server %q with pace %v", finding.Server, finding.Pace)
+		}
+	}
+	return nil
+}
+
 // Validate checks a request that was decoded.
 func (follow Follow) Validate() error {
 	if follow.Config < 0 || follow.Servers < 0 {
--- a/poplarpind/gateway/dump.go
+++ b/poplarpind/gateway/dump.go
@@ -46,3 +46,13 @@
 	}
 	return ""
 }
+
+// SlownessOf returns how much longer than usual a server's calls are expected to take, 0 for one that is not known.
+func (dump Dump) SlownessOf(id string) float64 {
+	for _, server := range dump.Servers {
+		if server.ID == id {
+			return server.Slowness
+		}
+	}
+	return 0
+}
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -54,6 +54,7 @@
 	storeAnswered time.Time                 // when the store last answered this VM
 	peers         []platform.VM             // the other entry VMs
 	readers       map[string]*reader        // by name, VMs that ask for news
+	rumours       []rumour                  // what readers have told and is not passed on yet
 	queries       int64                     // that were asked of VMs elsewhere
 	relayed       map[string]asked          // by query, calls that VMs elsewhere relay
 	serving       map[string]*job           // by VM and query, what this VM relays
@@ -93,6 +94,7 @@
 func (gateway *Gateway) run(ctx context.Context) {
 	go gateway.pool.Run(ctx)
 	go gateway.learn(ctx)
+	go gateway.share(ctx)
 	go gateway.expire(ctx)
 	go gateway.probe(ctx)
 	go gateway.keepPeers(ctx)
--- a/poplarpind/gateway/gateway_test.go
+++ b/poplarpind/gateway/gateway_test.go
@@ -189,6 +189,34 @@
 	}
 }
 
+// TestShared checks that what the calls of one VM show of a server reaches the others of its failure domain, also those that
+// it has no link to.
+func TestShared(t *testing.T) {
+	store, servers := deployment(t)
+	vms := []*vm{startVM(t, "vm-a1", "a", store), startVM(t, "vm-a2", "a", store), startVM(t, "vm-a3", "a", store)}
+	var readers []*vm
+	waitFor(t, "one watcher", func() bool {
+		readers = nil
+		for _, vm := range vms {
+			if dump := vm.gateway.Dump(); !dump.Watching && dump.Ready {
+				readers = append(readers, vm)
+			}
+		}
+		return len(readers) == len(vms)-1
+	})
+	for range 60 { // until the VM knows how long calls of the route take
+		assert.Equal(t, readers[0].ask(t, http.MethodGet, "/g/x", nil).StatusCode, 200)
+	}
+	servers["i-1"].Answer(platformtest.Late(20 * time.Millisecond))
+	for range 15 {
+		assert.Equal(t, readers[0].ask(t, http.MethodGet, "/g/x", nil).StatusCode, 200)
+	}
+	servers["i-1"].Answer(nil)
+	for _, vm := range vms {
+		waitFor(t, "what the calls showed", func() bool { return vm.gateway.Dump().SlownessOf("i-1") > 1 })
+	}
+}
+
 func TestSeeds(t *testing.T) {
 	store, _ := deployment(t)
 	first := startVM(t, "vm-a1", "a", store)
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -130,6 +130,8 @@
 		return peer.Handle(params, func(known rpc.Follow) { gateway.read(from, reply, known) })
 	case rpc.MethodNews:
 		return peer.Handle(params, func(news rpc.News) { gateway.news(from, news) })
+	case rpc.MethodFindings:
+		return peer.Handle(params, func(told rpc.Findings) { gateway.hear(from, told.Findings) })
 	case rpc.MethodGathered:
 		return peer.Handle(params, func(result rpc.Gathered) { gateway.gathered(from, result) })
 	}
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -23,6 +23,7 @@
 var (
 	requests = expvar.NewMap("requests") // by outcome
 	calls    = expvar.NewMap("calls")    // by outcome and by reason
+	findings = expvar.NewMap("findings") // of servers' pace, told and heard
 )
 
 // Serve answers a request, or returns nil where the client has left.
--- /dev/null
+++ b/poplarpind/gateway/share.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"poplarpin.dev/core/place"
+	"poplarpin.dev/core/rpc"
+)
+
+// shareEvery is the time between two messages that tell another VM what calls have shown of servers: short beside the tens of
+// calls a second that a server gets from all VMs, long enough that a VM sends at most 20 of them a second to each.
+const shareEvery = 50 * time.Millisecond
+
+const mostRumours = 4096 // kept until they are passed on; later ones of the same span add little
+
+// rumour is a finding of another VM.
+type rumour struct {
+	place.Finding
+	from string
+}
+
+// share tells the VMs of this failure domain, which call the same servers, what calls have shown. The VM that they all learn
+// from passes on what it is told, so that messages grow with the number of VMs, not with its square.
+func (gateway *Gateway) share(ctx context.Context) {
+	for ; ctx.Err() == nil; pause(ctx, shareEvery) {
+		gateway.mu.Lock()
+		for _, finding := range gateway.fleet.Findings() {
+			gateway.rumours = append(gateway.rumours, rumour{finding, gateway.settings.VM})
+		}
+		rumours := gateway.rumours
+		gateway.rumours = nil
+		if len(rumours) > 0 {
+			gateway.tell(rumours)
+		}
+		gateway.mu.Unlock()
+	}
+}
+
+// tell sends findings to the source of news and to the readers; the caller holds the lock.
+func (gateway *Gateway) tell(rumours []rumour) {
+	if source, ok := gateway.fleet.Server(gateway.plan.From); ok && source.Zone == gateway.settings.FailureDomain {
+		if list := except(rumours, source.ID); len(list) > 0 {
+			gateway.mesh.Notify(source.ID, source.Address, rpc.MethodFindings, rpc.Findings{Findings: list}, func() {})
+		}
+	}
+	for name, reader := range gateway.readers {
+		vm, ok := gateway.fleet.Server(name)
+		if !ok || vm.Zone != gateway.settings.FailureDomain || name == gateway.plan.From {
+			continue
+		}
+		if list := except(rumours, name); len(list) > 0 {
+			reader.reply(rpc.MethodFindings, rpc.Findings{Findings: list})
+		}
+	}
+	findings.Add("told", int64(len(rumours)))
+}
+
+// except returns the findings that a VM has not told itself.
+func except(rumours []rumour, vm string) []place.Finding {
+	var list []place.Finding
+	for _, rumour := range rumours {
+		if rumour.from != vm {
+			list = append(list, rumour.Finding)
+		}
+	}
+	return list
+}
+
+// hear takes what another VM's calls have shown, and keeps it for the readers if one of them told it.
+func (gateway *Gateway) hear(from string, told []place.Finding) {
+	now := time.Now()
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	_, reads := gateway.readers[from]
+	for _, finding := range told {
+		if gateway.fleet.Hear(now, finding) {
+			gateway.log.Info("another VM's call changes where calls go", zap.String("server", finding.Server),
+				zap.Float64("pace", finding.Pace), zap.String("from", from))
+		}
+		if reads && gateway.plan.Watch && from != gateway.plan.From && len(gateway.rumours) < mostRumours { // never round in a ring
+			gateway.rumours = append(gateway.rumours, rumour{finding, from})
+		}
+	}
+	findings.Add("heard", int64(len(told)))
+}
