The VM with the most processor of a failure domain watches the store

The log shows why: who watched was drawn by a hash, and the VMs drawn had 0.192 of a core (76 of 82 have; 6 have 0.8); in a burst they stood still for a second and more (one line at 2.0485 s for all that came since 1.69 s), so that their readers took them for dead, watched the store themselves, and paid a platform call for each change. Change: follow.Peer knows the processor; more of it ranks first, then the hash as before. The start line names the processor.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -20,7 +20,8 @@
 // Peer is an entry VM.
 type Peer struct {
 	Name   string
-	Domain string // failure domain
+	Domain string  // failure domain
+	Cores  float64 // of its processor; 0 for unknown
 }
 
 // Plan is what a VM is to do.
@@ -29,7 +30,7 @@
 	From  string // the VM to learn from; empty for none
 }
 
-// Follower decides for one VM. In each failure domain the VM that ranks first watches the store and the others learn from it;
+// Follower decides for one VM. In each failure domain the VM with the most processor watches the store and the others learn from it;
 // whoever finds no better VM that has the store watches too. News carry revisions, so that two sources do no harm.
 type Follower struct {
 	self    Peer
@@ -50,19 +51,27 @@
 	return &Follower{self: self, plan: Plan{Watch: true}, avoided: map[string]time.Time{}, avoids: map[string]time.Duration{}}
 }
 
+// inOrder orders VMs by who is to watch: those with more processor first, since the others rely on them, else by chance.
+func inOrder(a, b Peer) int {
+	if order := cmp.Compare(b.Cores, a.Cores); order != 0 {
+		return order
+	}
+	return cmp.Compare(rank(a), rank(b))
+}
+
 func rank(peer Peer) uint64 { return xxhash.Sum64String(peer.Domain + "/" + peer.Name) }
 
 // Peers takes the list of the other entry VMs.
 func (follower *Follower) Peers(peers []Peer) {
 	sorted := slices.Clone(peers)
-	slices.SortFunc(sorted, func(a, b Peer) int { return cmp.Compare(rank(a), rank(b)) })
+	slices.SortFunc(sorted, inOrder)
 	follower.better, follower.worse, follower.far = nil, nil, nil
 	for _, peer := range sorted {
 		switch {
 		case peer.Name == follower.self.Name:
 		case peer.Domain != follower.self.Domain:
 			follower.far = append(follower.far, peer.Name)
-		case rank(peer) < rank(follower.self):
+		case inOrder(peer, follower.self) < 0:
 			follower.better = append(follower.better, peer.Name)
 		default:
 			follower.worse = append(follower.worse, peer.Name)
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -12,7 +12,7 @@
 
 var (
 	start = time.Unix(1000, 0)
-	peers = []follow.Peer{{"a1", "a"}, {"a2", "a"}, {"a3", "a"}, {"b1", "b"}, {"b2", "b"}}
+	peers = []follow.Peer{{"a1", "a", 0.2}, {"a2", "a", 0.2}, {"a3", "a", 0.2}, {"b1", "b", 0.2}, {"b2", "b", 0.8}}
 )
 
 const step = 200 * time.Millisecond
@@ -65,6 +65,10 @@
 		assert.Equal(t, len(watchers(plans, "a", nil)), 1)
 		assert.Equal(t, len(watchers(plans, "b", nil)), 1)
 	})
+	t.Run("the one with the most processor", func(t *testing.T) {
+		plans, _ := run(fleet(), start, 3*time.Second, nil, nil)
+		assert.DeepEqual(t, watchers(plans, "b", nil), []string{"b2"})
+	})
 	t.Run("another takes over within two seconds", func(t *testing.T) {
 		followers := fleet()
 		plans, now := run(followers, start, 3*time.Second, nil, nil)
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -75,7 +75,7 @@
 		fleet:    place.New(settings.FailureDomain, settings.Cores, random),
 		met:      make(chan struct{}),
 		book:     follow.NewBook(),
-		follower: follow.New(follow.Peer{Name: settings.VM, Domain: settings.FailureDomain}),
+		follower: follow.New(follow.Peer{Name: settings.VM, Domain: settings.FailureDomain, Cores: settings.Cores}),
 		readers:  map[string]*reader{},
 		relayed:  map[string]asked{},
 		serving:  map[string]*job{},
--- a/poplarpind/gateway/learn.go
+++ b/poplarpind/gateway/learn.go
@@ -182,7 +182,7 @@
 func peersOf(vms []platform.VM) []follow.Peer {
 	peers := make([]follow.Peer, len(vms))
 	for i, vm := range vms {
-		peers[i] = follow.Peer{Name: vm.Name, Domain: vm.FailureDomain}
+		peers[i] = follow.Peer{Name: vm.Name, Domain: vm.FailureDomain, Cores: vm.Cores}
 	}
 	return peers
 }
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -51,7 +51,7 @@
 			return err
 		}
 	}
-	log.Info("serving", zap.String("domain", settings.FailureDomain), zap.String("store", settings.StoreAddress),
+	log.Info("serving", zap.String("domain", settings.FailureDomain), zap.Float64("cores", settings.Cores), zap.String("store", settings.StoreAddress),
 		zap.Strings("seeds", settings.Seeds))
 	gateway.wait(path)
 	gateway.end(clients)
