Fewer calls of the store at the start and in its outages

Ruled out: pings (812 stale reads, 81 priced) and the three watchers' own watches. Change: a VM enters the list, waits 0.3 s and reads it again before it looks for the store's news; one that lives without the store is asked again after 2 s; whoever watches does so until a better VM is heard, so that asking costs no watch; after an outage all avoided sources are due within 2 s; VMs late in the order of watchers wait up to 1.6 s between tries; a VM without the store stays with a source that it hears.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -13,6 +13,7 @@
 	grace       = 500 * time.Millisecond  // for a source that was just chosen to be heard, before the store is watched beside it
 	deafAfter   = 1600 * time.Millisecond // without any news, after which the store is watched whoever was just chosen; with a tick more, two thirds of the 3 s in which a change is to be in force
 	avoidFor    = 4 * time.Second         // after which a source that fell silent is tried again, doubled each time
+	avoidBad    = 2 * time.Second         // after which one that lives without the store is asked again; that costs a message
 	mostAvoid   = 32 * time.Second
 	badAfter    = 500 * time.Millisecond // of failing calls, after which a VM that watches the store seeks another source too
 )
@@ -48,7 +49,7 @@
 
 // New returns a Follower that watches the store until it knows of other VMs.
 func New(self Peer) *Follower {
-	return &Follower{self: self, plan: Plan{Watch: true}, avoided: map[string]time.Time{}, avoids: map[string]time.Duration{}}
+	return &Follower{self: self, avoided: map[string]time.Time{}, avoids: map[string]time.Duration{}}
 }
 
 // inOrder orders VMs by who is to watch: those with more processor first, since the others rely on them, else by chance.
@@ -88,7 +89,12 @@
 		follower.heard, follower.fed = now, now
 		delete(follower.avoids, from)
 	} else if !follower.heard.IsZero() || now.Sub(follower.since) > silentAfter {
-		follower.avoid(now) // one that was just chosen may be taking over itself
+		// One that was just chosen may be taking over itself. Without the store here too, another kind of source is due.
+		if follower.failing.IsZero() {
+			follower.leave(now, avoidBad)
+		} else {
+			follower.avoid(now)
+		}
 	}
 }
 
@@ -102,8 +108,13 @@
 // Store takes the outcome of a call of the store.
 func (follower *Follower) Store(now time.Time, good bool) {
 	switch {
-	case good:
+	case good && !follower.failing.IsZero(): // others may have regained it too
 		follower.failing = time.Time{}
+		for source, till := range follower.avoided {
+			follower.avoided[source] = earliest(till, now.Add(avoidBad))
+		}
+		clear(follower.avoids)
+	case good:
 	case follower.failing.IsZero():
 		follower.failing = now
 	}
@@ -112,23 +123,34 @@
 func (follower *Follower) avoid(now time.Time) {
 	source := follower.plan.From
 	follower.avoids[source] = min(max(avoidFor, 2*follower.avoids[source]), mostAvoid)
-	follower.avoided[source] = now.Add(follower.avoids[source])
+	follower.leave(now, follower.avoids[source])
+}
+
+// leave ends learning from the source for a while.
+func (follower *Follower) leave(now time.Time, span time.Duration) {
+	follower.avoided[follower.plan.From] = now.Add(span)
 	follower.plan.From, follower.heard = "", time.Time{}
 }
 
+// Position returns how many VMs of the failure domain are to watch rather than this one.
+func (follower *Follower) Position() int { return len(follower.better) }
+
 // Good reports whether this VM has the store itself, so that others may learn from it.
 func (follower *Follower) Good() bool { return follower.plan.Watch && follower.failing.IsZero() }
 
 // Tick returns what the VM is to do from now on.
 func (follower *Follower) Tick(now time.Time) Plan {
+	if follower.fed.IsZero() {
+		follower.fed = now
+	}
 	if follower.plan.From != "" && now.Sub(latest(follower.since, follower.heard)) > silentAfter {
 		follower.avoid(now)
 	}
 	if source := follower.choose(now); source != follower.plan.From {
 		follower.plan.From, follower.since, follower.heard = source, now, time.Time{}
 	}
-	// The store is watched where no better VM can be the source, and where one is not heard soon.
-	deaf := follower.heard.IsZero() && (now.Sub(follower.since) > grace || now.Sub(follower.fed) > deafAfter)
+	// The store is watched where no better VM can be the source, and where one is not heard soon; who watches does so until one is.
+	deaf := follower.heard.IsZero() && (follower.plan.Watch || now.Sub(follower.since) > grace || now.Sub(follower.fed) > deafAfter)
 	follower.plan.Watch = deaf || !slices.Contains(follower.better, follower.plan.From)
 	if follower.plan.Watch {
 		follower.fed = now
@@ -136,8 +158,12 @@
 	return follower.plan
 }
 
-// choose returns the best source; the one that is heard is kept unless a better one is due again.
+// choose returns the best source; the one that is heard is kept unless a better one is due again, and in any case by a VM that
+// does not have the store itself.
 func (follower *Follower) choose(now time.Time) string {
+	if !follower.failing.IsZero() && follower.plan.From != "" && !follower.heard.IsZero() {
+		return follower.plan.From
+	}
 	if source := follower.first(now, follower.better); source != "" {
 		return source
 	}
@@ -166,3 +192,10 @@
 	}
 	return b
 }
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -86,6 +86,30 @@
 		plans, _ = run(followers, now, 10*time.Second, nil, nil)
 		assert.DeepEqual(t, watchers(plans, "a", nil), []string{first})
 	})
+	t.Run("after an outage of the store one VM watches again soon", func(t *testing.T) {
+		followers := fleet()
+		_, now := run(followers, start, 3*time.Second, nil, nil)
+		all := map[string]bool{}
+		for _, peer := range peers {
+			all[peer.Name] = true
+		}
+		_, now = run(followers, now, 12*time.Second, nil, all)
+		plans, _ := run(followers, now, 4*time.Second, nil, nil)
+		assert.Equal(t, len(watchers(plans, "a", nil)), 1)
+		assert.Equal(t, len(watchers(plans, "b", nil)), 1)
+	})
+	t.Run("who watches does so until a better VM is heard", func(t *testing.T) {
+		followers := fleet()
+		first := followers["b1"]
+		now := start
+		for ; now.Before(start.Add(3 * time.Second)); now = now.Add(step) {
+			first.Tick(now)
+		}
+		assert.Assert(t, first.Tick(now).Watch) // b2 was never heard
+		for ; now.Before(start.Add(30 * time.Second)); now = now.Add(step) {
+			assert.Assert(t, first.Tick(now).Watch)
+		}
+	})
 	t.Run("a VM that the store turns away learns from one that it does not", func(t *testing.T) {
 		followers := fleet()
 		plans, now := run(followers, start, 3*time.Second, nil, nil)
--- a/poplarpind/gateway/learn.go
+++ b/poplarpind/gateway/learn.go
@@ -14,7 +14,7 @@
 
 const (
 	learnInterval = 200 * time.Millisecond  // between two looks at where to learn from
-	meetWait      = 300 * time.Millisecond  // for the list of entry VMs at the start
+	meetWait      = 800 * time.Millisecond  // for the list of entry VMs at the start
 	followEvery   = time.Second             // between two requests for news of one source
 	followFor     = 2500 * time.Millisecond // for which a request for news counts
 	heartbeat     = 400 * time.Millisecond  // between two signs of life to those that ask for news
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -12,27 +12,30 @@
 )
 
 const (
-	peersInterval     = 4 * time.Second  // between two readings of the entry VMs' entries; a tenth of a call each
-	followersInterval = 20 * time.Second // of VMs that learn from another
-	peersRetry        = time.Second      // after a failed one
-	startReads        = 2                // readings after the start that follow each other quickly, as all VMs may have started
-	peerSlots         = 16               // requests that an entry VM relays at once without being slower for it
-	leaveTimeout      = time.Second      // for the farewell of a planned stop
+	peersInterval     = 4 * time.Second        // between two readings of the entry VMs' entries; a tenth of a call each
+	followersInterval = 20 * time.Second       // of VMs that learn from another
+	peersRetry        = time.Second            // after a failed one
+	startReads        = 2                      // readings after the start that follow each other quickly, as all VMs may have started
+	peerSlots         = 16                     // requests that an entry VM relays at once without being slower for it
+	leaveTimeout      = time.Second            // for the farewell of a planned stop
+	enterWait         = 300 * time.Millisecond // after entering the list, for VMs that start at the same time to enter it too
 )
 
 // keepPeers enters this VM in the store and keeps the list of the other entry VMs.
 func (gateway *Gateway) keepPeers(ctx context.Context) {
 	store := gateway.newStore(platform.VMsKind)
 	defer store.Close()
-	fresh, reads := false, 0
-	started := false
+	reads, started := 0, false
 	for ; ctx.Err() == nil; reads++ {
 		wait := gateway.peersWait(reads)
-		if err := gateway.readPeers(ctx, store, fresh); err != nil {
+		entered, err := gateway.readPeers(ctx, store, true)
+		if err == nil && entered && !started { // whoever started at the same time is on the list soon
+			pause(ctx, enterWait)
+			_, err = gateway.readPeers(ctx, store, false)
+		}
+		if err != nil {
 			gateway.log.Info("entry VMs not read", zap.Error(err))
 			wait = peersRetry
-		} else {
-			fresh = true
 		}
 		if !started {
 			started = true
@@ -61,8 +64,9 @@
 		Address: gateway.settings.MeshAddress(), StateAddress: gateway.settings.PeerAddress, Cores: gateway.settings.Cores}
 }
 
-// readPeers reads the list of entry VMs, and enters this one if it is not in it; stale readings do for the others.
-func (gateway *Gateway) readPeers(ctx context.Context, store *platform.Store, stale bool) error {
+// readPeers reads the list of entry VMs, or a somewhat older one for a tenth of the price, and reports whether it entered this
+// VM because it was not in it.
+func (gateway *Gateway) readPeers(ctx context.Context, store *platform.Store, stale bool) (bool, error) {
 	var objects []platform.Object
 	var err error
 	if stale {
@@ -71,7 +75,7 @@
 		objects, _, err = store.List(ctx, platform.VMsKind)
 	}
 	if err != nil && platform.KindOf(err) != platform.NotFound {
-		return err
+		return false, err
 	}
 	listed := false
 	var peers []platform.VM
@@ -88,10 +92,10 @@
 	}
 	gateway.meet(peers)
 	if listed || gateway.Leaving() {
-		return nil
+		return false, nil
 	}
 	gateway.log.Info("entering the list of entry VMs", zap.Int("peers", len(peers)))
-	return store.PutVM(ctx, gateway.self())
+	return true, store.PutVM(ctx, gateway.self())
 }
 
 // meet takes the list of the other entry VMs.
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -19,6 +19,7 @@
 	configWait     = 50 * time.Millisecond  // between two watches of the configuration
 	leastBackoff   = 100 * time.Millisecond // after a failed call of the store
 	mostBackoff    = 400 * time.Millisecond // a tenth of the time after which a VM that was cut off counts as in touch
+	patientBackoff = 4                      // times that, for VMs that others watch rather than: an outage must not cost a call of each
 	outageAfter    = 2                      // failed calls in a row that count as an outage, in which entries may lapse
 	expireInterval = time.Second            // between looks for entries that did not come back, which get no calls meanwhile
 )
@@ -56,10 +57,17 @@
 			seen = 0
 		}
 		pause(ctx, backoff/2+rand.N(backoff/2))
-		backoff = min(2*backoff, mostBackoff)
+		backoff = min(2*backoff, gateway.longestBackoff())
 	}
 }
 
+// longestBackoff returns the most time between two tries of the store, longer for VMs that come late in the order of watchers.
+func (gateway *Gateway) longestBackoff() time.Duration {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	return mostBackoff * time.Duration(min(1+gateway.follower.Position()/2, patientBackoff))
+}
+
 const outageLogEvery = 20 // failed calls between two log lines
 
 // knownOf returns the revision up to which a kind is known.
