A link between entry VMs is pinged only while an answer is awaited on it, or nothing came back

Ruled out: that this is what the bytes go to. Change: peer.Handler says whether it awaits answers of a peer; only then is its link pinged often, else once after a message to which nothing came back. Conclusion: kept for the messages saved; the bytes need another change.

--- a/poplarpind/entry/route.go
+++ b/poplarpind/entry/route.go
@@ -85,4 +85,11 @@
 	}
 }
 
+// Awaits implements peer.Handler: whether any query is under way, as each may wait for any owner.
+func (vm *VM) Awaits(string) bool {
+	vm.queries.Lock()
+	defer vm.queries.Unlock()
+	return len(vm.queries.active) > 0
+}
+
 func retry(after time.Duration) config.Duration { return config.Duration(after) }
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -119,6 +119,18 @@
 	}
 }
 
+// Awaits implements peer.Handler: whether a VM relays calls for this one.
+func (gateway *Gateway) Awaits(name string) bool {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	for _, asked := range gateway.relayed {
+		if asked.vm == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Notify implements peer.Handler.
 func (gateway *Gateway) Notify(from string, reply peer.Reply, method string, params json.RawMessage) error {
 	switch method {
--- a/poplarpind/peer/inbound.go
+++ b/poplarpind/peer/inbound.go
@@ -104,6 +104,7 @@
 
 // Handle implements jsonrpc2.Handler.
 func (replies replies) Handle(_ context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	replies.link.hear()
 	if !request.Notif || request.Params == nil {
 		return
 	}
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -21,9 +21,9 @@
 
 const (
 	dialTimeout  = 300 * time.Millisecond
-	pingInterval = 150 * time.Millisecond // while queries were sent lately
+	pingInterval = 150 * time.Millisecond // while answers are awaited
 	pingTimeout  = 350 * time.Millisecond // without an answer, after which a link is given up
-	quietAfter   = time.Second            // without queries, after which pings become rare
+	quietAfter   = time.Second            // after a message that nothing was heard since, and that no answer is awaited to, the link is tried
 	closeAfter   = 2 * time.Minute        // without messages, after which a link is closed
 	avoidSpan    = 400 * time.Millisecond // after a failure, during which no new link is tried
 	queueLength  = 8192                   // messages that wait for one link
@@ -66,6 +66,8 @@
 	Notify(from string, reply Reply, method string, params json.RawMessage) error
 	Call(ctx context.Context, from string, method string, params json.RawMessage) (any, error)
 	Down(name string) // a link on which messages were sent has ended
+	// Awaits reports whether answers of a peer are due, so that its silence must be noticed soon.
+	Awaits(name string) bool
 }
 
 // Mesh keeps the links of one VM.
@@ -108,7 +110,7 @@
 	closing sync.Once
 	mu      sync.Mutex
 	used    time.Time
-	busy    time.Time // when a query was sent on it
+	heard   time.Time // when something came on it
 	pinged  time.Time
 	sent    bool
 }
@@ -151,10 +153,11 @@
 	if link.rpc == nil {
 		return &Error{method, Unreachable, "no link to " + name}
 	}
-	link.touch(method)
+	link.touch()
 	if err := link.rpc.Call(ctx, method, params, result); err != nil {
 		return &Error{method, Broken, err.Error()}
 	}
+	link.hear()
 	return nil
 }
 
@@ -188,7 +191,7 @@
 	for {
 		select {
 		case message := <-link.queue:
-			link.touch(message.method)
+			link.touch()
 			if err := link.rpc.Notify(ctx, message.method, message.params); err != nil {
 				link.close()
 				return
@@ -257,17 +260,18 @@
 	}
 }
 
-// check closes a link that is not used any more and pings one that may have gone silent: often while it carries
-// queries, else once after each use.
+// check closes a link that is not used any more and pings one that may have gone silent: often while answers are awaited on
+// it, else some time after a message to which nothing came back.
 func (link *link) check(now time.Time) {
 	select {
 	case <-link.ready:
 	default:
 		return
 	}
+	awaited := link.mesh.handler.Awaits(link.name)
 	link.mu.Lock()
 	unused := now.Sub(link.used) > closeAfter
-	due := now.Sub(link.busy) < quietAfter || link.used.After(link.pinged) && now.Sub(link.pinged) > quietAfter
+	due := awaited || link.used.After(link.heard) && now.Sub(latest(link.used, link.pinged)) > quietAfter
 	if due {
 		link.pinged = now
 	}
@@ -279,22 +283,35 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (link *link) ping() {
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
 	if link.rpc.Call(ctx, rpc.MethodPing, nil, nil) != nil {
 		link.close()
+		return
 	}
+	link.hear()
 }
 
-// touch records that a message is sent; links with queries on them are watched closely.
-func (link *link) touch(method string) {
+// touch records that a message is sent.
+func (link *link) touch() {
 	link.mu.Lock()
 	defer link.mu.Unlock()
 	link.used, link.sent = time.Now(), true
-	if method == rpc.MethodRun || method == rpc.MethodGather {
-		link.busy = link.used
-	}
+}
+
+// hear records that something came, which shows that the link is whole.
+func (link *link) hear() {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	link.heard = time.Now()
 }
 
 func (link *link) idle() time.Duration {
