--- a/model/check.sh
+++ b/model/check.sh
@@ -94,6 +94,11 @@
 broken relay onceEach KEEP_DIRECT
 broken relay countTrue COUNT_BOTH
 broken relay countTrue LATE_MERGE
+sound follow news
+broken follow news KEEP_SILENT
+broken follow news ANY_WORD
+broken follow news BETTER_ONLY
+broken follow news NO_RETURN
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
