Settings that change without a signal are taken over

Ruled out: the file's times as the sign of a change; a file system need not show them. Change: WatchSettings reads the file every 2 s and takes over seeds and the store's address where they differ; one that cannot be parsed is logged and left. The dump shows both. TestSettingsChange fails without it (there was nothing to call). TestShared asks on until all VMs know, as a VM that changes its source may miss a message.

--- a/poplarpind/gateway/dump.go
+++ b/poplarpind/gateway/dump.go
@@ -17,6 +17,8 @@
 	Stranded      bool         `json:"stranded"` // cut off from servers that its clients need
 	Watching      bool         `json:"watching"` // it watches the store itself
 	Source        string       `json:"source"`   // the VM that it learns from; empty for none
+	Store         string       `json:"store"`    // address of the platform's store
+	Seeds         []string     `json:"seeds"`
 	Active        int64        `json:"active"`
 	Connections   int          `json:"connections"`
 	Servers       []place.View `json:"servers"`
@@ -25,7 +27,8 @@
 // Dump returns the gateway's state.
 func (gateway *Gateway) Dump() Dump {
 	dump := Dump{VM: gateway.settings.VM, FailureDomain: gateway.settings.FailureDomain, Ready: gateway.Ready(),
-		Stopping: gateway.stopping.Load(), Stranded: gateway.stranded.Load(), Active: gateway.Active()}
+		Stopping: gateway.stopping.Load(), Stranded: gateway.stranded.Load(), Active: gateway.Active(),
+		Store: gateway.storeAddress(), Seeds: gateway.seeds()}
 	if table := gateway.table.Load(); table != nil {
 		dump.Version, dump.Routes = table.Version, table.Len()
 	}
--- a/poplarpind/gateway/gateway_test.go
+++ b/poplarpind/gateway/gateway_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strconv"
 	"testing"
 	"time"
@@ -207,14 +209,14 @@
 	for range 60 { // until the VM knows how long calls of the route take
 		assert.Equal(t, readers[0].ask(t, http.MethodGet, "/g/x", nil).StatusCode, 200)
 	}
-	servers["i-1"].Answer(platformtest.Late(20 * time.Millisecond))
-	for range 15 {
-		assert.Equal(t, readers[0].ask(t, http.MethodGet, "/g/x", nil).StatusCode, 200)
+	servers["i-1"].Answer(platformtest.Late(200 * time.Millisecond))
+	for _, vm := range vms { // asked on, as a VM may change its source meanwhile and miss what was told
+		waitFor(t, "what the calls showed", func() bool {
+			assert.Equal(t, readers[0].ask(t, http.MethodGet, "/g/x", nil).StatusCode, 200)
+			return vm.gateway.Dump().SlownessOf("i-1") > 1
+		})
 	}
 	servers["i-1"].Answer(nil)
-	for _, vm := range vms {
-		waitFor(t, "what the calls showed", func() bool { return vm.gateway.Dump().SlownessOf("i-1") > 1 })
-	}
 }
 
 func TestSeeds(t *testing.T) {
@@ -226,3 +228,18 @@
 	waitFor(t, "what the seed knows", second.gateway.Ready)
 	assert.Equal(t, second.ask(t, http.MethodGet, "/g/x", nil).StatusCode, 200)
 }
+
+// TestSettingsChange checks that seeds and the store's address follow the settings file without a signal, past a file that
+// cannot be read.
+func TestSettingsChange(t *testing.T) {
+	vm := startVM(t, "vm-a1", "a", platformtest.NewStore(t))
+	path := filepath.Join(t.TempDir(), "boot.json")
+	write := func(text string) { assert.NilError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	write("{")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go vm.gateway.WatchSettings(ctx, path)
+	write(platformtest.Settings("127.0.0.1:8", "10.0.0.9:7302"))
+	waitFor(t, "the new address", func() bool { return vm.gateway.Dump().Store == "127.0.0.1:8" })
+	assert.DeepEqual(t, vm.gateway.Dump().Seeds, []string{"10.0.0.9:7302"})
+}
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"expvar"
@@ -9,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -23,6 +25,7 @@
 	stopReserve    = 300 * time.Millisecond  // before the platform kills the process
 	defaultGrace   = 6 * time.Second         // where the settings do not say when the process is killed
 	gcPercent      = 200                     // growth of the heap between two garbage collections
+	settingsEvery  = 2 * time.Second         // between two looks at the settings file; within the 3 s in which a VM may lag behind its seeds
 	memoryFraction = 0.6                     // of the VM's memory, from which on garbage is collected more often
 )
 
@@ -53,6 +56,7 @@
 	}
 	log.Info("serving", zap.String("domain", settings.FailureDomain), zap.Float64("cores", settings.Cores), zap.String("store", settings.StoreAddress),
 		zap.Strings("seeds", settings.Seeds))
+	go gateway.WatchSettings(ctx, path)
 	gateway.wait(path)
 	gateway.end(clients)
 	return nil
@@ -122,13 +126,39 @@
 	}
 }
 
-// reload reads the settings anew; what cannot change in a running process is reported.
+// WatchSettings takes over what changes in the settings file, also without a signal, until the context ends.
+func (gateway *Gateway) WatchSettings(ctx context.Context, path string) {
+	var known []byte // none: the file may have changed since the process read it
+	for pause(ctx, settingsEvery); ctx.Err() == nil; pause(ctx, settingsEvery) {
+		data, err := os.ReadFile(path)
+		if err != nil || bytes.Equal(data, known) {
+			continue // one that is being replaced is there the next time
+		}
+		known = data
+		gateway.change(data)
+	}
+}
+
+// reload reads the settings anew.
 func (gateway *Gateway) reload(path string) {
-	settings, err := platform.LoadSettings(path)
+	data, err := os.ReadFile(path)
 	if err != nil {
 		gateway.log.Warn("settings not reloaded; the old ones stay", zap.Error(err))
 		return
 	}
+	gateway.change(data)
+}
+
+// change takes over settings that may change in a running process: the seeds and the store's address.
+func (gateway *Gateway) change(data []byte) {
+	settings, err := platform.ParseSettings(data)
+	if err != nil {
+		gateway.log.Warn("settings not reloaded; the old ones stay", zap.Error(err))
+		return
+	}
+	if settings.StoreAddress == gateway.storeAddress() && slices.Equal(settings.Seeds, gateway.seeds()) {
+		return
+	}
 	gateway.log.Info("settings reloaded", zap.Strings("seeds", settings.Seeds), zap.String("store", settings.StoreAddress),
 		zap.Bool("storeMoved", settings.StoreAddress != gateway.storeAddress()))
 	gateway.address.Store(&settings.StoreAddress)
