--- a/poplarpind/gateway/share.go
+++ b/poplarpind/gateway/share.go
@@ -16,7 +16,7 @@
 
 const mostRumours = 4096 // kept until they are passed on; later ones of the same span add little
 
-// rumour is a finding of another VM.
+// rumour is a finding and the VM whose call it comes from.
 type rumour struct {
 	place.Finding
 	from string
