--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -106,7 +106,6 @@
 	Attempts   int // servers that may run it, for each part
 	Objective  time.Duration
 	Timeout    time.Duration
-	NoRelay    bool // servers of other failure domains are called directly
 }
 
 // Shared is what all requests of a VM have in common.
--- a/core/fanout/fanout_test.go
+++ b/core/fanout/fanout_test.go
@@ -257,8 +257,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		services := names(8)
 		shared := sharedOf(services)
+		shared.Fleet.ReplacePeers(start, nil) // servers of other failure domains are called directly
 		spec := gatherSpec(services)
-		spec.NoRelay, spec.Attempts = true, 1
+		spec.Attempts = 1
 		world := newWorld(t, spec, shared)
 		world.take(world.run.Start(world.now))
 		world.now = world.now.Add(10 * time.Millisecond)
@@ -280,9 +281,9 @@
 func TestHedge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		services := names(4)
-		spec := gatherSpec(services)
-		spec.NoRelay = true
-		world := newWorld(t, spec, sharedOf(services))
+		shared := sharedOf(services)
+		shared.Fleet.ReplacePeers(start, nil) // servers of other failure domains are called directly
+		world := newWorld(t, gatherSpec(services), shared)
 		world.take(world.run.Start(world.now))
 		world.now = world.now.Add(5 * time.Millisecond)
 		first := world.sends[world.open[0]].Server
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -29,7 +29,7 @@
 // actions, and which parts are taken care of.
 func (run *Run) relay(now time.Time) ([]Action, map[int]bool) {
 	taken := map[int]bool{}
-	if run.spec.NoRelay || !run.spec.Gather {
+	if !run.spec.Gather {
 		return nil, taken
 	}
 	byDomain := map[string][]int{}
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -110,8 +110,11 @@
 	switch {
 	case good && !follower.failing.IsZero(): // others may have regained it too
 		follower.failing = time.Time{}
+		soon := now.Add(avoidBad)
 		for source, till := range follower.avoided {
-			follower.avoided[source] = earliest(till, now.Add(avoidBad))
+			if till.After(soon) {
+				follower.avoided[source] = soon
+			}
 		}
 		clear(follower.avoids)
 	case good:
@@ -143,7 +146,7 @@
 	if follower.fed.IsZero() {
 		follower.fed = now
 	}
-	if follower.plan.From != "" && now.Sub(latest(follower.since, follower.heard)) > silentAfter {
+	if follower.plan.From != "" && min(now.Sub(follower.since), now.Sub(follower.heard)) > silentAfter {
 		follower.avoid(now)
 	}
 	if source := follower.choose(now); source != follower.plan.From {
@@ -185,17 +188,3 @@
 	}
 	return ""
 }
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- /dev/null
+++ b/poplarpind/every/doc.go
@@ -0,0 +1,2 @@
+// Package every does something again and again.
+package every
--- a/poplarpind/gateway/dump.go
+++ b/poplarpind/gateway/dump.go
@@ -40,22 +40,12 @@
 	return dump
 }
 
-// StateOf returns the state of a server, "" for one that is not known.
-func (dump Dump) StateOf(id string) place.State {
+// Server returns what is known of a server, nothing for one that is not known.
+func (dump Dump) Server(id string) place.View {
 	for _, server := range dump.Servers {
 		if server.ID == id {
-			return server.State
+			return server
 		}
 	}
-	return ""
-}
-
-// SlownessOf returns how much longer than usual a server's calls are expected to take, 0 for one that is not known.
-func (dump Dump) SlownessOf(id string) float64 {
-	for _, server := range dump.Servers {
-		if server.ID == id {
-			return server.Slowness
-		}
-	}
-	return 0
+	return place.View{}
 }
--- a/poplarpind/gateway/gateway_test.go
+++ b/poplarpind/gateway/gateway_test.go
@@ -143,7 +143,7 @@
 	waitFor(t, "ready", vm.gateway.Ready)
 	t.Run("a server that leaves gets nothing more", func(t *testing.T) {
 		store.Put("servers", "i-3", servers["i-3"].Spec("one", "a", "draining"))
-		waitFor(t, "the change", func() bool { return vm.gateway.Dump().StateOf("i-3") == "draining" })
+		waitFor(t, "the change", func() bool { return vm.gateway.Dump().Server("i-3").State == "draining" })
 		before := servers["i-3"].Calls.Load()
 		for range 5 {
 			assert.Equal(t, vm.ask(t, http.MethodPost, "/o/x", nil).StatusCode, 200)
@@ -155,7 +155,7 @@
 		store.Put("servers", "i-8", "nothing")
 		store.Put("config", "main", platformtest.Config(2))
 		waitFor(t, "the change after it", func() bool { return vm.gateway.Dump().Version == 2 })
-		assert.Equal(t, vm.gateway.Dump().StateOf("i-9"), place.State(""))
+		assert.Equal(t, vm.gateway.Dump().Server("i-9").State, place.State(""))
 		assert.Equal(t, vm.ask(t, http.MethodPost, "/o/x", nil).StatusCode, 200)
 	})
 	t.Run("an older configuration does not come back", func(t *testing.T) {
@@ -213,7 +213,7 @@
 	for _, vm := range vms { // asked on, as a VM may change its source meanwhile and miss what was told
 		waitFor(t, "what the calls showed", func() bool {
 			assert.Equal(t, readers[0].ask(t, http.MethodGet, "/g/x", nil).StatusCode, 200)
-			return vm.gateway.Dump().SlownessOf("i-1") > 1
+			return vm.gateway.Dump().Server("i-1").Slowness > 1
 		})
 	}
 	servers["i-1"].Answer(nil)
--- a/poplarpind/gateway/probe.go
+++ b/poplarpind/gateway/probe.go
@@ -9,6 +9,7 @@
 
 	"poplarpin.dev/core/place"
 	"poplarpin.dev/core/route"
+	"poplarpin.dev/poplarpind/every"
 )
 
 const (
@@ -22,22 +23,24 @@
 // probe tries failure domains that seem cut off, and takes this VM out of the balancer's rotation while it is cut off from
 // servers that its clients need.
 func (gateway *Gateway) probe(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause(ctx, probeInterval)
-		now := time.Now()
-		gateway.mu.Lock()
-		gateway.forget()
-		gateway.budgets.Share(now, len(gateway.peers)+1)
-		probes := gateway.fleet.Probes(now)
-		stranded := gateway.fleet.Isolated(now) && !gateway.selfSufficient(now)
-		gateway.mu.Unlock()
-		if gateway.stranded.Swap(stranded) != stranded {
-			gateway.strandedAt.Store(&now)
-			gateway.log.Warn("reach of other failure domains changed", zap.Bool("stranded", stranded), zap.Int("cutOff", len(probes)))
-		}
-		for _, probe := range probes {
-			go gateway.try(probe)
-		}
+	every.Run(ctx, probeInterval, gateway.look)
+}
+
+// look does so once.
+func (gateway *Gateway) look() {
+	now := time.Now()
+	gateway.mu.Lock()
+	gateway.forget()
+	gateway.budgets.Share(now, len(gateway.peers)+1)
+	probes := gateway.fleet.Probes(now)
+	stranded := gateway.fleet.Isolated(now) && !gateway.selfSufficient(now)
+	gateway.mu.Unlock()
+	if gateway.stranded.Swap(stranded) != stranded {
+		gateway.strandedAt.Store(&now)
+		gateway.log.Warn("reach of other failure domains changed", zap.Bool("stranded", stranded), zap.Int("cutOff", len(probes)))
+	}
+	for _, probe := range probes {
+		go gateway.try(probe)
 	}
 }
 
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -109,8 +109,6 @@
 			lost = append(lost, query)
 		}
 	}
-	gateway.mu.Unlock()
-	gateway.mu.Lock()
 	gateway.follower.Lost(time.Now(), name)
 	gateway.mu.Unlock()
 	gateway.log.Info("link to entry VM lost", zap.String("peer", name), zap.Int("calls", len(lost)))
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"poplarpin.dev/platform"
+	"poplarpin.dev/poplarpind/every"
 )
 
 const (
@@ -129,14 +130,14 @@
 // WatchSettings takes over what changes in the settings file, also without a signal, until the context ends.
 func (gateway *Gateway) WatchSettings(ctx context.Context, path string) {
 	var known []byte // none: the file may have changed since the process read it
-	for pause(ctx, settingsEvery); ctx.Err() == nil; pause(ctx, settingsEvery) {
+	every.Run(ctx, settingsEvery, func() {
 		data, err := os.ReadFile(path)
 		if err != nil || bytes.Equal(data, known) {
-			continue // one that is being replaced is there the next time
+			return // one that is being replaced is there the next time
 		}
 		known = data
 		gateway.change(data)
-	}
+	})
 }
 
 // reload reads the settings anew.
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -91,11 +91,17 @@
 		spec.Parts, spec.Gather, spec.Least = destination.Shards, true, destination.LeastCoverage
 	}
 	run := fanout.New(spec, fanout.Shared{Fleet: gateway.fleet, Budgets: gateway.budgets, Margin: clientMargin + gateway.lag}, now)
+	job := gateway.blankJob(request, found, version, now.Add(timeout))
+	job.decider, job.run, job.started = run, run, now
+	job.asked, job.gathered, job.done = map[int]string{}, map[int]rpc.Gathered{}, make(chan fanout.Verdict, 1)
+	return job
+}
+
+// blankJob returns a job that nothing decides on yet.
+func (gateway *Gateway) blankJob(request *platform.Request, found *route.Route, version int64, deadline time.Time) *job {
 	return &job{
-		gateway: gateway, request: request, route: found, version: version, decider: run, run: run,
+		gateway: gateway, request: request, route: found, version: version, deadline: deadline,
 		exchanges: map[int]*http1.Exchange{}, replies: map[int]platform.Reply{}, dropped: map[int]fanout.Drop{},
-		asked: map[int]string{}, gathered: map[int]rpc.Gathered{},
-		started: now, deadline: now.Add(timeout), done: make(chan fanout.Verdict, 1),
 	}
 }
 
@@ -105,12 +111,10 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	leg := fanout.NewLeg(found.Name, services, gather.ReportIn.Std(), gateway.fleet, now)
-	return &job{
-		gateway: gateway, request: platform.Forwarded(gather.ID, gather.Method, gather.Head, gather.Body), route: found,
-		version: version, decider: leg, leg: leg,
-		exchanges: map[int]*http1.Exchange{}, replies: map[int]platform.Reply{}, dropped: map[int]fanout.Drop{},
-		started: now, deadline: now.Add(gather.Timeout.Std()),
-	}
+	request := platform.Forwarded(gather.ID, gather.Method, gather.Head, gather.Body)
+	job := gateway.blankJob(request, found, version, now.Add(gather.Timeout.Std()))
+	job.decider, job.leg, job.started = leg, leg, now
+	return job
 }
 
 // answer makes the client's answer of a verdict.
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -10,6 +10,7 @@
 
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/platform"
+	"poplarpin.dev/poplarpind/every"
 )
 
 const (
@@ -150,15 +151,14 @@
 
 // expire forgets servers whose entries lapsed and did not come back.
 func (gateway *Gateway) expire(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause(ctx, expireInterval)
+	every.Run(ctx, expireInterval, func() {
 		gateway.mu.Lock()
 		gone := gateway.fleet.Expire(time.Now())
 		gateway.mu.Unlock()
 		for _, id := range gone {
 			gateway.log.Info("server gone", zap.String("server", id), zap.String("reason", "its entry lapsed and did not come back"))
 		}
-	}
+	})
 }
 
 func pause(ctx context.Context, span time.Duration) {
--- a/poplarpind/http1/pool.go
+++ b/poplarpind/http1/pool.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"poplarpin.dev/poplarpind/every"
 )
 
 const (
@@ -99,16 +101,7 @@
 
 // Run closes connections that are idle for too long until the context ends.
 func (pool *Pool) Run(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			pool.sweep(time.Now())
-		}
-	}
+	every.Run(ctx, sweepInterval, func() { pool.sweep(time.Now()) })
 }
 
 func (pool *Pool) sweep(now time.Time) {
--- a/poplarpind/target/owner.go
+++ b/poplarpind/target/owner.go
@@ -11,6 +11,7 @@
 	"poplarpin.dev/core/config"
 	"poplarpin.dev/core/dispatch"
 	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/poplarpind/every"
 )
 
 // connectionShares is in how many parts a target's connections are divided, so that all of today's entry VMs of an
@@ -163,18 +164,11 @@
 
 // Watch asks the health of the targets in use until the context ends.
 func (owner *Owner) Watch(ctx context.Context) {
-	ticker := time.NewTicker(healthInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, target := range owner.all() {
-				go target.check(ctx)
-			}
+	every.Run(ctx, healthInterval, func() {
+		for _, target := range owner.all() {
+			go target.check(ctx)
 		}
-	}
+	})
 }
 
 // InFlight returns the number of calls that wait or run.
