A VM wakes to tell findings only when there are some

Ruled out: a longer interval; it would delay what the others learn in the seconds where that counts. Change: the steps that note or hear findings wake share, which waits 50 ms for more and tells them.

--- a/core/place/finding.go
+++ b/core/place/finding.go
@@ -27,6 +27,9 @@
 	fleet.findings = append(fleet.findings, Finding{Server: server.ID, Pace: pace})
 }
 
+// HasFindings reports whether there is something to tell.
+func (fleet *Fleet) HasFindings() bool { return len(fleet.findings) > 0 }
+
 // Findings returns what calls have shown since it was last asked.
 func (fleet *Fleet) Findings() []Finding {
 	findings := fleet.findings
--- a/core/place/finding_test.go
+++ b/core/place/finding_test.go
@@ -39,7 +39,9 @@
 	t.Run("slow calls are told once", func(t *testing.T) {
 		fleet := newFleet(server("here", "a"))
 		answer(fleet, start, "here", 10*median, 2)
+		assert.Assert(t, fleet.HasFindings())
 		assert.Equal(t, len(fleet.Findings()), 2)
+		assert.Assert(t, !fleet.HasFindings())
 		assert.Equal(t, len(fleet.Findings()), 0)
 	})
 	t.Run("and that a slow server is well again", func(t *testing.T) {
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -44,6 +44,7 @@
 	active     atomic.Int64              // requests of clients under way
 
 	met           chan struct{} // closed once the list of entry VMs was asked for
+	toTell        chan struct{} // filled when there are findings to tell
 	mu            sync.Mutex    // guards what follows, and every run
 	random        *rand.Rand
 	fleet         *place.Fleet
@@ -74,6 +75,7 @@
 		random:   random,
 		fleet:    place.New(settings.FailureDomain, settings.Cores, random),
 		met:      make(chan struct{}),
+		toTell:   make(chan struct{}, 1),
 		book:     follow.NewBook(),
 		follower: follow.New(follow.Peer{Name: settings.VM, Domain: settings.FailureDomain, Cores: settings.Cores}),
 		readers:  map[string]*reader{},
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -48,6 +48,7 @@
 	gateway.mu.Lock()
 	now := time.Now()
 	actions := event(now)
+	gateway.wake()
 	job.schedule(now)
 	gateway.mu.Unlock()
 	for _, action := range actions {
--- a/poplarpind/gateway/share.go
+++ b/poplarpind/gateway/share.go
@@ -25,7 +25,13 @@
 // share tells the VMs of this failure domain, which call the same servers, what calls have shown. The VM that they all learn
 // from passes on what it is told, so that messages grow with the number of VMs, not with its square.
 func (gateway *Gateway) share(ctx context.Context) {
-	for ; ctx.Err() == nil; pause(ctx, shareEvery) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-gateway.toTell:
+		}
+		pause(ctx, shareEvery)
 		gateway.mu.Lock()
 		for _, finding := range gateway.fleet.Findings() {
 			gateway.rumours = append(gateway.rumours, rumour{finding, gateway.settings.VM})
@@ -39,6 +45,17 @@
 	}
 }
 
+// wake lets share tell what there is; the caller holds the lock.
+func (gateway *Gateway) wake() {
+	if len(gateway.rumours) == 0 && !gateway.fleet.HasFindings() {
+		return
+	}
+	select {
+	case gateway.toTell <- struct{}{}:
+	default: // it is awake
+	}
+}
+
 // tell sends findings to the source of news and to the readers; the caller holds the lock.
 func (gateway *Gateway) tell(rumours []rumour) {
 	if source, ok := gateway.fleet.Server(gateway.plan.From); ok && source.Zone == gateway.settings.FailureDomain {
@@ -84,5 +101,6 @@
 			gateway.rumours = append(gateway.rumours, rumour{finding, from})
 		}
 	}
+	gateway.wake()
 	findings.Add("heard", int64(len(told)))
 }
