Links, log sink and store cache: faults found by reading the code

Cause: (1) a link closed while it opened set its connection afterwards and left it open; (2) a link to a peer whose address changed stayed open beside the new one, and its end put the peer into redial backoff; (3) a message queued more than 350 ms after its link had been closed was neither sent nor reported as unsent, so its request waited for its deadline; (4) a second Close of the log sink panicked; (5) a write that failed counted as one dropped line, however many were lost; (6) tombstones of deletions after a gap were dropped with the others, so that the update that fills the gap brought deleted targets back. Change: a link takes messages and its connection only while it is open, under one lock; the replaced link is closed; the sink counts the lines that its output did not take; dropTombstones keeps those after the cached revision.

--- a/core/follow/store_cache.go
+++ b/core/follow/store_cache.go
@@ -6,7 +6,7 @@
 	"poplarpin.dev/core/rpc"
 )
 
-const maxTombstones = 2000 // above it all are dropped; tombstones keep older updates from restoring deleted targets
+const maxTombstones = 2000 // above it those up to the cached revision are dropped; tombstones keep older updates from restoring deleted targets
 
 // StoreCache holds the objects of the store that a VM knows, with their revisions, from whichever source they came.
 type StoreCache struct {
@@ -49,14 +49,16 @@
 	return true
 }
 
-// dropTombstones deletes all tombstones. Peers that know less than the revision reached by then get a full list.
+// dropTombstones deletes the tombstones up to the cached revision. Peers that know less get a full list. Later tombstones follow a gap
+// and stay: the updates that fill the gap may still contain the deleted targets.
 func (storeCache *StoreCache) dropTombstones() {
 	for name, object := range storeCache.targets {
-		if object.Deleted {
+		if object.Deleted && object.Revision <= storeCache.revision {
 			delete(storeCache.targets, name)
+			storeCache.tombstones--
 		}
 	}
-	storeCache.tombstones, storeCache.tombstoneFloor = 0, storeCache.revision
+	storeCache.tombstoneFloor = storeCache.revision
 }
 
 // Apply merges an update and returns the objects that were newer than the cached ones, in order. An update that follows a gap after the
--- a/core/follow/store_cache_test.go
+++ b/core/follow/store_cache_test.go
@@ -68,3 +68,23 @@
 	assert.Assert(t, !storeCache.UpdateConfig(rpc.StoreObject{Revision: 5}))
 	assert.Assert(t, !storeCache.UpdateConfig(rpc.StoreObject{Revision: 9, Deleted: true}))
 }
+
+// TestTombstonesAfterGap guards against deleted targets that come back. Deletions may arrive while an earlier update is still missing;
+// when too many tombstones are dropped, those after the gap must stay, since the missing update may still contain their targets.
+func TestTombstonesAfterGap(t *testing.T) {
+	const deleted = 2100 // more than the cache keeps tombstones
+	storeCache := follow.NewStoreCache()
+	storeCache.Apply(rpc.StoreUpdate{Through: 1, Full: true})
+	var created, removed []rpc.StoreObject
+	for i := range deleted {
+		name := fmt.Sprintf("i%d", i)
+		created = append(created, rpc.StoreObject{Name: name, Revision: int64(2 + i), Spec: json.RawMessage(`{}`)})
+		removed = append(removed, rpc.StoreObject{Name: name, Revision: int64(2 + deleted + i), Deleted: true})
+	}
+	storeCache.Apply(rpc.StoreUpdate{Servers: removed, Since: 1 + deleted, Through: 1 + 2*deleted})
+	storeCache.Apply(rpc.StoreUpdate{Servers: created, Since: 1, Through: 1 + deleted})
+	assert.Equal(t, len(liveTargets(storeCache)), 0)
+	storeCache.Apply(rpc.StoreUpdate{Servers: removed, Since: 1 + deleted, Through: 1 + 2*deleted})
+	assert.Equal(t, storeCache.Revisions().Servers, int64(1+2*deleted))
+	assert.Equal(t, len(liveTargets(storeCache)), 0)
+}
--- a/poplarpind/logging/logging.go
+++ b/poplarpind/logging/logging.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"bytes"
 	"expvar"
 	"io"
 	"sync"
@@ -27,6 +28,7 @@
 	buffer      []byte
 	spareBuffer []byte
 	writeMu     sync.Mutex
+	closeOnce   sync.Once
 	done        chan struct{}
 }
 
@@ -49,7 +51,7 @@
 	return len(line), nil
 }
 
-// Sync writes the buffered lines to the output.
+// Sync writes the buffered lines to the output. It counts the lines that the output did not take as dropped.
 func (sink *Sink) Sync() error {
 	sink.writeMu.Lock()
 	defer sink.writeMu.Unlock()
@@ -57,16 +59,19 @@
 	lines := sink.buffer
 	sink.buffer, sink.spareBuffer = sink.spareBuffer[:0], nil
 	sink.mu.Unlock()
-	_, err := sink.out.Write(lines)
+	written, err := sink.out.Write(lines)
+	if err != nil {
+		linesDropped.Add(int64(bytes.Count(lines[min(max(written, 0), len(lines)):], []byte{'\n'})))
+	}
 	sink.mu.Lock()
 	sink.spareBuffer = lines
 	sink.mu.Unlock()
 	return err
 }
 
-// Close stops the background writes and writes the buffered lines.
+// Close stops the background writes and writes the buffered lines; it may be called again.
 func (sink *Sink) Close() error {
-	close(sink.done)
+	sink.closeOnce.Do(func() { close(sink.done) })
 	return sink.Sync()
 }
 
@@ -78,8 +83,8 @@
 		case <-sink.done:
 			return
 		case <-ticker.C:
-			if sink.Buffered() > 0 && sink.Sync() != nil {
-				linesDropped.Add(1)
+			if sink.Buffered() > 0 {
+				_ = sink.Sync() // the lines that it could not write are counted
 			}
 		}
 	}
--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -29,8 +29,8 @@
 	rpc          *jsonrpc2.Conn
 	conn         net.Conn
 	done         chan struct{}
-	closeOnce    sync.Once
 	mu           sync.Mutex
+	closed       bool // no message is queued and no connection is opened any more
 	lastSent     time.Time
 	lastReceived time.Time // when anything arrived on it
 	lastPing     time.Time
@@ -82,10 +82,31 @@
 		_ = rpcConn.Close()
 		return &Error{"open", Rejected, fmt.Sprintf("%s answers at the address of %s", hello.VM, link.name)}
 	}
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	if link.closed {
+		_ = rpcConn.Close()
+		return &Error{"open", Unreachable, "the link to " + link.name + " was closed while it was opened"}
+	}
 	link.rpc, link.conn = rpcConn, conn
 	return nil
 }
 
+// enqueue queues a message and reports whether it did: not if the link is closed or the queue is full.
+func (link *link) enqueue(message message) bool {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	if link.closed {
+		return false
+	}
+	select {
+	case link.queue <- message:
+		return true
+	default:
+		return false
+	}
+}
+
 // resetOnClose makes closing the connection discard unsent data. Otherwise messages still in the send buffer, for instance after
 // a network partition, would be delivered after the link has been given up.
 func resetOnClose(conn net.Conn) {
@@ -149,31 +170,33 @@
 
 // close closes the link and, if messages were sent on it, notifies the handler that they may be lost.
 func (link *link) close() {
-	link.closeOnce.Do(func() {
-		close(link.done)
-		link.mesh.remove(link)
-		if link.rpc != nil {
-			resetOnClose(link.conn)
-			go func() { _ = link.rpc.Close() }()
-		}
-		link.mu.Lock()
-		hasSent := link.hasSent
+	link.mu.Lock()
+	if link.closed {
 		link.mu.Unlock()
-		if hasSent {
-			linksLost.Add(1)
-			go link.mesh.handler.LinkDown(link.name)
-		}
-	})
+		return
+	}
+	link.closed = true
+	rpcConn, hasSent := link.rpc, link.hasSent
+	link.mu.Unlock()
+	close(link.done)
+	link.mesh.remove(link)
+	if rpcConn != nil {
+		resetOnClose(link.conn)
+		go func() { _ = rpcConn.Close() }()
+	}
+	if hasSent {
+		linksLost.Add(1)
+		go link.mesh.handler.LinkDown(link.name)
+	}
 }
 
-// failQueued reports the messages that are still queued as unsent. It waits a while for more, since a sender that has looked up
-// the link before it was closed may still queue one.
+// failQueued reports the messages that are still queued on a closed link as unsent.
 func (link *link) failQueued() {
 	for {
 		select {
 		case message := <-link.queue:
 			message.onUnsent()
-		case <-time.After(pingTimeout):
+		default:
 			return
 		}
 	}
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -104,9 +104,7 @@
 		return
 	}
 	sentMessages.Add(method, 1)
-	select {
-	case link.queue <- message{method, params, onUnsent}:
-	default:
+	if !link.enqueue(message{method, params, onUnsent}) {
 		link.close()
 		onUnsent()
 	}
@@ -135,8 +133,8 @@
 	return nil
 }
 
-// link returns the link to a peer at an address and opens one if there is none. It returns nil during the redial backoff and once
-// the mesh is closed.
+// link returns the link to a peer at an address and opens one if there is none; a link to another address of the peer is closed. It
+// returns nil during the redial backoff and once the mesh is closed.
 func (mesh *Mesh) link(name, address string) *link {
 	mesh.mu.Lock()
 	defer mesh.mu.Unlock()
@@ -148,6 +146,9 @@
 	}
 	created := &link{mesh: mesh, name: name, address: address, queue: make(chan message, queueLength),
 		ready: make(chan struct{}), done: make(chan struct{}), lastSent: time.Now()}
+	if existing := mesh.links[name]; existing != nil {
+		go existing.close() // which locks the mesh
+	}
 	mesh.links[name] = created
 	go created.run()
 	return created
@@ -179,12 +180,14 @@
 	}
 }
 
+// remove removes a closed link and starts the redial backoff, unless the link was idle or another has replaced it.
 func (mesh *Mesh) remove(link *link) {
 	mesh.mu.Lock()
 	defer mesh.mu.Unlock()
-	if mesh.links[link.name] == link {
-		delete(mesh.links, link.name)
+	if mesh.links[link.name] != link {
+		return
 	}
+	delete(mesh.links, link.name)
 	if link.idle() < idleTimeout {
 		mesh.failedAt[link.name] = time.Now()
 	}
--- a/poplarpind/peer/peer_test.go
+++ b/poplarpind/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/jsonrpc2"
 	"gotest.tools/v3/assert"
 
 	"poplarpin.dev/core/rpc"
@@ -147,3 +148,63 @@
 		assert.Equal(t, sender.linksLost.Load(), int64(0))
 	})
 }
+
+// slowHello answers the handshake of a link only once it is released.
+type slowHello struct {
+	asked   chan struct{}
+	release chan struct{}
+}
+
+func (slowHello slowHello) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	close(slowHello.asked)
+	<-slowHello.release
+	_ = conn.Reply(ctx, request.ID, rpc.Hello{VM: "b"})
+}
+
+// TestLinkEnds guards against connections that outlive their link and against messages that are neither sent nor reported as unsent:
+// the request that waits for them would wait until its deadline.
+func TestLinkEnds(t *testing.T) {
+	t.Run("a link closed while it opens closes its connection", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer listener.Close()
+		mesh := peer.New(rpc.Hello{VM: "a"}, &handler{}, nil)
+		mesh.Notify("b", listener.Addr().String(), rpc.MethodGather, struct{}{}, func() {})
+		conn, err := listener.Accept()
+		assert.NilError(t, err)
+		hello := slowHello{asked: make(chan struct{}), release: make(chan struct{})}
+		server := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{}), hello)
+		<-hello.asked
+		mesh.Close()
+		close(hello.release)
+		select {
+		case <-server.DisconnectNotify():
+		case <-time.After(waitLimit):
+			t.Fatal("the connection stayed open")
+		}
+	})
+	t.Run("a link to another address replaces the old one", func(t *testing.T) {
+		mesh, sender, receiver, first := newPair(t, false)
+		second := newProxy(t, first.peerAddress)
+		notify(mesh, first)
+		waitFor(t, "the first message", func() bool { return receiver.notified.Load() == 1 })
+		notify(mesh, second)
+		waitFor(t, "the second message", func() bool { return receiver.notified.Load() == 2 })
+		waitFor(t, "the end of the old link", func() bool { return sender.linksLost.Load() == 1 })
+		assert.Assert(t, mesh.Reachable("b"))
+	})
+	t.Run("every message to a peer that cannot be reached is reported as unsent", func(t *testing.T) {
+		mesh, _, _, proxy := newPair(t, false)
+		_ = proxy.listener.Close()
+		const senders, messages = 20, 200
+		var unsent atomic.Int64
+		for range senders {
+			go func() {
+				for range messages {
+					mesh.Notify("b", proxy.listener.Addr().String(), rpc.MethodGather, struct{}{}, func() { unsent.Add(1) })
+				}
+			}()
+		}
+		waitFor(t, "the reports", func() bool { return unsent.Load() == senders*messages })
+	})
+}
