--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -57,6 +57,15 @@
 	return limits
 }
 
+// InFlight returns the number of queries in flight of all classes.
+func (limiter *Limiter) InFlight() int {
+	sum := 0
+	for _, state := range limiter.classes {
+		sum += state.inFlight
+	}
+	return sum
+}
+
 // inFlightUpTo returns the number of queries in flight of a class and of those with the same or a higher priority.
 func (limiter *Limiter) inFlightUpTo(class Class) int {
 	sum := 0
--- a/poplarpind/gateway/admit.go
+++ b/poplarpind/gateway/admit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"poplarpin.dev/core/admit"
@@ -8,7 +9,7 @@
 )
 
 const (
-	maxLimiters     = 64                    // at this number all limiters are dropped before another is created
+	maxLimiters     = 64                    // at this number the limiters without requests are dropped before another is created
 	maxCountedDelay = 20 * time.Millisecond // a response later than this was waiting for more parts, so its delay is not counted
 	delayDecay      = 0.95                  // applied to responseDelay at each response whose delay is counted
 	maxDelayDivisor = 8                     // responseDelay is at most the objective divided by this
@@ -25,7 +26,7 @@
 	limiter, ok := gateway.limiters[key]
 	if !ok {
 		if len(gateway.limiters) >= maxLimiters {
-			clear(gateway.limiters)
+			maps.DeleteFunc(gateway.limiters, func(_ string, limiter *admit.Limiter) bool { return limiter.InFlight() == 0 })
 		}
 		limiter = admit.New()
 		gateway.limiters[key] = limiter
@@ -33,25 +34,27 @@
 	return limiter
 }
 
-// admit decides whether to accept a request; if not, it returns when the client should retry.
-func (gateway *Gateway) admit(matched *route.Route) (ok bool, retryAfter time.Duration) {
+// admit decides whether to accept a request; if not, it returns when the client should retry. The limiter that admitted the request, nil
+// for routes without one, must be told of its end.
+func (gateway *Gateway) admit(matched *route.Route) (limiter *admit.Limiter, ok bool, retryAfter time.Duration) {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	limiter := gateway.limiter(matched)
+	limiter = gateway.limiter(matched)
 	if limiter == nil {
-		return true, 0
+		return nil, true, 0
 	}
-	return limiter.Admit(admit.Class{Name: matched.Name, Priority: matched.Priority})
+	ok, retryAfter = limiter.Admit(admit.Class{Name: matched.Name, Priority: matched.Priority})
+	return limiter, ok, retryAfter
 }
 
-// release ends a request and reports to the limiter whether it saw congestion.
+// release ends a request and reports to the limiter that admitted it whether it saw congestion.
 func (gateway *Gateway) release(job *job) {
 	now := time.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	gateway.recordDelay(now, job)
-	if limiter := gateway.limiter(job.route); limiter != nil {
-		limiter.Done(now, job.route.Name, job.clientRun.Congested(now))
+	if job.limiter != nil {
+		job.limiter.Done(now, job.route.Name, job.clientRun.Congested(now))
 	}
 }
 
--- /dev/null
+++ b/poplarpind/gateway/admit_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"poplarpin.dev/core/route"
+	"poplarpin.dev/platform"
+)
+
+func newTestGateway() *Gateway {
+	return New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, zap.NewNop())
+}
+
+func gatherRoute(number int) *route.Route {
+	return &route.Route{Name: fmt.Sprintf("r%d", number), Destination: route.Gather{Shards: []string{fmt.Sprintf("s%d", number)}}}
+}
+
+// TestLimitersKeepRequests guards against requests that end at another limiter than the one that admitted them: the count of those in
+// flight would fall below zero there, and the limit would never again be reached. It happens when limiters are dropped meanwhile.
+func TestLimitersKeepRequests(t *testing.T) {
+	gateway := newTestGateway()
+	first, ok, _ := gateway.admit(gatherRoute(0))
+	assert.Assert(t, ok)
+	for number := 1; number <= 2*maxLimiters; number++ {
+		limiter, ok, _ := gateway.admit(gatherRoute(number))
+		assert.Assert(t, ok)
+		limiter.Done(time.Now(), gatherRoute(number).Name, false)
+	}
+	assert.Assert(t, len(gateway.limiters) <= maxLimiters)
+	again, ok, _ := gateway.admit(gatherRoute(0))
+	assert.Assert(t, ok)
+	assert.Assert(t, again == first)
+	assert.Equal(t, first.InFlight(), 2)
+}
+
+// TestRequestTimeout guards against a client's longer timeout that is cut although its route sets none.
+func TestRequestTimeout(t *testing.T) {
+	for _, test := range []struct{ ofRoute, ofClient, want time.Duration }{
+		{0, 0, defaultTimeout}, {0, time.Minute, time.Minute}, {time.Second, time.Minute, time.Second},
+		{time.Minute, time.Second, time.Second}, {time.Minute, 0, time.Minute},
+	} {
+		assert.Equal(t, requestTimeout(test.ofRoute, test.ofClient), test.want, "%v", test)
+	}
+}
+
+// TestPeersExcludeSelf guards against a VM that relays to itself: the list that a seed sends to a VM that starts may contain that VM.
+func TestPeersExcludeSelf(t *testing.T) {
+	gateway := newTestGateway()
+	gateway.setPeers([]platform.VM{{Name: "vm-a1", FailureDomain: "a", Address: "x"}, {Name: "vm-a2", FailureDomain: "a", Address: "y"}})
+	assert.Equal(t, len(gateway.peers), 1)
+	assert.Assert(t, !gateway.fleet.Has("vm-a1"))
+	assert.Assert(t, gateway.fleet.Has("vm-a2"))
+}
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"poplarpin.dev/core/admit"
 	"poplarpin.dev/core/fanout"
 	"poplarpin.dev/core/route"
 	"poplarpin.dev/core/rpc"
@@ -26,6 +27,7 @@
 	gateway      *Gateway
 	request      *platform.Request
 	route        *route.Route
+	limiter      *admit.Limiter // that admitted the request; nil for none
 	version      int64
 	machine      stateMachine
 	clientRun    *fanout.Run         // nil for parts that a peer asked for
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -98,8 +99,9 @@
 	return true, store.PutVM(ctx, gateway.self())
 }
 
-// setPeers replaces the list of peers.
-func (gateway *Gateway) setPeers(peers []platform.VM) {
+// setPeers replaces the list of peers; the list may name this VM, which is left out, so that it never relays to itself.
+func (gateway *Gateway) setPeers(listed []platform.VM) {
+	peers := slices.DeleteFunc(slices.Clone(listed), func(vm platform.VM) bool { return vm.Name == gateway.settings.VM })
 	relays := make([]place.Endpoint, len(peers))
 	for i, vm := range peers {
 		relays[i] = place.Endpoint{ID: vm.Name, Service: fanout.RelayService(vm.FailureDomain), Address: vm.Address,
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -43,13 +43,15 @@
 			zap.String("host", truncate(request.Host)), zap.String("path", truncate(request.Path)))
 		return platform.NoRoute{}
 	}
-	if ok, retryAfter := gateway.admit(matched); !ok {
+	limiter, ok, retryAfter := gateway.admit(matched)
+	if !ok {
 		requestCounts.Add("overloaded", 1)
 		gateway.log.Info("request refused", zap.String("request", truncate(request.ID)), zap.String("route", matched.Name),
 			zap.Int64("version", table.Version), zap.String("reason", "servers are overloaded"), zap.Duration("retryAfter", retryAfter))
 		return platform.Refusal{RetryAfter: retryAfter, Reason: "servers are overloaded"}
 	}
 	job := gateway.newJob(request, matched, table.Version)
+	job.limiter = limiter
 	defer gateway.release(job)
 	gateway.step(job, func(now time.Time) []fanout.Action { return job.clientRun.Start(now) })
 	select {
@@ -63,17 +65,11 @@
 	}
 }
 
-// newJob returns a job for a client request; its timeout is the route's, or defaultTimeout without one, unless the client's is
-// shorter.
+// newJob returns a job for a client request; its timeout is the shorter one of the route's and the client's, or defaultTimeout if
+// neither sets one.
 func (gateway *Gateway) newJob(request *platform.Request, matched *route.Route, version int64) *job {
 	now := time.Now()
-	timeout := defaultTimeout
-	if matched.Timeout > 0 {
-		timeout = matched.Timeout
-	}
-	if request.Timeout > 0 {
-		timeout = min(timeout, request.Timeout)
-	}
+	timeout := requestTimeout(matched.Timeout, request.Timeout)
 	spec := fanout.Spec{
 		Route:       matched.Name,
 		Idempotent:  matched.Idempotent,
@@ -99,6 +95,19 @@
 	return job
 }
 
+// requestTimeout returns the shorter of the timeouts of a request's route and of its client, 0 standing for none.
+func requestTimeout(ofRoute, ofClient time.Duration) time.Duration {
+	switch {
+	case ofRoute > 0 && ofClient > 0:
+		return min(ofRoute, ofClient)
+	case ofRoute > 0:
+		return ofRoute
+	case ofClient > 0:
+		return ofClient
+	}
+	return defaultTimeout
+}
+
 // newBareJob returns a job without a state machine.
 func (gateway *Gateway) newBareJob(request *platform.Request, matched *route.Route, version int64, deadline time.Time) *job {
 	return &job{
