Load experiment and stand-ins: recovery, health and counters reported truly

Cause: a fault at 0 s counted as none, so no recovery was reported; an error status without an api.Error passed for success, so a load balancer's 503 made a VM healthy and {} an answer; a stand-in target that listened again lost its connection counts. Change: whether a fault was injected is a field of its own; an error status is an error unless the body is an answer with an outcome; counts of earlier listeners are kept.

--- a/poplarpin/client/client.go
+++ b/poplarpin/client/client.go
@@ -112,8 +112,8 @@
 	return client.call(ctx, http.MethodGet, "/health", nil, nil) == nil
 }
 
-// call sends a request and decodes the response into result. An error status with an api.Error as the body returns that error; any
-// other body is decoded whatever the status, since an answer that carries an outcome may have an error status too.
+// call sends a request and decodes the response into result. An error status with an api.Error as the body returns that error. Any other
+// error status is an error too, unless the body is an answer with an outcome.
 func (client *Client) call(ctx context.Context, method, path string, body, result any) error {
 	var data []byte
 	if body != nil {
@@ -141,6 +141,10 @@
 		if json.Unmarshal(data, &apiError) == nil && apiError.Kind != "" {
 			return &apiError
 		}
+		if answer, ok := result.(*api.Answer); ok && json.Unmarshal(data, answer) == nil && answer.Outcome != "" {
+			return nil
+		}
+		return errors.Errorf("%s %s: %s", method, path, response.Status)
 	}
 	if result == nil || len(data) == 0 {
 		return nil
--- /dev/null
+++ b/poplarpin/client/client_test.go
@@ -0,0 +1,51 @@
+package client_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"poplarpin.dev/core/api"
+	"poplarpin.dev/poplarpin/client"
+)
+
+// newClient returns a client of an entry VM that answers everything with this status and body.
+func newClient(t *testing.T, status int, body string) *client.Client {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(status)
+		_, _ = writer.Write([]byte(body))
+	}))
+	t.Cleanup(server.Close)
+	created, err := client.New(server.URL, client.TLS{})
+	assert.NilError(t, err)
+	return created
+}
+
+// TestErrorStatus guards against error statuses that pass for success: a load balancer's or proxy's 503 without a body of ours made a
+// VM count as healthy, and an empty object as an answer.
+func TestErrorStatus(t *testing.T) {
+	ctx := context.Background()
+	t.Run("a 503 without an error body is not healthy", func(t *testing.T) {
+		assert.Assert(t, !newClient(t, http.StatusServiceUnavailable, "").Healthy(ctx))
+		assert.Assert(t, newClient(t, http.StatusOK, "").Healthy(ctx))
+	})
+	t.Run("an error status without an outcome is no answer", func(t *testing.T) {
+		_, err := newClient(t, http.StatusBadGateway, "{}").Query(ctx, api.Request{})
+		assert.ErrorContains(t, err, "502")
+	})
+	t.Run("an answer with an outcome is one, whatever its status", func(t *testing.T) {
+		answer, err := newClient(t, http.StatusServiceUnavailable, `{"id":"r","outcome":"notRun"}`).Query(ctx, api.Request{})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Outcome, api.NotRun)
+	})
+	t.Run("an error body is returned", func(t *testing.T) {
+		_, err := newClient(t, http.StatusServiceUnavailable, `{"kind":"overloaded","message":"m"}`).Query(ctx, api.Request{})
+		apiError, ok := err.(*api.Error)
+		assert.Assert(t, ok, "%v", err)
+		assert.Equal(t, string(apiError.Kind), "overloaded")
+	})
+}
--- a/poplarpin/load/faults.go
+++ b/poplarpin/load/faults.go
@@ -27,8 +27,8 @@
 		time.Sleep(time.Until(experiment.start.Add(fault.At.Std())))
 		if fault.Note == "" { // a release note is no fault, so recovery does not count from it
 			experiment.mu.Lock()
-			if experiment.firstFault == 0 {
-				experiment.firstFault = fault.At.Std()
+			if !experiment.faulted {
+				experiment.faulted, experiment.firstFault = true, fault.At.Std()
 			}
 			experiment.mu.Unlock()
 		}
--- a/poplarpin/load/load.go
+++ b/poplarpin/load/load.go
@@ -30,7 +30,8 @@
 	healthy               []bool // by index in callers: result of the latest health check
 	report                *Report
 	nonIdempotentOutcomes map[string][]api.Outcome // by request ID, one outcome per submission
-	firstFault            time.Duration            // offset from start; 0 before the first fault
+	faulted               bool                     // a fault was injected
+	firstFault            time.Duration            // offset of the first fault from start
 	start                 time.Time
 }
 
@@ -205,7 +206,7 @@
 
 // recordRecovery records the latest arrival after the first fault that got a partial answer.
 func (experiment *Experiment) recordRecovery(answer api.Answer, at time.Duration) {
-	if answer.Outcome == api.Partial && experiment.firstFault > 0 && at >= experiment.firstFault {
+	if answer.Outcome == api.Partial && experiment.faulted && at >= experiment.firstFault {
 		experiment.report.RecoveredIn = max(experiment.report.RecoveredIn, config.Duration(at-experiment.firstFault))
 	}
 }
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -96,6 +96,9 @@
 	}
 	listener := newListener(inner, target.settings.Connections, target.settings.ConnectionCost.Std())
 	target.mu.Lock()
+	if target.listener != nil {
+		target.counters.addConnections(target.listener)
+	}
 	target.listener = listener
 	target.mu.Unlock()
 	go func() { _ = target.server.Serve(listener) }()
@@ -125,15 +128,23 @@
 	return nil
 }
 
-// Counters returns the current counters. The counters of connections start anew when the target listens again.
+// Counters returns the counters since the target was made, over all times that it listened.
 func (target *Target) Counters() Counters {
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	counters := target.counters
-	counters.PeakOpen, counters.Opened, counters.OverLimit = target.listener.counts()
+	counters.addConnections(target.listener)
 	return counters
 }
 
+// addConnections adds the counts of a listener.
+func (counters *Counters) addConnections(listener *listener) {
+	peakOpen, opened, overLimit := listener.counts()
+	counters.PeakOpen = max(counters.PeakOpen, peakOpen)
+	counters.Opened += opened
+	counters.OverLimit += overLimit
+}
+
 // Runs returns how often each non-idempotent request was executed, by request ID.
 func (target *Target) Runs() map[string]int {
 	target.mu.Lock()
