Fan-out: attempts behind relays end, relays report once, latencies credited to the right target

Cause: (1) Run.Abort and a refusal at the start ended the attempt at the relay but not those at the targets behind it; they stayed in flight for ever, so the targets counted as stuck on that VM: no hedge went to them and other replicas were preferred until a restart. (2) The same when hedges had answered all that a relay still waited for, until the relay's last target answered. (3) The latency that a relay reports was credited to the first listed target of its failure domain, though the relay may have called another. (4) A relay without any target sent its final report and later the early one. (5) maxHedges was used nowhere. Change: cancelling or discarding a relayed call ends its target attempts; a relayed call without parts left is cancelled; a part counts at a target only where the relay's failure domain has one that can be called; RelayRun.Start ends the run with a final report; the constant goes, as budgets limit hedges.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -12,8 +12,8 @@
 	refusedRetryDelay  = 12 * time.Millisecond // before resending a part that no other target can take; doubles with each further call of the part
 	coverageTolerance  = 1e-9                  // for shares without an exact binary representation
 	minHedgeDelay      = 4 * time.Millisecond
+	slowCallFactor     = 2.5                    // multiple of the median that one healthy call in a hundred exceeds
 	shortCallMedian    = 15 * time.Millisecond  // below this median latency, letting a call complete costs the target less than a new connection
-	maxHedges          = 6                      // hedged calls of one request with many parts above which overload is likely; not enforced
 	minCongestionParts = 4                      // with fewer parts, a slow half is no evidence of congestion
 	congestionDivisor  = 2                      // healthy targets answer half of the parts within objective/congestionDivisor
 	startupDivisor     = 4                      // a starting VM may use 1/startupDivisor of its share of the slack
@@ -205,16 +205,21 @@
 // idempotent.
 func (run *Run) cancelCall(now time.Time, call *call) Action {
 	if call.viaRelay {
-		for _, attempt := range call.targetAttempts {
-			attempt.Cancelled(now)
-		}
-		call.attempt.Cancelled(now)
+		call.cancelAttempts(now)
 		return Cancel{Call: call.index, CloseConnection: true}
 	}
 	short := run.shared.Fleet.Baseline(run.spec.Route).Median() < shortCallMedian
 	if short || call.attempt.OnlyInFlight() || !run.spec.Idempotent {
 		return Cancel{Call: call.index}
 	}
-	call.attempt.Cancelled(now)
+	call.cancelAttempts(now)
 	return Cancel{Call: call.index, CloseConnection: true}
 }
+
+// cancelAttempts ends the attempts of a cancelled call, at the relay and at the targets behind it too.
+func (call *call) cancelAttempts(now time.Time) {
+	for _, attempt := range call.targetAttempts {
+		attempt.Cancelled(now)
+	}
+	call.attempt.Cancelled(now)
+}
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -187,7 +187,7 @@
 	index          int
 	parts          []*partState // one part, or several for a relayed call
 	viaRelay       bool
-	targetAttempts map[int]*place.Attempt // relayed calls only, by part: the assumed attempt, see startRelay
+	targetAttempts map[int]*place.Attempt // relayed calls only, by part: the attempt at the target that the relay must have called, see startRelay
 	endpoint       place.Endpoint         // the target, or the entry VM that relays
 	attempt        *place.Attempt
 	started        time.Time
@@ -248,6 +248,7 @@
 		for _, call := range run.calls {
 			call.ended = true
 			call.attempt.Discard()
+			call.discardTargetAttempts()
 		}
 		return run.finish(now, Refuse{RetryAfter: run.retryAfter(), Reason: "too few parts have a server"})
 	}
@@ -314,7 +315,7 @@
 	for _, call := range run.calls {
 		if !call.ended && run.spec.Idempotent {
 			call.ended = true
-			call.attempt.Cancelled(now)
+			call.cancelAttempts(now)
 			actions = append(actions, Cancel{Call: call.index, CloseConnection: true})
 		}
 	}
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -84,8 +84,8 @@
 	return rest
 }
 
-// startRelay sends parts to a relay. Which targets the relay calls is not known, so each part counts as an attempt at the first target
-// listed for the relay's failure domain.
+// startRelay sends parts to a relay. The relay chooses the targets, so a part counts as an attempt at a target only where the relay's
+// failure domain has a single one for it.
 func (run *Run) startRelay(now time.Time, vm place.Endpoint, indices []int) Action {
 	run.shared.Fleet.SetObjective(relayPrefix+run.spec.Route, run.spec.Objective)
 	call := &call{index: len(run.calls), viaRelay: true, endpoint: vm, started: now,
@@ -97,8 +97,8 @@
 		part.calls = append(part.calls, call)
 		part.inFlight++
 		part.tries++
-		if targets := run.shared.Fleet.EndpointIDs(part.service, vm.FailureDomain); len(targets) > 0 {
-			call.targetAttempts[i] = run.shared.Fleet.StartAttempt(now, targets[0], run.spec.Route)
+		if target, ok := run.shared.Fleet.OnlyCallable(now, part.service, vm.FailureDomain); ok {
+			call.targetAttempts[i] = run.shared.Fleet.StartAttempt(now, target, run.spec.Route)
 		}
 	}
 	baseline := run.shared.Fleet.Baseline(run.spec.Route)
@@ -134,6 +134,10 @@
 	} else if report.Early {
 		actions = append(actions, run.hedge(now, call)...)
 	}
+	if !call.ended && len(call.parts) == 0 { // what the relay still waits for was answered by hedges
+		call.ended = true
+		actions = append(actions, run.cancelCall(now, call))
+	}
 	return merged, append(actions, run.finishIfDone(now)...)
 }
 
--- a/core/fanout/relay_run.go
+++ b/core/fanout/relay_run.go
@@ -70,7 +70,8 @@
 		actions = append(actions, Send{Call: i, Target: target, Reason: "relayed"})
 	}
 	if relayRun.inFlight < len(relayRun.parts) {
-		actions = append(actions, relayRun.report(false, relayRun.inFlight == 0)...)
+		relayRun.ended = relayRun.inFlight == 0
+		actions = append(actions, relayRun.report(false, relayRun.ended)...)
 	}
 	return actions
 }
--- a/core/fanout/relay_run_test.go
+++ b/core/fanout/relay_run_test.go
@@ -98,3 +98,14 @@
 	}
 	assert.Equal(t, sends, 1)
 }
+
+// TestRelayRunWithoutTargets guards against a report after the final one: a relay that has no target for any part reports so at once,
+// and must not send the early report too.
+func TestRelayRunWithoutTargets(t *testing.T) {
+	relayRun := fanout.NewRelayRun("r", []string{"x1", "x2"}, 20*time.Millisecond, newFleet(serviceNames(2)), start)
+	actions := relayRun.Start(start)
+	assert.Equal(t, len(actions), 1)
+	assert.Assert(t, actions[0].(fanout.Report).Final)
+	assert.Assert(t, relayRun.Finished())
+	assert.Equal(t, len(relayRun.Tick(relayRun.Next())), 0)
+}
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -168,6 +168,21 @@
 	return ids
 }
 
+// OnlyCallable returns the id of the one endpoint of a service in a failure domain that can be called; it reports false if there are
+// none or several.
+func (fleet *Fleet) OnlyCallable(now time.Time, service, failureDomain string) (id string, ok bool) {
+	for _, endpoint := range fleet.services[service] {
+		if endpoint.FailureDomain != failureDomain || !fleet.callable(now, endpoint) {
+			continue
+		}
+		if ok {
+			return "", false
+		}
+		id, ok = endpoint.ID, true
+	}
+	return id, ok
+}
+
 // ChooseLocal returns the endpoint of a service with the lowest cost in this VM's own failure domain, and reports whether there is one.
 func (fleet *Fleet) ChooseLocal(now time.Time, service, route string) (Endpoint, bool) {
 	var remote []string
