Log lines of requests say why parts are missing

Cause: "28% of the gathered answers left parts out" could not be traced further than to the number of suppressed hedges. Change: when a run decides its response it counts the missing parts by cause (fanout.MissingCauses); "request ended" carries them, and docs/OPERATIONS.md says what each cause points to. Measured: fanout.TestMissingCauses.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -120,7 +120,13 @@
 			continue
 		}
 		target, ok := run.shared.Fleet.Choose(now, part.service, run.spec.Route, run.possibleTargets(slow, part))
-		if !ok || run.shared.Fleet.Stuck(now, target.ID) || !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
+		part.suppressed = ""
+		if !ok || run.shared.Fleet.Stuck(now, target.ID) {
+			part.suppressed = NoAlternative
+		} else if !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
+			part.suppressed = NoBudget
+		}
+		if part.suppressed != "" {
 			run.suppressedHedges++
 			continue
 		}
@@ -149,6 +155,7 @@
 		return nil
 	}
 	if countsAsLoad(part.lastOutcome) && !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
+		part.suppressed = NoBudget
 		run.markExhausted(part)
 		return nil
 	}
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -174,13 +174,14 @@
 	service      string
 	calls        []*call
 	inFlight     int
-	possibleRuns int       // calls that a target may have processed
-	tries        int       // all calls, including those that were not processed
-	answeredBy   *call     // the call whose result counts
-	failedCall   *call     // the call that returned an application error
-	retryAt      time.Time // zero if no retry is scheduled
-	exhausted    bool      // no further result is possible
-	lastOutcome  Outcome   // of the most recent call that ended without an answer
+	possibleRuns int          // calls that a target may have processed
+	tries        int          // all calls, including those that were not processed
+	answeredBy   *call        // the call whose result counts
+	failedCall   *call        // the call that returned an application error
+	retryAt      time.Time    // zero if no retry is scheduled
+	exhausted    bool         // no further result is possible
+	lastOutcome  Outcome      // of the most recent call that ended without an answer
+	suppressed   MissingCause // why its latest hedge or retry was not sent; empty if it was
 }
 
 type call struct {
@@ -212,6 +213,7 @@
 	halfAnsweredAt      time.Time // when half of directParts were answered
 	extraCalls          int
 	suppressedHedges    int // parts of slow calls that were not hedged for lack of a good target or budget
+	missingCauses       MissingCauses
 	finished            bool
 }
 
--- a/core/fanout/results.go
+++ b/core/fanout/results.go
@@ -188,6 +188,7 @@
 // finish ends the run and cancels the calls in flight.
 func (run *Run) finish(now time.Time, response Response) []Action {
 	run.finished = true
+	run.recordMissing()
 	var actions []Action
 	for i := range run.parts {
 		actions = append(actions, run.cancelPart(now, &run.parts[i])...)
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -197,10 +197,10 @@
 // logSummary logs the summary of a request.
 func (gateway *Gateway) logSummary(job *job, outcome, reason string) {
 	gateway.mu.Lock()
-	answered, extra, suppressed := job.clientRun.AnsweredParts(), job.clientRun.ExtraCalls(), job.clientRun.SuppressedHedges()
+	answered, extra, suppressed, missing := job.clientRun.AnsweredParts(), job.clientRun.ExtraCalls(), job.clientRun.SuppressedHedges(), job.clientRun.MissingCauses()
 	gateway.mu.Unlock()
 	gateway.log.Info("request ended", zap.String("request", truncate(job.request.ID)), zap.String("route", job.route.Name),
 		zap.Int64("version", job.version), zap.String("outcome", outcome), zap.String("reason", reason),
-		zap.Int("answeredParts", answered), zap.Int("extraCalls", extra), zap.Int("suppressedHedges", suppressed), zap.Duration("elapsed", time.Since(job.started)),
+		zap.Int("answeredParts", answered), zap.Int("extraCalls", extra), zap.Int("suppressedHedges", suppressed), zap.Stringer("missing", missing), zap.Duration("elapsed", time.Since(job.started)),
 		zap.Duration("clientTimeout", job.request.Timeout))
 }
