Relays of a failure domain share the calls of a request

Cause: one VM relayed all parts of a failure domain. 180 calls take a VM of 0.8 cores 27 ms, a third of an objective of 80 ms. Change: Run.chooseRelays takes as many VMs as are needed for none to be busy for more than an eighth of the objective, none with less than half of the cores of the best (place.VMsForCalls). On fleets with few parts a request one VM is still enough, so nothing changes there.

--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	callTimeDivisor = 8        // a VM offloads calls that would take its processor more than objective/callTimeDivisor
+	callTimeDivisor = 8        // a VM offloads calls that would take its processor more than objective/callTimeDivisor, and relays share them
 	minRelayedParts = 3        // for fewer parts, direct calls are cheaper than a message to a relay
 	relayPrefix     = "relay/" // prefix of the service names and route names of relays in a fleet
 )
@@ -48,18 +48,37 @@
 		if len(parts) < minRelayedParts {
 			break
 		}
-		vm, ok := run.shared.Fleet.Choose(now, RelayService(domain), relayPrefix+run.spec.Route, nil)
-		if !ok || run.shared.Fleet.Stuck(now, vm.ID) {
-			continue
-		}
-		actions = append(actions, run.startRelay(now, vm, parts))
-		for _, i := range parts {
-			relayed[i] = true
+		relays := run.chooseRelays(now, domain, len(parts))
+		for i, vm := range relays {
+			share := parts[i*len(parts)/len(relays) : (i+1)*len(parts)/len(relays)]
+			actions = append(actions, run.startRelay(now, vm, share))
+			for _, part := range share {
+				relayed[part] = true
+			}
 		}
 	}
 	return actions, relayed
 }
 
+// chooseRelays returns the VMs of a failure domain that share the calls for some parts: as many as it takes for each to spend at most
+// objective/callTimeDivisor of its processor on them, but none with less than half of the cores of the best. It returns none if the best
+// VM does not answer.
+func (run *Run) chooseRelays(now time.Time, domain string, parts int) []place.Endpoint {
+	var relays []place.Endpoint
+	var chosen []string
+	for needed := 1; len(relays) < needed; {
+		vm, ok := run.shared.Fleet.Choose(now, RelayService(domain), relayPrefix+run.spec.Route, chosen)
+		if !ok || run.shared.Fleet.Stuck(now, vm.ID) || len(relays) > 0 && vm.Cores < relays[0].Cores/2 {
+			break
+		}
+		if len(relays) == 0 && run.spec.Objective > 0 {
+			needed = min(place.VMsForCalls(parts, vm.Cores, run.spec.Objective/callTimeDivisor), parts/minRelayedParts)
+		}
+		relays, chosen = append(relays, vm), append(chosen, vm.ID)
+	}
+	return relays
+}
+
 // domainWithMostParts returns the failure domain that can serve the most of the remaining parts; ties are broken at random.
 func (run *Run) domainWithMostParts(byDomain map[string][]int, relayed map[int]bool) string {
 	domains := slices.Sorted(maps.Keys(byDomain))
--- a/core/fanout/relay_run_test.go
+++ b/core/fanout/relay_run_test.go
@@ -1,6 +1,8 @@
 package fanout_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"poplarpin.dev/core/fanout"
+	"poplarpin.dev/core/place"
 )
 
 // TestRelayRun guards against parts that a relay reports twice or never, and against reports after the final one.
@@ -109,3 +112,42 @@
 	assert.Assert(t, relayRun.Finished())
 	assert.Equal(t, len(relayRun.Tick(relayRun.Next())), 0)
 }
+
+// TestRelaysShareCalls guards against a relay that is busy with the calls of one request for most of its objective: at 180 parts the calls
+// take a VM of 0.8 cores 27 ms, so several VMs of the failure domain must share them, each part at exactly one.
+func TestRelaysShareCalls(t *testing.T) {
+	services := serviceNames(180)
+	newState := func(relays ...float64) fanout.SharedState {
+		shared := newSharedState(services)
+		shared.Fleet = place.New("a", 0.2, rand.New(rand.NewPCG(1, 1)))
+		for i, cores := range relays {
+			shared.Fleet.Update(start, place.Endpoint{ID: fmt.Sprintf("vm-b%d", i), Service: fanout.RelayService("b"), FailureDomain: "b", Slots: 16,
+				State: place.Ready, Cores: cores, Peer: true})
+		}
+		for _, service := range services {
+			shared.Fleet.Update(start, place.Endpoint{ID: service + "-b", Service: service, FailureDomain: "b", Slots: 2, State: place.Ready})
+		}
+		return shared
+	}
+	partsByRelay := func(shared fanout.SharedState) map[string]int {
+		byRelay, seen := map[string]int{}, map[int]bool{}
+		for _, action := range fanout.New(gatherSpec(services), shared, start).Start(start) {
+			relay, ok := action.(fanout.Relay)
+			assert.Assert(t, ok, "%v", action)
+			for _, part := range relay.Parts {
+				assert.Assert(t, !seen[part], "part %d is relayed twice", part)
+				seen[part] = true
+			}
+			byRelay[relay.VM.ID] += len(relay.Parts)
+		}
+		assert.Equal(t, len(seen), len(services))
+		return byRelay
+	}
+	t.Run("several large VMs share them evenly", func(t *testing.T) {
+		byRelay := partsByRelay(newState(0.8, 0.8, 0.8, 0.2, 0.2))
+		assert.DeepEqual(t, byRelay, map[string]int{"vm-b0": 60, "vm-b1": 60, "vm-b2": 60})
+	})
+	t.Run("a single large VM takes all rather than a small one", func(t *testing.T) {
+		assert.DeepEqual(t, partsByRelay(newState(0.8, 0.2, 0.2)), map[string]int{"vm-b0": 180})
+	})
+}
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -112,6 +113,15 @@
 	return endpoint.State == Ready && !endpoint.displaced && !endpoint.graceExpired(now) && !fleet.reachabilityOf(endpoint.FailureDomain).cutOff(now)
 }
 
+// VMsForCalls returns how many VMs with this number of cores can make some calls so that none of them is busy for longer than limit. It
+// returns 1 if the number of cores is unknown.
+func VMsForCalls(calls int, cores float64, limit time.Duration) int {
+	if cores <= 0 {
+		return 1
+	}
+	return max(int(math.Ceil(float64(calls)*float64(callCPUTime)/(cores*float64(limit)))), 1)
+}
+
 // ShouldOffload reports whether the calls would occupy all cores of this VM for longer than limit while the relay service has a
 // callable peer with at least offloadCoresFactor times the cores that is not down.
 func (fleet *Fleet) ShouldOffload(now time.Time, calls int, limit time.Duration, relayService string) bool {
