--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -25,7 +25,7 @@
 	balancerRemovalTime = 2500 * time.Millisecond // the load balancer polls each second and removes a VM after two failures
 	shutdownReserve     = 300 * time.Millisecond  // left before the platform kills the process
 	defaultGrace        = 6 * time.Second         // between SIGTERM and SIGKILL, where the settings do not say
-	gcPercent           = 200                     // GOGC: heap growth between two garbage collections
+	gcPercent           = 100                     // GOGC: heap growth between two garbage collections
 	settingsInterval    = 2 * time.Second         // between two reads of the settings file, within the 3 s for which a VM may use outdated seeds
 	memoryLimitShare    = 0.6                     // of the VM's memory, as the soft limit of the Go runtime, beyond which garbage is collected more often
 )
