Hedges go out after three medians at the latest

Cause: a hedge waited for the P95 of the route's calls. Change: slowCallDelay is the smaller of P95 and three medians, for hedges of calls and for the early reports of relays.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -12,7 +12,7 @@
 	refusedRetryDelay  = 12 * time.Millisecond // before resending a part that no other target can take; doubles with each further call of the part
 	coverageTolerance  = 1e-9                  // for shares without an exact binary representation
 	minHedgeDelay      = 4 * time.Millisecond
-	slowCallFactor     = 2.5                    // multiple of the median that one healthy call in a hundred exceeds
+	slowCallFactor     = 3.0                    // multiple of the median that hardly a call to a healthy target exceeds
 	shortCallMedian    = 15 * time.Millisecond  // below this median latency, letting a call complete costs the target less than a new connection
 	minCongestionParts = 4                      // with fewer parts, a slow half is no evidence of congestion
 	congestionDivisor  = 2                      // healthy targets answer half of the parts within objective/congestionDivisor
@@ -82,18 +82,24 @@
 	return part.answeredBy == nil && part.inFlight == 1 && part.possibleRuns+part.inFlight < run.spec.MaxAttempts
 }
 
-// hedgeAt returns when to hedge a call: after the P95 latency of the route, but early enough for the second answer to meet the objective,
+// hedgeAt returns when to hedge a call: after the latency of a slow call of the route, but early enough for the second answer to meet the objective,
 // and never before 1.5 medians or minHedgeDelay. For a relayed call, 1.5 times the P95 of relays or twice that of targets, whichever is
-// longer, replaces the P95.
+// longer, replaces that.
 func (run *Run) hedgeAt(call *call) time.Time {
 	baseline := run.shared.Fleet.Baseline(run.spec.Route) // of a target, since hedges go to targets
-	high := baseline.P95()
+	high := slowCallDelay(baseline)
 	if call.viaRelay { // a relay reports early by itself, and hedging it costs one call per part
 		high = max(run.shared.Fleet.Baseline(call.baselineRoute(run.spec.Route)).P95()*3/2, 2*high)
 	}
 	return run.hedgeTime(baseline, high, call.started)
 }
 
+// slowCallDelay returns the latency after which a call to a target counts as slow: the P95, but at most slowCallFactor medians, since the
+// P95 is that of the slow targets while more than a twentieth of them are.
+func slowCallDelay(baseline *place.Baseline) time.Duration {
+	return min(baseline.P95(), time.Duration(slowCallFactor*float64(baseline.Median())))
+}
+
 // hedgeTime returns when to hedge a call that started at the given time, where high is the latency after which a call counts as slow.
 func (run *Run) hedgeTime(baseline *place.Baseline, high time.Duration, started time.Time) time.Time {
 	at := started.Add(max(high, minHedgeDelay))
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -121,7 +121,7 @@
 		}
 	}
 	baseline := run.shared.Fleet.Baseline(run.spec.Route)
-	return Relay{Call: call.index, VM: vm, Parts: indices, ReportAfter: run.hedgeTime(baseline, baseline.P95(), now).Sub(now)}
+	return Relay{Call: call.index, VM: vm, Parts: indices, ReportAfter: run.hedgeTime(baseline, slowCallDelay(baseline), now).Sub(now)}
 }
 
 // RelayReport records a report of a relay. If it answers parts, merged is the index by which Deliver refers to its results, else -1.
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -45,6 +45,7 @@
 mutant "report after the final one" fanout relay_run.go 's/relayRun.ended = relayRun.inFlight == 0/relayRun.ended = false/'
 mutant "tombstones after gap dropped" follow store_cache.go 's/object.Deleted && object.Revision <= storeCache.revision/object.Deleted/'
 mutant "slack granted only once" budget budget.go 's/\tbudget.refill\(now\)\n//g'
+mutant "hedge waits for slow targets" fanout calls.go 's/return min\(baseline.P95\(\), time.Duration\(slowCallFactor\*float64\(baseline.Median\(\)\)\)\)/return baseline.P95()/'
 mutant "part reported twice" fanout relay_run.go 's/part.reported = true/part.reported = false/'
 mutant "accepted note id not looked up" release acceptor.go 's/accepted, ok := acceptor.head.FindAccepted\(acceptor.note.ID\); ok/accepted, ok := acceptor.head.FindAccepted(acceptor.note.ID); ok && false/'
 mutant "uncertain update ruled out early" release acceptor.go 's/acceptor.version != acceptor.uncertainVersion \{/true {/'
