--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -12,8 +12,8 @@
 	refusedRetryDelay  = 12 * time.Millisecond // before resending a part that no other target can take; doubles with each further call of the part
 	coverageTolerance  = 1e-9                  // for shares without an exact binary representation
 	minHedgeDelay      = 4 * time.Millisecond
+	slowCallFactor     = 3.0                    // multiple of the median that hardly a call to a healthy target exceeds
 	shortCallMedian    = 15 * time.Millisecond  // below this median latency, letting a call complete costs the target less than a new connection
-	maxHedges          = 6                      // hedged calls of one request with many parts above which overload is likely; not enforced
 	minCongestionParts = 4                      // with fewer parts, a slow half is no evidence of congestion
 	congestionDivisor  = 2                      // healthy targets answer half of the parts within objective/congestionDivisor
 	startupDivisor     = 4                      // a starting VM may use 1/startupDivisor of its share of the slack
@@ -82,18 +82,24 @@
 	return part.answeredBy == nil && part.inFlight == 1 && part.possibleRuns+part.inFlight < run.spec.MaxAttempts
 }
 
-// hedgeAt returns when to hedge a call: after the P95 latency of the route, but early enough for the second answer to meet the objective,
+// hedgeAt returns when to hedge a call: after the latency of a slow call of the route, but early enough for the second answer to meet the objective,
 // and never before 1.5 medians or minHedgeDelay. For a relayed call, 1.5 times the P95 of relays or twice that of targets, whichever is
-// longer, replaces the P95.
+// longer, replaces that.
 func (run *Run) hedgeAt(call *call) time.Time {
 	baseline := run.shared.Fleet.Baseline(run.spec.Route) // of a target, since hedges go to targets
-	high := baseline.P95()
+	high := slowCallDelay(baseline)
 	if call.viaRelay { // a relay reports early by itself, and hedging it costs one call per part
 		high = max(run.shared.Fleet.Baseline(call.baselineRoute(run.spec.Route)).P95()*3/2, 2*high)
 	}
 	return run.hedgeTime(baseline, high, call.started)
 }
 
+// slowCallDelay returns the latency after which a call to a target counts as slow: the P95, but at most slowCallFactor medians, since the
+// P95 is that of the slow targets while more than a twentieth of them are.
+func slowCallDelay(baseline *place.Baseline) time.Duration {
+	return min(baseline.P95(), time.Duration(slowCallFactor*float64(baseline.Median())))
+}
+
 // hedgeTime returns when to hedge a call that started at the given time, where high is the latency after which a call counts as slow.
 func (run *Run) hedgeTime(baseline *place.Baseline, high time.Duration, started time.Time) time.Time {
 	at := started.Add(max(high, minHedgeDelay))
@@ -120,7 +126,13 @@
 			continue
 		}
 		target, ok := run.shared.Fleet.Choose(now, part.service, run.spec.Route, run.possibleTargets(slow, part))
-		if !ok || run.shared.Fleet.Stuck(now, target.ID) || !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
+		part.suppressed = ""
+		if !ok || run.shared.Fleet.Stuck(now, target.ID) {
+			part.suppressed = NoAlternative
+		} else if !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
+			part.suppressed = NoBudget
+		}
+		if part.suppressed != "" {
 			run.suppressedHedges++
 			continue
 		}
@@ -149,6 +161,7 @@
 		return nil
 	}
 	if countsAsLoad(part.lastOutcome) && !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
+		part.suppressed = NoBudget
 		run.markExhausted(part)
 		return nil
 	}
@@ -205,16 +218,21 @@
 // idempotent.
 func (run *Run) cancelCall(now time.Time, call *call) Action {
 	if call.viaRelay {
-		for _, attempt := range call.targetAttempts {
-			attempt.Cancelled(now)
-		}
-		call.attempt.Cancelled(now)
+		call.cancelAttempts(now)
 		return Cancel{Call: call.index, CloseConnection: true}
 	}
 	short := run.shared.Fleet.Baseline(run.spec.Route).Median() < shortCallMedian
 	if short || call.attempt.OnlyInFlight() || !run.spec.Idempotent {
 		return Cancel{Call: call.index}
 	}
-	call.attempt.Cancelled(now)
+	call.cancelAttempts(now)
 	return Cancel{Call: call.index, CloseConnection: true}
 }
+
+// cancelAttempts ends the attempts of a cancelled call, at the relay and at the targets behind it too.
+func (call *call) cancelAttempts(now time.Time) {
+	for _, attempt := range call.targetAttempts {
+		attempt.Cancelled(now)
+	}
+	call.attempt.Cancelled(now)
+}
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -174,20 +174,21 @@
 	service      string
 	calls        []*call
 	inFlight     int
-	possibleRuns int       // calls that a target may have processed
-	tries        int       // all calls, including those that were not processed
-	answeredBy   *call     // the call whose result counts
-	failedCall   *call     // the call that returned an application error
-	retryAt      time.Time // zero if no retry is scheduled
-	exhausted    bool      // no further result is possible
-	lastOutcome  Outcome   // of the most recent call that ended without an answer
+	possibleRuns int          // calls that a target may have processed
+	tries        int          // all calls, including those that were not processed
+	answeredBy   *call        // the call whose result counts
+	failedCall   *call        // the call that returned an application error
+	retryAt      time.Time    // zero if no retry is scheduled
+	exhausted    bool         // no further result is possible
+	lastOutcome  Outcome      // of the most recent call that ended without an answer
+	suppressed   MissingCause // why its latest hedge or retry was not sent; empty if it was
 }
 
 type call struct {
 	index          int
 	parts          []*partState // one part, or several for a relayed call
 	viaRelay       bool
-	targetAttempts map[int]*place.Attempt // relayed calls only, by part: the assumed attempt, see startRelay
+	targetAttempts map[int]*place.Attempt // relayed calls only, by part: the attempt at the target that the relay must have called, see startRelay
 	endpoint       place.Endpoint         // the target, or the entry VM that relays
 	attempt        *place.Attempt
 	started        time.Time
@@ -212,6 +213,7 @@
 	halfAnsweredAt      time.Time // when half of directParts were answered
 	extraCalls          int
 	suppressedHedges    int // parts of slow calls that were not hedged for lack of a good target or budget
+	missingCauses       MissingCauses
 	finished            bool
 }
 
@@ -248,6 +250,7 @@
 		for _, call := range run.calls {
 			call.ended = true
 			call.attempt.Discard()
+			call.discardTargetAttempts()
 		}
 		return run.finish(now, Refuse{RetryAfter: run.retryAfter(), Reason: "too few parts have a server"})
 	}
@@ -314,7 +317,7 @@
 	for _, call := range run.calls {
 		if !call.ended && run.spec.Idempotent {
 			call.ended = true
-			call.attempt.Cancelled(now)
+			call.cancelAttempts(now)
 			actions = append(actions, Cancel{Call: call.index, CloseConnection: true})
 		}
 	}
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	callTimeDivisor = 8        // a VM offloads calls that would take its processor more than objective/callTimeDivisor
+	callTimeDivisor = 8        // a VM offloads calls that would take its processor more than objective/callTimeDivisor, and relays share them
 	minRelayedParts = 3        // for fewer parts, direct calls are cheaper than a message to a relay
 	relayPrefix     = "relay/" // prefix of the service names and route names of relays in a fleet
 )
@@ -48,18 +48,37 @@
 		if len(parts) < minRelayedParts {
 			break
 		}
-		vm, ok := run.shared.Fleet.Choose(now, RelayService(domain), relayPrefix+run.spec.Route, nil)
-		if !ok || run.shared.Fleet.Stuck(now, vm.ID) {
-			continue
-		}
-		actions = append(actions, run.startRelay(now, vm, parts))
-		for _, i := range parts {
-			relayed[i] = true
+		relays := run.chooseRelays(now, domain, len(parts))
+		for i, vm := range relays {
+			share := parts[i*len(parts)/len(relays) : (i+1)*len(parts)/len(relays)]
+			actions = append(actions, run.startRelay(now, vm, share))
+			for _, part := range share {
+				relayed[part] = true
+			}
 		}
 	}
 	return actions, relayed
 }
 
+// chooseRelays returns the VMs of a failure domain that share the calls for some parts: as many as it takes for each to spend at most
+// objective/callTimeDivisor of its processor on them, but none with less than half of the cores of the best. It returns none if the best
+// VM does not answer.
+func (run *Run) chooseRelays(now time.Time, domain string, parts int) []place.Endpoint {
+	var relays []place.Endpoint
+	var chosen []string
+	for needed := 1; len(relays) < needed; {
+		vm, ok := run.shared.Fleet.Choose(now, RelayService(domain), relayPrefix+run.spec.Route, chosen)
+		if !ok || run.shared.Fleet.Stuck(now, vm.ID) || len(relays) > 0 && vm.Cores < relays[0].Cores/2 {
+			break
+		}
+		if len(relays) == 0 && run.spec.Objective > 0 {
+			needed = min(place.VMsForCalls(parts, vm.Cores, run.spec.Objective/callTimeDivisor), parts/minRelayedParts)
+		}
+		relays, chosen = append(relays, vm), append(chosen, vm.ID)
+	}
+	return relays
+}
+
 // domainWithMostParts returns the failure domain that can serve the most of the remaining parts; ties are broken at random.
 func (run *Run) domainWithMostParts(byDomain map[string][]int, relayed map[int]bool) string {
 	domains := slices.Sorted(maps.Keys(byDomain))
@@ -84,8 +103,8 @@
 	return rest
 }
 
-// startRelay sends parts to a relay. Which targets the relay calls is not known, so each part counts as an attempt at the first target
-// listed for the relay's failure domain.
+// startRelay sends parts to a relay. The relay chooses the targets, so a part counts as an attempt at a target only where the relay's
+// failure domain has a single one for it.
 func (run *Run) startRelay(now time.Time, vm place.Endpoint, indices []int) Action {
 	run.shared.Fleet.SetObjective(relayPrefix+run.spec.Route, run.spec.Objective)
 	call := &call{index: len(run.calls), viaRelay: true, endpoint: vm, started: now,
@@ -97,12 +116,12 @@
 		part.calls = append(part.calls, call)
 		part.inFlight++
 		part.tries++
-		if targets := run.shared.Fleet.EndpointIDs(part.service, vm.FailureDomain); len(targets) > 0 {
-			call.targetAttempts[i] = run.shared.Fleet.StartAttempt(now, targets[0], run.spec.Route)
+		if target, ok := run.shared.Fleet.OnlyCallable(now, part.service, vm.FailureDomain); ok {
+			call.targetAttempts[i] = run.shared.Fleet.StartAttempt(now, target, run.spec.Route)
 		}
 	}
 	baseline := run.shared.Fleet.Baseline(run.spec.Route)
-	return Relay{Call: call.index, VM: vm, Parts: indices, ReportAfter: run.hedgeTime(baseline, baseline.P95(), now).Sub(now)}
+	return Relay{Call: call.index, VM: vm, Parts: indices, ReportAfter: run.hedgeTime(baseline, slowCallDelay(baseline), now).Sub(now)}
 }
 
 // RelayReport records a report of a relay. If it answers parts, merged is the index by which Deliver refers to its results, else -1.
@@ -134,6 +153,10 @@
 	} else if report.Early {
 		actions = append(actions, run.hedge(now, call)...)
 	}
+	if !call.ended && len(call.parts) == 0 { // what the relay still waits for was answered by hedges
+		call.ended = true
+		actions = append(actions, run.cancelCall(now, call))
+	}
 	return merged, append(actions, run.finishIfDone(now)...)
 }
 
