--- a/core/fanout/missing_test.go
+++ b/core/fanout/missing_test.go
@@ -13,7 +13,7 @@
 // cause that an operator has to look at.
 func TestMissingCauses(t *testing.T) {
 	// partial plays a request whose first part gets no answer, and returns the causes when the partial answer is sent.
-	partial := func(t *testing.T, replicas int, slack float64) string {
+	partial := func(replicas int, slack float64) string {
 		services := serviceNames(4)
 		shared := newSharedState(services)
 		shared.Fleet = newFleetWithReplicas(services, replicas)
@@ -33,7 +33,7 @@
 		}
 		return run.MissingCauses().String()
 	}
-	t.Run("hedged in vain", func(t *testing.T) { assert.Equal(t, partial(t, 2, 5), "hedgeSlow:1") })
-	t.Run("no budget for a hedge", func(t *testing.T) { assert.Equal(t, partial(t, 2, 0), "noBudget:1") })
-	t.Run("no other target", func(t *testing.T) { assert.Equal(t, partial(t, 1, 5), "noAlternative:1") })
+	t.Run("hedged in vain", func(t *testing.T) { assert.Equal(t, partial(2, 5), "hedgeSlow:1") })
+	t.Run("no budget for a hedge", func(t *testing.T) { assert.Equal(t, partial(2, 0), "noBudget:1") })
+	t.Run("no other target", func(t *testing.T) { assert.Equal(t, partial(1, 5), "noAlternative:1") })
 }
