--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -39,9 +39,9 @@
 		last := part.calls[len(part.calls)-1]
 		tried = append(tried, run.possibleTargets(last, part)...)
 	}
-	target, ok := run.shared.Fleet.Choose(now, part.service, run.spec.Route, tried)
+	target, ok := run.chooseTarget(now, part.service, tried)
 	if !ok && part.inFlight == 0 && len(part.calls) > 0 && retryableOnSameTarget(part.lastOutcome) {
-		target, ok = run.shared.Fleet.Choose(now, part.service, run.spec.Route, nil)
+		target, ok = run.chooseTarget(now, part.service, nil)
 	}
 	if !ok {
 		return nil, false
@@ -58,6 +58,14 @@
 	return Send{Call: call.index, Target: target, Reason: reason}, true
 }
 
+// chooseTarget returns the best target of a service in the regions that may get the request, except the excluded ones.
+func (run *Run) chooseTarget(now time.Time, service string, exclude []string) (place.Endpoint, bool) {
+	if outside := run.shared.Fleet.OutsideRegions(service, run.spec.Regions.Allows); len(outside) > 0 {
+		exclude = slices.Concat(exclude, outside)
+	}
+	return run.shared.Fleet.Choose(now, service, run.spec.Route, exclude)
+}
+
 func onePart(only *partState) []*partState { return []*partState{only} }
 
 // retryableOnSameTarget reports whether a later call to the same target may succeed.
@@ -125,7 +133,7 @@
 		if !run.canHedgePart(part) {
 			continue
 		}
-		target, ok := run.shared.Fleet.Choose(now, part.service, run.spec.Route, run.possibleTargets(slow, part))
+		target, ok := run.chooseTarget(now, part.service, run.possibleTargets(slow, part))
 		part.suppressed = ""
 		if !ok || run.shared.Fleet.Stuck(now, target.ID) {
 			part.suppressed = NoAlternative
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -6,6 +6,7 @@
 
 	"poplarpin.dev/core/budget"
 	"poplarpin.dev/core/place"
+	"poplarpin.dev/core/route"
 )
 
 // Outcome is how a call ended. Its values also travel between entry VMs.
@@ -107,6 +108,7 @@
 	MaxAttempts int // calls of one part that targets may process; those that were surely not processed do not count
 	Objective   time.Duration
 	Timeout     time.Duration
+	Regions     route.AllowedRegions // of targets and relays
 }
 
 // SharedState is the state that all requests of a VM share.
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -37,7 +37,9 @@
 		run.shared.Fleet.ShouldOffload(now, len(run.parts), run.spec.Objective/callTimeDivisor, RelayService(run.shared.Fleet.FailureDomain()))
 	for i := range run.parts {
 		for _, domain := range run.shared.Fleet.BestFailureDomains(now, run.parts[i].service, run.spec.Route, offload) {
-			byDomain[domain] = append(byDomain[domain], i)
+			if run.spec.Regions.Allows(run.shared.Fleet.Region(domain)) {
+				byDomain[domain] = append(byDomain[domain], i)
+			}
 		}
 	}
 	var actions []Action
--- a/core/fanout/results.go
+++ b/core/fanout/results.go
@@ -96,7 +96,7 @@
 		return nil
 	}
 	if outcome == Refused || outcome == NoCapacity || outcome == NotSent || outcome == ConnectionLimit {
-		if _, ok := run.shared.Fleet.Choose(now, part.service, run.spec.Route, part.targetIDs()); !ok {
+		if _, ok := run.chooseTarget(now, part.service, part.targetIDs()); !ok {
 			part.retryAt = now.Add(refusedRetryDelay << (part.tries - 1))
 			if part.retryAt.After(run.deadline) {
 				part.retryAt = time.Time{}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -57,6 +57,7 @@
 	endpoints      map[string]*trackedEndpoint
 	services       map[string][]*trackedEndpoint
 	failureDomains map[string]*reachability
+	regions        map[string]string // by failure domain; nil if unknown
 	baselines      map[string]*Baseline
 	observations   []Observation // not yet shared with other VMs
 }
@@ -202,5 +203,22 @@
 // RandomIntN returns a random number in [0, count) from the fleet's generator.
 func (fleet *Fleet) RandomIntN(count int) int { return fleet.random.IntN(count) }
 
+// SetRegions sets the region of each failure domain.
+func (fleet *Fleet) SetRegions(regions map[string]string) { fleet.regions = regions }
+
+// Region returns the region of a failure domain, "" if it is unknown.
+func (fleet *Fleet) Region(failureDomain string) string { return fleet.regions[failureDomain] }
+
+// OutsideRegions returns the ids of a service's endpoints in regions that are not allowed.
+func (fleet *Fleet) OutsideRegions(service string, allows func(region string) bool) []string {
+	var outside []string
+	for _, endpoint := range fleet.services[service] {
+		if !allows(fleet.regions[endpoint.FailureDomain]) {
+			outside = append(outside, endpoint.ID)
+		}
+	}
+	return outside
+}
+
 // FailureDomain returns the failure domain of this VM.
 func (fleet *Fleet) FailureDomain() string { return fleet.failureDomain }
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -17,16 +17,20 @@
 	Invalid Kind = "invalid"
 )
 
-// Error reports why a route was rejected.
+// Error reports why a route or an account was rejected.
 type Error struct {
-	Op     string
-	Kind   Kind
-	Route  string
-	Detail string
+	Op      string
+	Kind    Kind
+	Route   string // empty for an account
+	Account string // empty for a route
+	Detail  string
 }
 
 // Error implements error.
 func (err *Error) Error() string {
+	if err.Account != "" {
+		return fmt.Sprintf("%s: %s: account %q: %s", err.Op, err.Kind, err.Account, err.Detail)
+	}
 	return fmt.Sprintf("%s: %s: route %q: %s", err.Op, err.Kind, err.Route, err.Detail)
 }
 
@@ -67,6 +71,8 @@
 	Objective   time.Duration // an answer within this time is on time; 0 for no objective
 	MaxAttempts int           // targets that may process a request, per shard
 	Priority    int           // 0 is the highest priority
+	Public      bool          // requests need no key
+	HomeRegions []string      // regions that may get its requests; empty for all
 	Destination Destination
 }
 
@@ -113,7 +119,18 @@
 // Service holds the settings of a service.
 type Service struct {
 	Name                 string
-	MaxTargetConnections int // connections that a target accepts from all VMs together; 0 if unknown
+	MaxTargetConnections int           // connections that a target accepts from all VMs together; 0 if unknown
+	WarmUp               time.Duration // for which a target stays cold after its start; 0 if unknown
+	ColdCallsPerSecond   float64       // calls that a cold target tolerates from all VMs together; 0 for no limit
+}
+
+// Config holds the parts of a configuration version that a Table is made of.
+type Config struct {
+	Version  int64
+	Limits   Limits
+	Routes   []Route
+	Services []Service
+	Accounts []Account
 }
 
 // Table is the routing table of a configuration version.
@@ -123,18 +140,20 @@
 	services     map[string]Service
 	routesByHost map[string][]*Route
 	routesByName map[string]*Route
+	accounts     []Account
+	accountByKey map[string]*Account
 }
 
-// New returns a table of the valid routes and an error for each invalid one.
-func New(version int64, limits Limits, routes []Route, services []Service) (*Table, []error) {
-	table := &Table{Version: version, Limits: limits, services: map[string]Service{}, routesByHost: map[string][]*Route{},
+// New returns a table of the valid routes and accounts, and an error for each invalid one.
+func New(config Config) (*Table, []error) {
+	table := &Table{Version: config.Version, Limits: config.Limits, services: map[string]Service{}, routesByHost: map[string][]*Route{},
 		routesByName: map[string]*Route{}}
-	var errs []error
-	for _, service := range services {
+	errs := table.addAccounts(config.Accounts)
+	for _, service := range config.Services {
 		table.services[service.Name] = service
 	}
-	for i := range routes {
-		route := &routes[i]
+	for i := range config.Routes {
+		route := &config.Routes[i]
 		if err := route.validate(); err != nil {
 			errs = append(errs, err)
 			continue
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -11,7 +11,7 @@
 
 func newTable(t *testing.T, routes ...route.Route) *route.Table {
 	t.Helper()
-	table, problems := route.New(7, route.Limits{}, routes, nil)
+	table, problems := route.New(route.Config{Version: 7, Routes: routes})
 	assert.Equal(t, len(problems), 0)
 	return table
 }
@@ -38,7 +38,7 @@
 	}
 	for name, broken := range bad {
 		t.Run(name, func(t *testing.T) {
-			table, problems := route.New(1, route.Limits{}, []route.Route{broken, singleRoute("good", "h", "/")}, nil)
+			table, problems := route.New(route.Config{Version: 1, Routes: []route.Route{broken, singleRoute("good", "h", "/")}})
 			assert.Equal(t, len(problems), 1)
 			assert.Equal(t, table.RouteCount(), 1)
 		})
--- a/poplarpind/gateway/admit.go
+++ b/poplarpind/gateway/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strconv"
 	"time"
 
 	"poplarpin.dev/core/admit"
@@ -36,17 +37,26 @@
 
 // admit decides whether to accept a request; if not, it returns when the client should retry. The limiter that admitted the request, nil
 // for routes without one, must be told of its end.
-func (gateway *Gateway) admit(matched *route.Route) (limiter *admit.Limiter, ok bool, retryAfter time.Duration) {
+func (gateway *Gateway) admit(matched *route.Route, account *route.Account) (limiter *admit.Limiter, ok bool, retryAfter time.Duration) {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	limiter = gateway.limiter(matched)
 	if limiter == nil {
 		return nil, true, 0
 	}
-	ok, retryAfter = limiter.Admit(admit.Class{Name: matched.Name, Priority: matched.Priority})
+	ok, retryAfter = limiter.Admit(classOf(matched, account))
 	return limiter, ok, retryAfter
 }
 
+// classOf returns the admission class of an account's requests on a route; account is nil for requests without one.
+func classOf(matched *route.Route, account *route.Account) admit.Class {
+	class := admit.Class{Name: matched.Name, Priority: matched.EffectivePriority(account)}
+	if class.Priority != matched.Priority {
+		class.Name += "@" + strconv.Itoa(class.Priority)
+	}
+	return class
+}
+
 // release ends a request and reports to the limiter that admitted it whether it saw congestion.
 func (gateway *Gateway) release(job *job) {
 	now := time.Now()
@@ -54,7 +64,7 @@
 	defer gateway.mu.Unlock()
 	gateway.recordDelay(now, job)
 	if job.limiter != nil {
-		job.limiter.Done(now, job.route.Name, job.clientRun.Congested(now))
+		job.limiter.Done(now, classOf(job.route, job.account).Name, job.clientRun.Congested(now))
 	}
 }
 
--- a/poplarpind/gateway/admit_test.go
+++ b/poplarpind/gateway/admit_test.go
@@ -24,15 +24,15 @@
 // flight would fall below zero there, and the limit would never again be reached. It happens when limiters are dropped meanwhile.
 func TestLimitersKeepRequests(t *testing.T) {
 	gateway := newTestGateway()
-	first, ok, _ := gateway.admit(gatherRoute(0))
+	first, ok, _ := gateway.admit(gatherRoute(0), nil)
 	assert.Assert(t, ok)
 	for number := 1; number <= 2*maxLimiters; number++ {
-		limiter, ok, _ := gateway.admit(gatherRoute(number))
+		limiter, ok, _ := gateway.admit(gatherRoute(number), nil)
 		assert.Assert(t, ok)
 		limiter.Done(time.Now(), gatherRoute(number).Name, false)
 	}
 	assert.Assert(t, len(gateway.limiters) <= maxLimiters)
-	again, ok, _ := gateway.admit(gatherRoute(0))
+	again, ok, _ := gateway.admit(gatherRoute(0), nil)
 	assert.Assert(t, ok)
 	assert.Assert(t, again == first)
 	assert.Equal(t, first.InFlight(), 2)
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -53,6 +53,7 @@
 	follower            *follow.Follower
 	plan                follow.Plan
 	storeAnswered       time.Time                 // time of the store's last answer to this VM
+	viewConfirmed       time.Time                 // time at which the store last answered this VM or its source of updates
 	peers               []platform.VM             // the other entry VMs
 	subscribers         map[string]*subscriber    // VMs that get store updates from this one, by name
 	pendingObservations []reportedObservation     // not yet sent to other VMs
@@ -85,6 +86,7 @@
 		routeRequests:     map[string]float64{},
 		budgets:           fanout.NewBudgets(bounds.RetryBudgetRatio*extraBudgetShare, bounds.RetryBudgetSlack*extraBudgetShare, time.Now()),
 	}
+	gateway.fleet.SetRegions(settings.Regions)
 	gateway.pool = http1.New(gateway.maxConnections)
 	gateway.mesh = peer.New(rpc.Hello{VM: settings.VM, Incarnation: time.Now().UnixMicro()}, gateway, nil)
 	gateway.currentStoreAddress.Store(&settings.StoreAddress)
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -27,6 +27,7 @@
 	gateway      *Gateway
 	request      *platform.Request
 	route        *route.Route
+	account      *route.Account // nil for a request without one, and for parts that a peer asked for
 	limiter      *admit.Limiter // that admitted the request; nil for none
 	version      int64
 	machine      stateMachine
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -43,14 +43,18 @@
 			zap.String("host", truncate(request.Host)), zap.String("path", truncate(request.Path)))
 		return platform.NoRoute{}
 	}
-	limiter, ok, retryAfter := gateway.admit(matched)
+	account, rejection := gateway.authenticate(request, matched, table)
+	if rejection != nil {
+		return rejection
+	}
+	limiter, ok, retryAfter := gateway.admit(matched, account)
 	if !ok {
 		requestCounts.Add("overloaded", 1)
 		gateway.log.Info("request refused", zap.String("request", truncate(request.ID)), zap.String("route", matched.Name),
 			zap.Int64("version", table.Version), zap.String("reason", "servers are overloaded"), zap.Duration("retryAfter", retryAfter))
 		return platform.Refusal{RetryAfter: retryAfter, Reason: "servers are overloaded"}
 	}
-	job := gateway.newJob(request, matched, table.Version)
+	job := gateway.newJob(request, matched, account, table.Version)
 	job.limiter = limiter
 	defer gateway.release(job)
 	gateway.step(job, func(now time.Time) []fanout.Action { return job.clientRun.Start(now) })
@@ -67,7 +71,7 @@
 
 // newJob returns a job for a client request; its timeout is the shorter one of the route's and the client's, or defaultTimeout if
 // neither sets one.
-func (gateway *Gateway) newJob(request *platform.Request, matched *route.Route, version int64) *job {
+func (gateway *Gateway) newJob(request *platform.Request, matched *route.Route, account *route.Account, version int64) *job {
 	now := time.Now()
 	timeout := requestTimeout(matched.Timeout, request.Timeout)
 	spec := fanout.Spec{
@@ -76,6 +80,7 @@
 		MaxAttempts: max(matched.MaxAttempts, 1),
 		Objective:   matched.Objective,
 		Timeout:     timeout,
+		Regions:     matched.AllowedRegions(account),
 	}
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
@@ -90,7 +95,7 @@
 	}
 	run := fanout.New(spec, fanout.SharedState{Fleet: gateway.fleet, Budgets: gateway.budgets, ResponseMargin: networkMargin + gateway.responseDelay}, now)
 	job := gateway.newBareJob(request, matched, version, now.Add(timeout))
-	job.machine, job.clientRun, job.started = run, run, now
+	job.account, job.machine, job.clientRun, job.started = account, run, run, now
 	job.relayQueries, job.relayResults, job.response = map[int]string{}, map[int]rpc.GatherResult{}, make(chan fanout.Response, 1)
 	return job
 }
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -114,7 +114,7 @@
 		cancel()
 		gateway.mu.Lock()
 		if now := time.Now(); err == nil {
-			gateway.storeAnswered = now
+			gateway.storeAnswered, gateway.viewConfirmed = now, now
 		}
 		gateway.mu.Unlock()
 	}
@@ -142,7 +142,11 @@
 func (gateway *Gateway) receiveUpdate(from string, update rpc.StoreUpdate) {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	gateway.follower.HeardFrom(time.Now(), from, update.StoreReachable)
+	now := time.Now()
+	if from == gateway.plan.Source && update.StoreReachable {
+		gateway.viewConfirmed = now
+	}
+	gateway.follower.HeardFrom(now, from, update.StoreReachable)
 	gateway.applyUpdate(from, update) // also from a former source: revisions make stale updates harmless
 }
 
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -41,7 +41,7 @@
 		now := time.Now()
 		gateway.follower.StoreResult(now, err == nil)
 		if err == nil {
-			gateway.storeAnswered = now
+			gateway.storeAnswered, gateway.viewConfirmed = now, now
 		}
 		gateway.mu.Unlock()
 		if err == nil {
