Answer times follow the network path of each client

Cause: an answer near the objective left 9 ms for the way to the client. Change: core/fanout computes the margin from the round trip that the kernel has measured on the client's connection and from whether the request is the first on it; 9 ms as before where no round trip is known.

--- a/poplarpind/gateway/admit.go
+++ b/poplarpind/gateway/admit.go
@@ -74,7 +74,7 @@
 	if job.route.Objective <= 0 {
 		return
 	}
-	delay := now.Sub(job.started) - (job.route.Objective - networkMargin - gateway.responseDelay)
+	delay := now.Sub(job.started) - (job.route.Objective - job.margin - gateway.responseDelay)
 	if delay < 0 || delay > maxCountedDelay {
 		return // sent before the planned time, or after waiting for more parts
 	}
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -21,12 +21,11 @@
 )
 
 const (
-	extraBudgetShare = 0.9                  // of the extra calls that the platform allows; the rest covers changes in the number of VMs
-	networkMargin    = 9 * time.Millisecond // network time between sending a response and its arrival at the client
-	defaultTimeout   = 30 * time.Second     // of a request for which neither the route nor the client sets one
-	defaultBodyBytes = 1 << 20              // limit on request bodies until a configuration sets one
-	connectionShare  = 0.6                  // of the connections that a target accepts, for one VM; targets refuse those beyond their limit
-	minConnections   = 3                    // from one VM to one target
+	extraBudgetShare = 0.9              // of the extra calls that the platform allows; the rest covers changes in the number of VMs
+	defaultTimeout   = 30 * time.Second // of a request for which neither the route nor the client sets one
+	defaultBodyBytes = 1 << 20          // limit on request bodies until a configuration sets one
+	connectionShare  = 0.6              // of the connections that a target accepts, for one VM; targets refuse those beyond their limit
+	minConnections   = 3                // from one VM to one target
 )
 
 // Gateway serves client requests on one VM.
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -42,6 +42,7 @@
 	timer        *time.Timer
 	timerAt      time.Time
 	started      time.Time
+	margin       time.Duration // of the objective, for the network path to the client
 	deadline     time.Time
 	response     chan fanout.Response // receives clientRun's response; nil for parts that a peer asked for
 }
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	gateway := New(settings, log)
 	clients := &http.Server{Handler: platform.NewIngress(gateway), ReadHeaderTimeout: headerTimeout, IdleTimeout: platform.DefaultIdleTimeout,
-		ErrorLog: zap.NewStdLog(log)}
+		ErrorLog: zap.NewStdLog(log), ConnContext: withClientConn}
 	ready := &http.Server{Handler: platform.NewReadiness(gateway), ReadHeaderTimeout: headerTimeout}
 	if err := gateway.Start(ctx); err != nil {
 		return err
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -54,7 +54,7 @@
 			zap.Int64("version", table.Version), zap.String("reason", "servers are overloaded"), zap.Duration("retryAfter", retryAfter))
 		return platform.Refusal{RetryAfter: retryAfter, Reason: "servers are overloaded"}
 	}
-	job := gateway.newJob(request, matched, account, table.Version)
+	job := gateway.newJob(request, matched, account, nextClientPath(ctx), table.Version)
 	job.limiter = limiter
 	defer gateway.release(job)
 	gateway.step(job, func(now time.Time) []fanout.Action { return job.clientRun.Start(now) })
@@ -71,7 +71,7 @@
 
 // newJob returns a job for a client request; its timeout is the shorter one of the route's and the client's, or defaultTimeout if
 // neither sets one.
-func (gateway *Gateway) newJob(request *platform.Request, matched *route.Route, account *route.Account, version int64) *job {
+func (gateway *Gateway) newJob(request *platform.Request, matched *route.Route, account *route.Account, path fanout.ClientPath, version int64) *job {
 	now := time.Now()
 	timeout := requestTimeout(matched.Timeout, request.Timeout)
 	spec := fanout.Spec{
@@ -93,8 +93,9 @@
 	case route.Gather:
 		spec.Parts, spec.Gather, spec.MinCoverage = destination.Shards, true, destination.MinCoverage
 	}
-	run := fanout.New(spec, fanout.SharedState{Fleet: gateway.fleet, Budgets: gateway.budgets, ResponseMargin: networkMargin + gateway.responseDelay}, now)
+	run := fanout.New(spec, fanout.SharedState{Fleet: gateway.fleet, Budgets: gateway.budgets, ResponseMargin: path.Margin() + gateway.responseDelay}, now)
 	job := gateway.newBareJob(request, matched, version, now.Add(timeout))
+	job.margin = path.Margin()
 	job.account, job.machine, job.clientRun, job.started = account, run, run, now
 	job.relayQueries, job.relayResults, job.response = map[int]string{}, map[int]rpc.GatherResult{}, make(chan fanout.Response, 1)
 	return job
@@ -207,5 +208,5 @@
 	gateway.log.Info("request ended", zap.String("request", truncate(job.request.ID)), zap.String("route", job.route.Name),
 		zap.Int64("version", job.version), zap.String("outcome", outcome), zap.String("reason", reason),
 		zap.Int("answeredParts", answered), zap.Int("extraCalls", extra), zap.Int("suppressedHedges", suppressed), zap.Stringer("missing", missing), zap.Duration("elapsed", time.Since(job.started)),
-		zap.Duration("clientTimeout", job.request.Timeout))
+		zap.Duration("clientTimeout", job.request.Timeout), zap.Duration("margin", job.margin))
 }
