--- a/core/fanout/margin.go
+++ b/core/fanout/margin.go
@@ -3,8 +3,13 @@
 import "time"
 
 const (
-	// handlingMargin covers reading a request before its run starts and writing its response, on a VM with a fraction of a core.
-	handlingMargin = 3 * time.Millisecond
+	// handlingCPUTime is the time of one core for reading a request before its run starts and writing its response, while calls of the same
+	// request wait for the processor too.
+	handlingCPUTime   = 1200 * time.Microsecond
+	minHandlingMargin = 1500 * time.Microsecond
+	maxHandlingMargin = 7 * time.Millisecond
+	// unknownHandlingMargin applies where the number of cores is unknown.
+	unknownHandlingMargin = 3 * time.Millisecond
 	// defaultNetworkMargin replaces the network time of clients whose round trip is unknown.
 	defaultNetworkMargin = 6 * time.Millisecond
 )
@@ -15,14 +20,18 @@
 	NewConnection bool          // the request is the first on its connection, which took a further round trip to open
 }
 
-// Margin returns how much of the objective passes outside of a run: clients count the objective from when they open a connection or, on
-// an open one, send the request, until they have the response.
-func (path ClientPath) Margin() time.Duration {
-	if path.RoundTrip <= 0 {
-		return handlingMargin + defaultNetworkMargin
+// Margin returns how much of the objective passes outside of a run on a VM with this number of cores, 0 if unknown: clients count the
+// objective from when they open a connection or, on an open one, send the request, until they have the response.
+func (path ClientPath) Margin(cores float64) time.Duration {
+	handling := unknownHandlingMargin
+	if cores > 0 {
+		handling = min(max(time.Duration(float64(handlingCPUTime)/cores), minHandlingMargin), maxHandlingMargin)
 	}
-	if path.NewConnection {
-		return handlingMargin + 2*path.RoundTrip
+	switch {
+	case path.RoundTrip <= 0:
+		return handling + defaultNetworkMargin
+	case path.NewConnection:
+		return handling + 2*path.RoundTrip
 	}
-	return handlingMargin + path.RoundTrip
+	return handling + path.RoundTrip
 }
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -93,9 +93,10 @@
 	case route.Gather:
 		spec.Parts, spec.Gather, spec.MinCoverage = destination.Shards, true, destination.MinCoverage
 	}
-	run := fanout.New(spec, fanout.SharedState{Fleet: gateway.fleet, Budgets: gateway.budgets, ResponseMargin: path.Margin() + gateway.responseDelay}, now)
+	margin := path.Margin(gateway.settings.Cores)
+	run := fanout.New(spec, fanout.SharedState{Fleet: gateway.fleet, Budgets: gateway.budgets, ResponseMargin: margin + gateway.responseDelay}, now)
 	job := gateway.newBareJob(request, matched, version, now.Add(timeout))
-	job.margin = path.Margin()
+	job.margin = margin
 	job.account, job.machine, job.clientRun, job.started = account, run, run, now
 	job.relayQueries, job.relayResults, job.response = map[int]string{}, map[int]rpc.GatherResult{}, make(chan fanout.Response, 1)
 	return job
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -16,7 +16,9 @@
 const (
 	maxWatchTimeout   = 25 * time.Second       // of one watch call without a change
 	watchWindowShare  = 0.6                    // of the stability window; a longer watch may miss a change when the store compacts its history
-	targetsWatchPause = 250 * time.Millisecond // between two watches of targets, so that one call returns several changes
+	minTargetsPause   = 250 * time.Millisecond // between two watches of targets, so that one call returns several changes
+	maxTargetsPause   = 500 * time.Millisecond
+	targetsPauseShare = 0.1                    // of the time within which a draining target must get no more calls
 	configWatchPause  = 50 * time.Millisecond  // between two watches of the configuration
 	minBackoff        = 100 * time.Millisecond // after a failed store call
 	maxBackoff        = 400 * time.Millisecond // a tenth of the 4 s after which a VM that was cut off counts as connected again
@@ -100,13 +102,19 @@
 	gateway.applyUpdate("store", storeUpdateOf(kind, objects, revision, afterOutage))
 	gateway.mu.Unlock()
 	if kind == platform.TargetsKind {
-		sleep(ctx, targetsWatchPause)
+		sleep(ctx, gateway.targetsPause())
 	} else {
 		sleep(ctx, configWatchPause)
 	}
 	return revision, nil
 }
 
+// targetsPause returns the pause between two watches of targets.
+func (gateway *Gateway) targetsPause() time.Duration {
+	share := time.Duration(float64(gateway.settings.Bounds.MaxDrainDelay) * targetsPauseShare)
+	return min(max(share, minTargetsPause), maxTargetsPause)
+}
+
 // storeUpdateOf returns the store update for objects of a kind that changed up to a revision.
 func storeUpdateOf(kind string, objects []platform.Object, revision int64, afterOutage bool) rpc.StoreUpdate {
 	update := rpc.StoreUpdate{}
