--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -15,8 +15,8 @@
 	noUpdateTimeout   = 1600 * time.Millisecond // without any update before the store is watched, even with a new source
 	minAvoid          = 4 * time.Second         // before a failed source is tried again; doubled each time up to maxAvoid
 	avoidWithoutStore = 2 * time.Second         // before a source without the store is tried again, which costs only a message
-	maxAvoid          = 8 * time.Second // a VM that finds no source watches the store, whose calls cost more than a message to a source
-	storeFailureGrace = 500 * time.Millisecond // of failing store calls before a lower-ranked or remote source is sought as well
+	maxAvoid          = 8 * time.Second         // a VM that finds no source watches the store, whose calls cost more than a message to a source
+	storeFailureGrace = 500 * time.Millisecond  // of failing store calls before a lower-ranked or remote source is sought as well
 )
 
 // Peer is an entry VM.
