--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -94,6 +94,9 @@
 // and never before 1.5 medians or minHedgeDelay. For a relayed call, 1.5 times the P95 of relays or twice that of targets, whichever is
 // longer, replaces that.
 func (run *Run) hedgeAt(call *call) time.Time {
+	if !call.hedgeAfter.IsZero() {
+		return call.hedgeAfter
+	}
 	baseline := run.shared.Fleet.Baseline(run.spec.Route) // of a target, since hedges go to targets
 	high := slowCallDelay(baseline)
 	if call.viaRelay { // a relay reports early by itself, and hedging it costs one call per part
@@ -124,6 +127,10 @@
 
 // hedge sends the parts of a slow call to other targets that are likely to answer sooner, as far as the budgets allow.
 func (run *Run) hedge(now time.Time, slow *call) []Action {
+	if slow.viaRelay && !run.hasCPUForHedges(now, slow) {
+		run.postponeHedges(now, slow)
+		return nil
+	}
 	slow.hedged = true
 	if run.deadline.Sub(now) < minTimeLeft {
 		return nil
@@ -151,6 +158,31 @@
 	return actions
 }
 
+// hasCPUForHedges reports whether this VM's processor can make a call for each unanswered part of a relayed call before a partial answer is
+// due, or before the deadline if that has passed. A VM with a fraction of a core can't repeat the work of a large relay in time: its
+// hedges would delay the relay's results, which most often are about to arrive.
+func (run *Run) hasCPUForHedges(now time.Time, slow *call) bool {
+	until := run.answerBy
+	if !now.Before(until) {
+		until = run.deadline
+	}
+	pending := 0
+	for _, part := range slow.parts {
+		if run.canHedgePart(part) {
+			pending++
+		}
+	}
+	return pending <= run.shared.Fleet.CallsWithin(until.Sub(now))
+}
+
+// postponeHedges delays the hedges of a relayed call by a median call, but not beyond the time of a partial answer.
+func (run *Run) postponeHedges(now time.Time, slow *call) {
+	slow.hedgeAfter = now.Add(max(run.shared.Fleet.Baseline(run.spec.Route).Median(), minHedgeDelay))
+	if now.Before(run.answerBy) && run.answerBy.Before(slow.hedgeAfter) {
+		slow.hedgeAfter = run.answerBy
+	}
+}
+
 // possibleTargets returns the target of a call, or for a relayed call all targets that the relay may have called for the part.
 func (run *Run) possibleTargets(call *call, part *partState) []string {
 	if !call.viaRelay {
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -195,6 +195,7 @@
 	attempt        *place.Attempt
 	started        time.Time
 	hedged         bool
+	hedgeAfter     time.Time // of a relayed call whose hedges were postponed; zero if they were not
 	ended          bool
 	outcome        Outcome
 }
--- a/core/fanout/margin.go
+++ b/core/fanout/margin.go
@@ -5,9 +5,9 @@
 const (
 	// handlingCPUTime is the time of one core for reading a request before its run starts and writing its response, while calls of the same
 	// request wait for the processor too.
-	handlingCPUTime   = 1800 * time.Microsecond
+	handlingCPUTime   = 1200 * time.Microsecond
 	minHandlingMargin = 1500 * time.Microsecond
-	maxHandlingMargin = 10 * time.Millisecond
+	maxHandlingMargin = 7 * time.Millisecond
 	// unknownHandlingMargin applies where the number of cores is unknown.
 	unknownHandlingMargin = 3 * time.Millisecond
 	// defaultNetworkMargin replaces the network time of clients whose round trip is unknown.
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -122,6 +122,14 @@
 	return max(int(math.Ceil(float64(calls)*float64(callCPUTime)/(cores*float64(limit)))), 1)
 }
 
+// CallsWithin returns how many calls this VM's processor can make within a time.
+func (fleet *Fleet) CallsWithin(limit time.Duration) int {
+	if fleet.cores <= 0 {
+		return math.MaxInt
+	}
+	return int(float64(limit) * fleet.cores / float64(callCPUTime))
+}
+
 // ShouldOffload reports whether the calls would occupy all cores of this VM for longer than limit while the relay service has a
 // callable peer with at least offloadCoresFactor times the cores that is not down.
 func (fleet *Fleet) ShouldOffload(now time.Time, calls int, limit time.Duration, relayService string) bool {
