--- a/core/route/route.go
+++ b/core/route/route.go
@@ -142,6 +142,7 @@
 	routesByName map[string]*Route
 	accounts     []Account
 	accountByKey map[string]*Account
+	needsKeys    bool // the configuration lists accounts
 }
 
 // New returns a table of the valid routes and accounts, and an error for each invalid one.
