Age of the view from evidence about the configuration; tests of accounts, keys and home regions

A VM that watches the store alone pings only for subscribers, so that its view counted as outdated after 5 s without changes and unknown keys got 503. A watch of targets, or a ping, renewed the view even while the watch of the configuration was broken or on a connection from before a partition, and a subscriber's view counted from the arrival of a heartbeat, whatever its source knew: both may answer a new key with 401, which clients never retry. A request without a key got 503 from an outdated view, though it gets 401 everywhere. Ignored accounts were logged as "route ignored". Change: follow.View decides from calls and pings how old the view of the configuration is; calls count from their start. A ping counts only during a watch that was sent after the last failed ping; otherwise the watch is sent again. Updates carry the age of the sender's view (viewAge) while the configuration has accounts. Log line "account or key ignored"; "configuration applied" counts accounts; "request without a known key" says whether a key was given.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -60,8 +60,8 @@
 
 // chooseTarget returns the best target of a service in the regions that may get the request, except the excluded ones.
 func (run *Run) chooseTarget(now time.Time, service string, exclude []string) (place.Endpoint, bool) {
-	if outside := run.shared.Fleet.OutsideRegions(service, run.spec.Regions.Allows); len(outside) > 0 {
-		exclude = slices.Concat(exclude, outside)
+	if run.spec.Regions.Restricted() {
+		exclude = slices.Concat(exclude, run.shared.Fleet.OutsideRegions(service, run.spec.Regions.Allows))
 	}
 	return run.shared.Fleet.Choose(now, service, run.spec.Route, exclude)
 }
--- a/core/rpc/store_update.go
+++ b/core/rpc/store_update.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"poplarpin.dev/core/config"
 	"poplarpin.dev/core/place"
 )
 
@@ -36,6 +37,8 @@
 	Full           bool          `json:"full,omitempty"`    // Servers is a complete list: targets that it lacks were deleted
 	Since          int64         `json:"since,omitempty"`   // revision that the changes of targets follow; a receiver that knows less stays at its revision, unless Full is set
 	Through        int64         `json:"through,omitempty"` // revision up to which the targets are known with this update; 0 for no change
+	// ViewAge is the age of the sender's view of the configuration; it is omitted while the configuration has no accounts.
+	ViewAge config.Duration `json:"viewAge,omitempty"`
 }
 
 // Observations carries observations of targets' latency.
@@ -63,8 +66,8 @@
 
 // Validate checks a decoded update.
 func (update StoreUpdate) Validate() error {
-	if update.Config != nil && update.Config.Revision <= 0 || update.Through < 0 {
-		return invalid("news", "configuration needs a positive revision, and through must not be negative")
+	if update.Config != nil && update.Config.Revision <= 0 || update.Through < 0 || update.ViewAge < 0 {
+		return invalid("news", "configuration needs a positive revision, and through and viewAge must not be negative")
 	}
 	for _, entry := range update.Servers {
 		if entry.Name == "" {
--- a/poplarpind/gateway/accounts.go
+++ b/poplarpind/gateway/accounts.go
@@ -9,10 +9,7 @@
 	"poplarpin.dev/platform"
 )
 
-const (
-	defaultMaxViewAge = 5 * time.Second        // where the settings do not say how soon a configuration is in force
-	unknownKeyRetry   = 100 * time.Millisecond // retry delay for a key that this VM may not know yet; another VM may know it
-)
+const unknownKeyRetry = 100 * time.Millisecond // retry delay for a key that this VM may not know yet; another VM may know it
 
 // authenticate returns the client account of a request, nil for a request that needs none, or the answer that rejects it.
 func (gateway *Gateway) authenticate(request *platform.Request, matched *route.Route, table *route.Table) (*route.Account, platform.Answer) {
@@ -27,32 +24,16 @@
 		request.SetAccount(account.Name)
 		return account, nil
 	}
-	viewAge := gateway.viewAge(time.Now())
-	outdated := viewAge > gateway.maxViewAge()
+	viewAge, outdated := gateway.viewOutdated(time.Now())
 	outcome := "unauthorized"
-	if outdated {
+	if outdated = outdated && request.Key != ""; outdated { // a request without a key gets a 401 everywhere
 		outcome = "keyUnknown"
 	}
 	requestCounts.Add(outcome, 1)
 	gateway.log.Info("request without a known key", zap.String("request", truncate(request.ID)), zap.String("route", matched.Name),
-		zap.Int64("version", table.Version), zap.Duration("viewAge", viewAge), zap.String("outcome", outcome))
+		zap.Int64("version", table.Version), zap.Bool("keyGiven", request.Key != ""), zap.Duration("viewAge", viewAge), zap.String("outcome", outcome))
 	if outdated { // a configuration with this key may be in force elsewhere; clients do not retry a 401
 		return nil, platform.Refusal{RetryAfter: unknownKeyRetry, Reason: "the key is unknown and this VM's configuration may be outdated"}
 	}
 	return nil, platform.Unauthorized{}
 }
-
-// maxViewAge returns the age up to which this VM's view of the store is current.
-func (gateway *Gateway) maxViewAge() time.Duration {
-	if delay := gateway.settings.Bounds.MaxConfigDelay; delay > 0 {
-		return delay
-	}
-	return defaultMaxViewAge
-}
-
-// viewAge returns the time since this VM last heard from the store, itself or through its source of updates.
-func (gateway *Gateway) viewAge(now time.Time) time.Duration {
-	gateway.mu.Lock()
-	defer gateway.mu.Unlock()
-	return now.Sub(gateway.viewConfirmed)
-}
--- a/poplarpind/gateway/apply.go
+++ b/poplarpind/gateway/apply.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"poplarpin.dev/core/route"
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/platform"
 )
@@ -17,14 +18,18 @@
 		return
 	}
 	for _, problem := range problems {
-		gateway.log.Warn("route ignored", zap.Int64("version", table.Version), zap.Error(problem))
+		message := "route ignored"
+		if failure, ok := problem.(*route.Error); ok && failure.Account != "" {
+			message = "account or key ignored"
+		}
+		gateway.log.Warn(message, zap.Int64("version", table.Version), zap.Error(problem))
 	}
 	if current := gateway.table.Load(); current != nil && current.Version >= table.Version {
 		return
 	}
 	gateway.table.Store(table)
 	gateway.log.Info("configuration applied", zap.Int64("version", table.Version), zap.Int64("revision", object.Revision),
-		zap.String("source", source), zap.Int("routes", table.RouteCount()))
+		zap.String("source", source), zap.Int("routes", table.RouteCount()), zap.Int("accounts", len(table.Accounts())))
 }
 
 // applyTarget applies a change of one target's entry in the store. The target of a lapsed entry stays until its grace period has
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -53,7 +53,8 @@
 	follower            *follow.Follower
 	plan                follow.Plan
 	storeAnswered       time.Time                 // time of the store's last answer to this VM
-	viewConfirmed       time.Time                 // time at which the store last answered this VM or its source of updates
+	view                follow.View               // how recent the known configuration is
+	restartConfigWatch  context.CancelFunc        // ends the watch of the configuration in flight, so that it is sent again; nil for none
 	peers               []platform.VM             // the other entry VMs
 	subscribers         map[string]*subscriber    // VMs that get store updates from this one, by name
 	pendingObservations []reportedObservation     // not yet sent to other VMs
--- a/poplarpind/gateway/gateway_test.go
+++ b/poplarpind/gateway/gateway_test.go
@@ -39,12 +39,21 @@
 	peerAddress string
 }
 
-func startVM(t *testing.T, name, domain string, store *platformtest.Store, seeds ...string) *vm {
+func newSettings(t *testing.T, name, domain string, store *platformtest.Store, seeds ...string) platform.Settings {
 	t.Helper()
-	settings := platform.Settings{VM: name, FailureDomain: domain, IP: "127.0.0.1", InternalPorts: [2]int{freePort(t), 0},
+	return platform.Settings{VM: name, FailureDomain: domain, IP: "127.0.0.1", InternalPorts: [2]int{freePort(t), 0},
 		PeerAddress: net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(t))), StoreAddress: store.Address(), Seeds: seeds,
 		Bounds: platform.Bounds{RetryBudgetRatio: 0.2, RetryBudgetSlack: 50}}
-	started := &vm{gateway: gateway.New(settings, zap.NewNop()), peerAddress: settings.PeerAddress}
+}
+
+func startVM(t *testing.T, name, domain string, store *platformtest.Store, seeds ...string) *vm {
+	t.Helper()
+	return startVMWith(t, newSettings(t, name, domain, store, seeds...), zap.NewNop())
+}
+
+func startVMWith(t *testing.T, settings platform.Settings, log *zap.Logger) *vm {
+	t.Helper()
+	started := &vm{gateway: gateway.New(settings, log), peerAddress: settings.PeerAddress}
 	ctx, cancel := context.WithCancel(context.Background())
 	assert.NilError(t, started.gateway.Start(ctx))
 	started.clients = httptest.NewServer(platform.NewIngress(started.gateway))
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -74,6 +74,7 @@
 // startWatches starts the watches of the store and returns the function that ends them.
 func (gateway *Gateway) startWatches(ctx context.Context) context.CancelFunc {
 	watchCtx, cancel := context.WithCancel(ctx)
+	gateway.endRead(platform.ConfigKind, false) // the last watch may have ended long ago
 	go gateway.watchKind(watchCtx, platform.ConfigKind)
 	go gateway.watchKind(watchCtx, platform.TargetsKind)
 	go gateway.pingStore(watchCtx)
@@ -88,7 +89,7 @@
 			delete(gateway.subscribers, name)
 		case now.Sub(subscriber.lastSent) >= heartbeatInterval:
 			subscriber.lastSent = now
-			subscriber.reply(rpc.MethodStoreUpdate, rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now)})
+			subscriber.reply(rpc.MethodStoreUpdate, rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), ViewAge: gateway.sharedViewAge(now)})
 		}
 	}
 }
@@ -98,23 +99,30 @@
 	return gateway.follower.IsSource() && now.Sub(gateway.storeAnswered) < storeAnswerTTL
 }
 
-// pingStore checks the connection to the store while subscribers rely on this VM's view of it.
+// pingStore checks the connection to the store while subscribers or the check of keys rely on this VM's view of it.
 func (gateway *Gateway) pingStore(ctx context.Context) {
 	store := gateway.newStore("ping")
 	defer store.Close()
+	var lastPing time.Time
 	for ; ctx.Err() == nil; sleep(ctx, storePingInterval) {
-		gateway.mu.Lock()
-		needed := len(gateway.subscribers) > 0
-		gateway.mu.Unlock()
-		if !needed {
+		started := time.Now()
+		if !gateway.pingNeeded(started.Sub(lastPing)) {
 			continue
 		}
+		lastPing = started
 		pingCtx, cancel := context.WithTimeout(ctx, storePingTimeout)
 		err := store.Ping(pingCtx)
 		cancel()
+		if ctx.Err() != nil {
+			return
+		}
 		gateway.mu.Lock()
-		if now := time.Now(); err == nil {
-			gateway.storeAnswered, gateway.viewConfirmed = now, now
+		now := time.Now()
+		if err == nil {
+			gateway.storeAnswered = now
+		}
+		if gateway.view.Pinged(now, started, err == nil) && gateway.restartConfigWatch != nil {
+			gateway.restartConfigWatch()
 		}
 		gateway.mu.Unlock()
 	}
@@ -134,6 +142,7 @@
 		gateway.log.Info("peer subscribed to store updates", zap.String("peer", from), zap.Int64("config", revisions.Config), zap.Int64("targets", revisions.Servers))
 	}
 	update := gateway.storeCache.UpdateSince(revisions, gateway.storeReachable(now))
+	update.ViewAge = gateway.sharedViewAge(now)
 	gateway.subscribers[from] = &subscriber{reply: reply, expires: now.Add(subscriptionTTL), lastSent: now, sentThrough: max(revisions.Servers, update.Through)}
 	reply(rpc.MethodStoreUpdate, update)
 }
@@ -143,9 +152,7 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	now := time.Now()
-	if from == gateway.plan.Source && update.StoreReachable {
-		gateway.viewConfirmed = now
-	}
+	gateway.confirmView(now, from, update)
 	gateway.follower.HeardFrom(now, from, update.StoreReachable)
 	gateway.applyUpdate(from, update) // also from a former source: revisions make stale updates harmless
 }
@@ -166,7 +173,8 @@
 		return
 	}
 	now := time.Now()
-	forwarded := rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), Config: config, Servers: targets, Through: gateway.storeCache.Revisions().Servers}
+	forwarded := rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), ViewAge: gateway.sharedViewAge(now), Config: config, Servers: targets,
+		Through: gateway.storeCache.Revisions().Servers}
 	for _, subscriber := range gateway.subscribers {
 		forwarded.Since = subscriber.sentThrough
 		subscriber.lastSent, subscriber.sentThrough = now, forwarded.Through
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -33,15 +33,22 @@
 	defer store.Close()
 	failures, backoff, known := 0, minBackoff, gateway.knownRevision(kind)
 	for ctx.Err() == nil {
-		revision, err := gateway.listOrWatch(ctx, store, kind, known, failures >= outageFailures)
+		callCtx, cancel := gateway.beginRead(ctx, kind)
+		revision, err := gateway.listOrWatch(callCtx, store, kind, known, failures >= outageFailures)
+		restarted := callCtx.Err() != nil
+		cancel()
 		if ctx.Err() != nil {
 			return // another VM sends the updates from now on
 		}
+		gateway.endRead(kind, err == nil)
+		if restarted {
+			continue
+		}
 		gateway.mu.Lock()
 		now := time.Now()
 		gateway.follower.StoreResult(now, err == nil)
 		if err == nil {
-			gateway.storeAnswered, gateway.viewConfirmed = now, now
+			gateway.storeAnswered = now
 		}
 		gateway.mu.Unlock()
 		if err == nil {
