Requests by account in the metrics, with a bounded number of names

Cause: metrics by route do not show which account is served or refused, and a metric for each of hundreds of accounts is too large. Change: core/tally counts by name and outcome and shows the names with most events, the others together; it tracks at most 1,000 names and loses no event. accountRequests in /debug/vars shows the ten accounts with most requests by name with served, overQuota, overloaded, refused and failed, and counts requests without a known key without names. The answer decides the outcome, so that quotas need no call of their own. Measured: tests of tally (with a property test of the bound) and of the gateway pass, also with -race.

--- /dev/null
+++ b/core/tally/doc.go
@@ -0,0 +1,2 @@
+// Package tally counts events by name and outcome with a bounded number of names.
+package tally
--- a/poplarpind/gateway/accounts.go
+++ b/poplarpind/gateway/accounts.go
@@ -30,6 +30,7 @@
 		outcome = "keyUnknown"
 	}
 	requestCounts.Add(outcome, 1)
+	countUnauthorized(outdated)
 	gateway.log.Info("request without a known key", zap.String("request", truncate(request.ID)), zap.String("route", matched.Name),
 		zap.Int64("version", table.Version), zap.Bool("keyGiven", request.Key != ""), zap.Duration("viewAge", viewAge), zap.String("outcome", outcome))
 	if outdated { // a configuration with this key may be in force elsewhere; clients do not retry a 401
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -27,7 +27,7 @@
 )
 
 // Serve answers a client request; it returns nil if the client has disconnected.
-func (gateway *Gateway) Serve(ctx context.Context, request *platform.Request) platform.Answer {
+func (gateway *Gateway) Serve(ctx context.Context, request *platform.Request) (answer platform.Answer) {
 	gateway.activeRequests.Add(1)
 	defer gateway.activeRequests.Add(-1)
 	table := gateway.table.Load()
@@ -47,12 +47,13 @@
 	if rejection != nil {
 		return rejection
 	}
+	defer func() { countAnswer(account, answer) }()
 	limiter, ok, retryAfter := gateway.admit(matched, account)
 	if !ok {
 		requestCounts.Add("overloaded", 1)
 		gateway.log.Info("request refused", zap.String("request", truncate(request.ID)), zap.String("route", matched.Name),
-			zap.Int64("version", table.Version), zap.String("reason", "servers are overloaded"), zap.Duration("retryAfter", retryAfter))
-		return platform.Refusal{RetryAfter: retryAfter, Reason: "servers are overloaded"}
+			zap.Int64("version", table.Version), zap.String("reason", overloadedReason), zap.Duration("retryAfter", retryAfter))
+		return platform.Refusal{RetryAfter: retryAfter, Reason: overloadedReason}
 	}
 	job := gateway.newJob(request, matched, account, table.Version)
 	job.limiter = limiter
