Commands check-config and vms; age of the view in the dump

Cause: nothing checked a configuration of the platform before it was written, and the question which VM watches the store and whose view is behind took a dump of each VM and a comparison by hand. Change: "poplarpin check-config FILE" prints version, numbers and each problem; exit code 2 if there is one, as "config check" has it.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -214,5 +214,8 @@
 // RouteCount returns the number of routes.
 func (table *Table) RouteCount() int { return len(table.routesByName) }
 
+// ServiceCount returns the number of services with settings.
+func (table *Table) ServiceCount() int { return len(table.services) }
+
 // ByName returns the route with the given name, or nil if there is none.
 func (table *Table) ByName(name string) *Route { return table.routesByName[name] }
--- a/poplarpin/client/client.go
+++ b/poplarpin/client/client.go
@@ -107,6 +107,12 @@
 	return dump, client.call(ctx, http.MethodGet, "/v1/dump", nil, &dump)
 }
 
+// PlatformDump returns the internal state of an entry VM on the platform, whose peer address serves it.
+func (client *Client) PlatformDump(ctx context.Context) (json.RawMessage, error) {
+	var dump json.RawMessage
+	return dump, client.call(ctx, http.MethodGet, "/debug/dump", nil, &dump)
+}
+
 // Healthy reports whether the entry VM accepts new requests.
 func (client *Client) Healthy(ctx context.Context) bool {
 	return client.call(ctx, http.MethodGet, "/health", nil, nil) == nil
--- a/poplarpin/main.go
+++ b/poplarpin/main.go
@@ -41,6 +41,8 @@
 	Query   queryCommand     `cmd:"" help:"Send one request to a search service."`
 	Dump    dumpCommand      `cmd:"" help:"Print the state of an entry VM's process."`
 	Config  configCommands   `cmd:"" help:"Check files without applying them."`
+	VMs     vmsCommand       `cmd:"" name:"vms" help:"Show of entry VMs on the platform who watches the store, and whose view is behind."`
+	Check   platformCommand  `cmd:"" name:"check-config" help:"Check a configuration of the platform; exit code 2 if it has problems."`
 	Load    loadCommand      `cmd:"" help:"Run an experiment with load and faults and check every answer."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
@@ -55,6 +57,8 @@
   poplarpin release apply note.yaml --server https://10.0.0.4:7301
   poplarpin status -o json
   poplarpin query heat "shed 14" --server http://10.0.0.4:7201 --class alarm --deadline 200ms
+  poplarpin check-config main.json
+  poplarpin vms --peer 10.0.0.4:8106 --peer 10.0.0.5:8106
   poplarpin load examples/sahm.yaml`
 
 func main() {
--- a/poplarpin/output/output.go
+++ b/poplarpin/output/output.go
@@ -8,6 +8,7 @@
 	"text/tabwriter"
 
 	"poplarpin.dev/core/api"
+	"poplarpin.dev/poplarpin/inspect"
 )
 
 // Format is an output format.
@@ -58,6 +59,10 @@
 		for _, change := range value {
 			fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", change.Action, change.Key, change.Before, change.After)
 		}
+	case inspect.Config:
+		writeConfig(table, value)
+	case inspect.Fleet:
+		writeFleet(table, value)
 	default:
 		data, _ := json.MarshalIndent(value, "", "  ")
 		fmt.Fprintf(table, "%s\n", data)
--- a/poplarpind/gateway/accounts_test.go
+++ b/poplarpind/gateway/accounts_test.go
@@ -227,6 +227,7 @@
 	t.Run("an outdated view refuses only what it cannot know", func(t *testing.T) {
 		store.SetDown(true)
 		time.Sleep(testMaxViewAge + 100*time.Millisecond)
+		assert.Assert(t, vm.gateway.Dump().ViewAge.Std() > testMaxViewAge)
 		vm.assertStatus(t, "k-1", 200)
 		vm.assertStatus(t, "k-2", 503)
 		assert.Equal(t, vm.doWith(t, "/o/x", nil).StatusCode, 401)
--- a/poplarpind/gateway/dump.go
+++ b/poplarpind/gateway/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"poplarpin.dev/core/config"
 	"poplarpin.dev/core/place"
 )
 
@@ -14,9 +15,10 @@
 	Routes         int                  `json:"routes"`
 	Ready          bool                 `json:"ready"`
 	Stopping       bool                 `json:"stopping"`
-	Isolated       bool                 `json:"stranded"` // cut off from targets that most recent requests need
-	WatchingStore  bool                 `json:"watching"` // false where it relies on another VM's updates
-	UpdateSource   string               `json:"source"`   // VM that sends it store updates; empty for none
+	Isolated       bool                 `json:"stranded"`          // cut off from targets that most recent requests need
+	WatchingStore  bool                 `json:"watching"`          // false where it relies on another VM's updates
+	UpdateSource   string               `json:"source"`            // VM that sends it store updates; empty for none
+	ViewAge        config.Duration      `json:"viewAge,omitempty"` // time since the known configuration was surely the newest; omitted if it never was
 	StoreAddress   string               `json:"store"`
 	Seeds          []string             `json:"seeds"`
 	ActiveRequests int64                `json:"active"`
@@ -36,7 +38,9 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	dump.WatchingStore, dump.UpdateSource = gateway.plan.WatchStore, gateway.plan.Source
-	dump.Endpoints = gateway.fleet.Views(time.Now())
+	now := time.Now()
+	dump.ViewAge = gateway.dumpedViewAge(now)
+	dump.Endpoints = gateway.fleet.Views(now)
 	return dump
 }
 
--- a/poplarpind/gateway/view.go
+++ b/poplarpind/gateway/view.go
@@ -32,8 +32,16 @@
 
 // sharedViewAge returns the age of this VM's view for its subscribers, 0 while the configuration has no accounts. The caller holds mu.
 func (gateway *Gateway) sharedViewAge(now time.Time) config.Duration {
+	if table := gateway.table.Load(); table == nil || !table.HasAccounts() {
+		return 0
+	}
+	return gateway.dumpedViewAge(now)
+}
+
+// dumpedViewAge returns the age of this VM's view in whole milliseconds, rounded up, 0 if it was never confirmed. The caller holds mu.
+func (gateway *Gateway) dumpedViewAge(now time.Time) config.Duration {
 	age, ok := gateway.view.Age(now)
-	if table := gateway.table.Load(); !ok || table == nil || !table.HasAccounts() {
+	if !ok {
 		return 0
 	}
 	return config.Duration(age.Truncate(time.Millisecond) + time.Millisecond)
