Home regions: relays for requests whose own failure domain is outside, and a reason of their own

Cause: for a request that the VM's own region may not get, cheap targets in the own failure domain kept the parts from being relayed: each was called directly in another failure domain. A refusal for lack of targets in the home regions had the text of any lack of targets. Change: failure domains outside the home regions do not count when relays are chosen; the refusal names the home regions. Measured: both new subtests of TestHomeRegions fail before (12 direct calls instead of one relay) and pass now; fanout, place, fleetload and gateway tests pass.

--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -254,7 +254,11 @@
 			call.attempt.Discard()
 			call.discardTargetAttempts()
 		}
-		return run.finish(now, Refuse{RetryAfter: run.retryAfter(), Reason: "too few parts have a server"})
+		reason := "too few parts have a server"
+		if run.spec.Regions.Restricted() {
+			reason += " in the home regions"
+		}
+		return run.finish(now, Refuse{RetryAfter: run.retryAfter(), Reason: reason})
 	}
 	return actions
 }
--- a/core/fanout/regions_test.go
+++ b/core/fanout/regions_test.go
@@ -61,10 +61,18 @@
 			}
 		})
 	})
-	t.Run("a request that no region may serve is refused at once", func(t *testing.T) {
+	t.Run("a request that no region may serve is refused at once, with the cause", func(t *testing.T) {
 		actions := newRun("east").Start(start)
 		assert.Equal(t, len(actions), 1)
-		_, refused := actions[0].(fanout.Finish).Response.(fanout.Refuse)
+		refusal, refused := actions[0].(fanout.Finish).Response.(fanout.Refuse)
 		assert.Assert(t, refused)
+		assert.Equal(t, refusal.Reason, "too few parts have a server in the home regions")
+	})
+	t.Run("targets outside do not keep calls from being relayed", func(t *testing.T) {
+		actions := newRun("south").Start(start) // the VM's own failure domain, with the cheapest targets, is in another region
+		assert.Equal(t, len(actions), 1)
+		relay, relayed := actions[0].(fanout.Relay)
+		assert.Assert(t, relayed)
+		assert.Equal(t, relay.VM.ID, "vm-b")
 	})
 }
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -36,10 +36,8 @@
 	offload := run.spec.Objective > 0 &&
 		run.shared.Fleet.ShouldOffload(now, len(run.parts), run.spec.Objective/callTimeDivisor, RelayService(run.shared.Fleet.FailureDomain()))
 	for i := range run.parts {
-		for _, domain := range run.shared.Fleet.BestFailureDomains(now, run.parts[i].service, run.spec.Route, offload) {
-			if run.spec.Regions.Allows(run.shared.Fleet.Region(domain)) {
-				byDomain[domain] = append(byDomain[domain], i)
-			}
+		for _, domain := range run.shared.Fleet.BestAllowedFailureDomains(now, run.parts[i].service, run.spec.Route, offload, run.spec.Regions.Allows) {
+			byDomain[domain] = append(byDomain[domain], i)
 		}
 	}
 	var actions []Action
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -136,11 +136,16 @@
 // BestFailureDomains returns the other failure domains whose endpoints of a service have about the lowest cost. If the best endpoint is
 // in this VM's own failure domain, it returns none, since calls there need no relay, or with includeOwn only the own one.
 func (fleet *Fleet) BestFailureDomains(now time.Time, service, route string, includeOwn bool) []string {
+	return fleet.BestAllowedFailureDomains(now, service, route, includeOwn, func(string) bool { return true })
+}
+
+// BestAllowedFailureDomains is BestFailureDomains for a request that only some regions may get; the others do not count.
+func (fleet *Fleet) BestAllowedFailureDomains(now time.Time, service, route string, includeOwn bool, allows func(region string) bool) []string {
 	baseline := fleet.Baseline(route)
 	best, bestCost := "", time.Duration(0)
 	costs := map[string]time.Duration{}
 	for _, endpoint := range fleet.services[service] {
-		if !fleet.callable(now, endpoint) || now.Before(endpoint.downUntil) {
+		if !fleet.callable(now, endpoint) || now.Before(endpoint.downUntil) || !allows(fleet.regions[endpoint.FailureDomain]) {
 			continue
 		}
 		cost := fleet.cost(now, endpoint, baseline)
