--- a/core/follow/view.go
+++ b/core/follow/view.go
@@ -49,5 +49,8 @@
 
 // Age returns the time since the last confirmation; it reports false if there was none.
 func (view *View) Age(now time.Time) (age time.Duration, ok bool) {
-	return max(now.Sub(view.confirmedAt), 0), !view.confirmedAt.IsZero()
+	if view.confirmedAt.IsZero() {
+		return 0, false
+	}
+	return max(now.Sub(view.confirmedAt), 0), true
 }
