--- a/core/follow/view.go
+++ b/core/follow/view.go
@@ -2,12 +2,30 @@
 
 import "time"
 
+// After a longer time between two ticks a VM counts as suspended; for as long after it, updates may be older than they seem.
+const suspensionGap = time.Second
+
 // View tracks up to which time the configuration that a VM knows was surely the newest one in the store. Calls count from their start,
 // since an answer may reach a VM late, for instance after it was suspended.
 type View struct {
 	confirmedAt  time.Time // zero until the first confirmation
 	watchStarted time.Time // start of the newest call that reads the configuration; zero after it failed
 	failedAt     time.Time // of the last failed ping
+	lastTick     time.Time // zero before the first tick
+	trustFrom    time.Time // earlier updates of the source may have waited while this VM was suspended
+}
+
+// Ticked records that this VM runs; it is to be called several times in a second.
+func (view *View) Ticked(now time.Time) {
+	if view.suspended(now) {
+		view.trustFrom = now.Add(suspensionGap)
+	}
+	view.lastTick = now
+}
+
+// suspended reports whether this VM has not run for some time before now.
+func (view *View) suspended(now time.Time) bool {
+	return !view.lastTick.IsZero() && now.Sub(view.lastTick) > suspensionGap
 }
 
 // ReadStarted records that a call was sent which lists or watches the configuration.
@@ -38,8 +56,13 @@
 	return false
 }
 
-// SourceConfirmed records an update by a source whose own view has the given age.
-func (view *View) SourceConfirmed(now time.Time, age time.Duration) { view.confirm(now.Add(-age)) }
+// SourceConfirmed records an update by a source whose own view has the given age. It says nothing shortly after this VM was suspended: the
+// update may have been received meanwhile.
+func (view *View) SourceConfirmed(now time.Time, age time.Duration) {
+	if !view.suspended(now) && !now.Before(view.trustFrom) {
+		view.confirm(now.Add(-age))
+	}
+}
 
 func (view *View) confirm(at time.Time) {
 	if at.After(view.confirmedAt) {
--- a/core/follow/view_test.go
+++ b/core/follow/view_test.go
@@ -65,6 +65,20 @@
 		assert.Assert(t, !view.Pinged(viewTime(10), viewTime(10), true))
 		assertViewAge(t, view, 10, 0)
 	})
+	t.Run("updates that waited while this VM was suspended do not confirm it", func(t *testing.T) {
+		view := &follow.View{}
+		view.Ticked(viewTime(0))
+		view.SourceConfirmed(viewTime(0.4), 0)
+		view.SourceConfirmed(viewTime(9), 0) // before the first tick after the suspension
+		view.Ticked(viewTime(9))
+		view.SourceConfirmed(viewTime(9.1), 0) // and after it
+		assertViewAge(t, view, 9.4, 9)
+		for second := 9.2; second < 11; second += 0.2 {
+			view.Ticked(viewTime(second))
+		}
+		view.SourceConfirmed(viewTime(11), 0)
+		assertViewAge(t, view, 11, 0)
+	})
 	t.Run("a source's age is added", func(t *testing.T) {
 		view := &follow.View{}
 		view.SourceConfirmed(viewTime(5), 2*time.Second)
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -48,6 +48,7 @@
 		now := time.Now()
 		gateway.mu.Lock()
 		before := gateway.plan
+		gateway.view.Ticked(now)
 		plan := gateway.follower.Tick(now)
 		gateway.plan = plan
 		source, _ := gateway.fleet.Endpoint(plan.Source)
