Load reports, leaving and paused targets

Cause: targets say in their answers how loaded they are, that they are leaving and that they want a pause; nothing read it. Calls went on to a target that stops soon or asked for no requests, and a target that turned slow was avoided only after several slow calls.

Change: platform decodes X-Server-Load, Server-Leaving, X-Cold-Ms and, in a 503, Retry-After into place.TargetReport; unusable values are ignored and counted. core/place keeps it for each incarnation (id, address, born), also while the entry is missing. A load report raises the cost towards the reported queue and pace, with a weight that falls to 0 at 250 ms, or takes up to half of an excess that no call of the last 250 ms confirmed. A call at a target with a pace of 200 or more is hedged after 1.5 medians, if another target is not slow too. A leaving target is used only without another that is callable and not down, and not after half of the drain delay. A paused target is not callable; its parts go elsewhere or are refused at once, with the earliest end of a pause as Retry-After. Hints for the failure domain are optional fields of the observations message.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -60,10 +60,12 @@
 
 // chooseTarget returns the best target of a service in the regions that may get the request, except the excluded ones.
 func (run *Run) chooseTarget(now time.Time, service string, exclude []string) (place.Endpoint, bool) {
-	if outside := run.shared.Fleet.OutsideRegions(service, run.spec.Regions.Allows); len(outside) > 0 {
-		exclude = slices.Concat(exclude, outside)
-	}
-	return run.shared.Fleet.Choose(now, service, run.spec.Route, exclude)
+	return run.shared.Fleet.ChooseInReach(now, service, run.spec.Route, exclude, run.outOfReach(service))
+}
+
+// outOfReach returns the targets of a service that the request must not be sent to.
+func (run *Run) outOfReach(service string) []string {
+	return run.shared.Fleet.OutsideRegions(service, run.spec.Regions.Allows)
 }
 
 func onePart(only *partState) []*partState { return []*partState{only} }
@@ -99,7 +101,11 @@
 	if call.viaRelay { // a relay reports early by itself, and hedging it costs one call per part
 		high = max(run.shared.Fleet.Baseline(call.baselineRoute(run.spec.Route)).P95()*3/2, 2*high)
 	}
-	return run.hedgeTime(baseline, high, call.started)
+	at := run.hedgeTime(baseline, high, call.started)
+	if early, ok := run.earlyHedgeAt(baseline, call); ok && early.Before(at) {
+		return early
+	}
+	return at
 }
 
 // slowCallDelay returns the latency after which a call to a target counts as slow: the P95, but at most slowCallFactor medians, since the
@@ -134,6 +140,10 @@
 			continue
 		}
 		target, ok := run.chooseTarget(now, part.service, run.possibleTargets(slow, part))
+		if run.postponeHedge(now, slow, target.ID) {
+			slow.hedged = false
+			continue
+		}
 		part.suppressed = ""
 		if !ok || run.shared.Fleet.Stuck(now, target.ID) {
 			part.suppressed = NoAlternative
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -195,6 +195,7 @@
 	attempt        *place.Attempt
 	started        time.Time
 	hedged         bool
+	noEarlyHedge   bool // no other target was likely to be faster when its target reported that work is slow
 	ended          bool
 	outcome        Outcome
 }
@@ -254,7 +255,7 @@
 			call.attempt.Discard()
 			call.discardTargetAttempts()
 		}
-		return run.finish(now, Refuse{RetryAfter: run.retryAfter(), Reason: "too few parts have a server"})
+		return run.finish(now, Refuse{RetryAfter: run.retryAfter(now), Reason: "too few parts have a server"})
 	}
 	return actions
 }
--- a/core/fanout/load_test.go
+++ b/core/fanout/load_test.go
@@ -56,6 +56,7 @@
 // fakeCall is a call to a fake target.
 type fakeCall struct {
 	work      time.Duration
+	target    place.Endpoint
 	done      func(now time.Time, outcome fanout.Outcome)
 	cancelled bool
 }
@@ -64,21 +65,25 @@
 	busy        int
 	queue       []*fakeCall
 	pausedUntil time.Time
+	slowdown    float64 // factor on the duration of work; 0 for none
 }
 
 // cluster simulates targets and the clients of one VM.
 type cluster struct {
-	random  *rand.Rand
-	pending events
-	order   int
-	targets map[string]*fakeTarget
-	shared  fanout.SharedState
-	limiter *admit.Limiter // nil for no admission control
-	inTime  int
-	late    int
-	refused int
-	failed  int
-	calls   int
+	random    *rand.Rand
+	pending   events
+	order     int
+	targets   map[string]*fakeTarget
+	shared    fanout.SharedState
+	limiter   *admit.Limiter // nil for no admission control
+	inTime    int
+	late      int
+	refused   int
+	failed    int
+	calls     int
+	reports   bool          // targets report their load in answers
+	latency   time.Duration // of all delivered requests together
+	slowCalls int           // to targets with a slowdown
 }
 
 func newCluster(replicas int, limited bool) *cluster {
@@ -123,8 +128,14 @@
 	if target.pausedUntil.After(now) {
 		from = target.pausedUntil
 	}
-	cluster.schedule(from.Add(call.work), func(now time.Time) {
+	work := call.work
+	if target.slowdown > 0 {
+		work = time.Duration(float64(work) * target.slowdown)
+		cluster.slowCalls++
+	}
+	cluster.schedule(from.Add(work), func(now time.Time) {
 		target.busy--
+		cluster.report(now, call.target, target)
 		if !call.cancelled {
 			call.done(now, fanout.Answered)
 		}
@@ -162,7 +173,7 @@
 			switch action := action.(type) {
 			case fanout.Send:
 				cluster.calls++
-				fakeCalls[action.Call] = &fakeCall{work: cluster.workTime(), done: func(now time.Time, outcome fanout.Outcome) {
+				fakeCalls[action.Call] = &fakeCall{work: cluster.workTime(), target: action.Target, done: func(now time.Time, outcome fanout.Outcome) {
 					apply(now, run.Result(now, action.Call, outcome))
 				}}
 				cluster.receive(now, action.Target.ID, fakeCalls[action.Call])
@@ -191,6 +202,9 @@
 		cluster.limiter.Done(now, "r", run.Congested(now))
 	}
 	_, delivered := response.(fanout.Deliver)
+	if delivered {
+		cluster.latency += spent
+	}
 	switch {
 	case delivered && spent <= loadObjective:
 		cluster.inTime++
@@ -201,6 +215,18 @@
 	}
 }
 
+// report applies the load report in an answer of a target.
+func (cluster *cluster) report(now time.Time, endpoint place.Endpoint, target *fakeTarget) {
+	if cluster.reports {
+		load := place.LoadReport{Running: target.busy, Waiting: len(target.queue), Slots: loadSlots, PacePercent: 100 * max(target.slowdown, 1)}
+		cluster.shared.Fleet.ApplyReport(now, endpoint, place.TargetReport{Load: &load})
+	}
+}
+
+func (cluster *cluster) meanLatency() time.Duration {
+	return cluster.latency / time.Duration(cluster.inTime+cluster.late)
+}
+
 // run sends requests at a rate and simulates until all have ended.
 func (cluster *cluster) run(perSecond float64, pauses bool) {
 	for at := start; at.Before(start.Add(loadDuration)); at = at.Add(time.Duration(
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -59,7 +59,7 @@
 			}
 		}
 	}
-	return actions, relayed
+	return append(actions, run.relayColdParts(now, relayed)...), relayed
 }
 
 // chooseRelays returns the VMs of a failure domain that share the calls for some parts: as many as it takes for each to spend at most
@@ -119,7 +119,7 @@
 		part.inFlight++
 		part.tries++
 		if target, ok := run.shared.Fleet.OnlyCallable(now, part.service, vm.FailureDomain); ok {
-			call.targetAttempts[i] = run.shared.Fleet.StartAttempt(now, target, run.spec.Route)
+			call.targetAttempts[i] = run.shared.Fleet.StartRelayedAttempt(now, target, run.spec.Route)
 		}
 	}
 	baseline := run.shared.Fleet.Baseline(run.spec.Route)
--- a/core/fanout/results.go
+++ b/core/fanout/results.go
@@ -98,7 +98,7 @@
 	if outcome == Refused || outcome == NoCapacity || outcome == NotSent || outcome == ConnectionLimit {
 		if _, ok := run.chooseTarget(now, part.service, part.targetIDs()); !ok {
 			part.retryAt = now.Add(refusedRetryDelay << (part.tries - 1))
-			if part.retryAt.After(run.deadline) {
+			if part.retryAt.After(run.deadline) || run.pausedBeyond(now, part, part.retryAt) {
 				part.retryAt = time.Time{}
 				run.markExhausted(part)
 			}
@@ -169,7 +169,7 @@
 	if run.mayHaveRun() {
 		return run.finish(now, GiveUp{TimedOut: timedOut, Reason: run.reason()})
 	}
-	return run.finish(now, Refuse{RetryAfter: run.retryAfter(), Reason: run.reason()})
+	return run.finish(now, Refuse{RetryAfter: run.retryAfter(now), Reason: run.reason()})
 }
 
 // reason returns the last outcome of a part without an answer.
@@ -182,9 +182,6 @@
 	return "no server answered"
 }
 
-// retryAfter returns the delay that is sent to refused clients.
-func (run *Run) retryAfter() time.Duration { return defaultRetryAfter }
-
 // finish ends the run and cancels the calls in flight.
 func (run *Run) finish(now time.Time, response Response) []Action {
 	run.finished = true
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -36,12 +36,21 @@
 // Choose returns the callable endpoint of a service with the lowest cost that is not excluded, and reports whether there is one. Ties are
 // broken at random.
 func (fleet *Fleet) Choose(now time.Time, service, route string, exclude []string) (Endpoint, bool) {
+	return fleet.ChooseInReach(now, service, route, exclude, nil)
+}
+
+// ChooseInReach is Choose for a request that may not use the endpoints in outOfReach. A leaving target is chosen only if there is no other
+// in reach, even if that one is excluded.
+func (fleet *Fleet) ChooseInReach(now time.Time, service, route string, exclude, outOfReach []string) (Endpoint, bool) {
 	baseline := fleet.Baseline(route)
 	var best *trackedEndpoint
 	var bestCost time.Duration
 	ties := 0
 	for _, endpoint := range fleet.services[service] {
-		if !fleet.callable(now, endpoint) || slices.Contains(exclude, endpoint.ID) {
+		if !fleet.directlyCallable(now, endpoint) || slices.Contains(exclude, endpoint.ID) || slices.Contains(outOfReach, endpoint.ID) {
+			continue
+		}
+		if endpoint.leaves() && fleet.hasStaying(now, service, outOfReach) {
 			continue
 		}
 		cost := fleet.cost(now, endpoint, baseline)
@@ -65,7 +74,8 @@
 // that a failing one is still called if there is no other.
 func (fleet *Fleet) cost(now time.Time, endpoint *trackedEndpoint, baseline *Baseline) time.Duration {
 	slots := float64(max(endpoint.Slots, 1))
-	factor := endpoint.expectedSlowness(now) * (1 + float64(len(endpoint.attempts))/slots)
+	queue := endpoint.reportedQueue(now, float64(len(endpoint.attempts))/slots)
+	factor := endpoint.reportedSlowness(now, endpoint.expectedSlowness(now)) * (1 + queue)
 	if endpoint.FailureDomain != fleet.failureDomain {
 		factor *= remoteFactor
 	}
@@ -85,6 +95,12 @@
 	if now.Before(endpoint.downUntil) {
 		cost += downPenalty
 	}
+	if endpoint.leaves() {
+		cost += leavingPenalty
+	}
+	if now.Before(endpoint.reported.hintedPauseUntil) {
+		cost += hintedPenalty
+	}
 	return cost
 }
 
@@ -101,7 +117,7 @@
 // expectedSlowness returns the expected ratio of an endpoint's latency to the baseline, warm-up included.
 func (endpoint *trackedEndpoint) expectedSlowness(now time.Time) float64 {
 	slowness := endpoint.decayedSlowness(now)
-	if now.Before(endpoint.warmAt) {
+	if now.Before(endpoint.reported.warmAt) {
 		slowness *= warmupFactor
 	}
 	return slowness
@@ -128,10 +144,18 @@
 
 // StartAttempt records that a call was sent to an endpoint.
 func (fleet *Fleet) StartAttempt(now time.Time, id, route string) *Attempt {
+	if endpoint, ok := fleet.endpoints[id]; ok {
+		fleet.recordColdCall(now, endpoint)
+	}
+	return fleet.StartRelayedAttempt(now, id, route)
+}
+
+// StartRelayedAttempt is StartAttempt for a call that a relay is assumed to have sent.
+func (fleet *Fleet) StartRelayedAttempt(now time.Time, id, route string) *Attempt {
 	attempt := &Attempt{fleet: fleet, baseline: fleet.Baseline(route), started: now}
 	endpoint, ok := fleet.endpoints[id]
 	if !ok {
-		endpoint = &trackedEndpoint{Endpoint: Endpoint{ID: id}, slowness: 1} // the endpoint was removed after it was chosen
+		endpoint = &trackedEndpoint{Endpoint: Endpoint{ID: id}, slowness: 1, reported: &reportedState{}} // the endpoint was removed after it was chosen
 	}
 	attempt.endpoint = endpoint
 	attempt.expected = time.Duration(float64(attempt.baseline.Median()) * endpoint.expectedSlowness(now))
@@ -182,6 +206,9 @@
 		slowness = max(slowness/maxSlownessChange, ratio)
 	}
 	endpoint.slowness, endpoint.slownessUpdated = slowness, now
+	if ratio >= suspectSlowness {
+		endpoint.lastSlowCall = now
+	}
 }
 
 // Refused records that the endpoint rejected the call for lack of capacity.
@@ -256,22 +283,34 @@
 
 // EndpointView is the state of one endpoint in dumps.
 type EndpointView struct {
-	ID            string  `json:"id"`
-	Service       string  `json:"service"`
-	State         State   `json:"state"`
-	FailureDomain string  `json:"zone"`
-	Slowness      float64 `json:"slowness"`
-	InFlight      int     `json:"inFlight"`
-	Down          bool    `json:"down"`
-	Missing       bool    `json:"missing"`
+	ID            string     `json:"id"`
+	Service       string     `json:"service"`
+	State         State      `json:"state"`
+	FailureDomain string     `json:"zone"`
+	Slowness      float64    `json:"slowness"`
+	InFlight      int        `json:"inFlight"`
+	Down          bool       `json:"down"`
+	Missing       bool       `json:"missing"`
+	Leaving       bool       `json:"leaving"`
+	PausedUntil   *time.Time `json:"pausedUntil,omitempty"` // nil if it is not paused
+	Cold          bool       `json:"cold"`
+	ReportedPace  float64    `json:"reportedPace"` // percent; 0 if its newest report has none or is too old
 }
 
 // Views returns the state of every endpoint, ordered by id.
 func (fleet *Fleet) Views(now time.Time) []EndpointView {
 	views := make([]EndpointView, 0, len(fleet.endpoints))
 	for _, endpoint := range fleet.endpoints {
-		views = append(views, EndpointView{endpoint.ID, endpoint.Service, endpoint.State, endpoint.FailureDomain, endpoint.slowness,
-			len(endpoint.attempts), now.Before(endpoint.downUntil), !endpoint.missingSince.IsZero()})
+		view := EndpointView{ID: endpoint.ID, Service: endpoint.Service, State: endpoint.State, FailureDomain: endpoint.FailureDomain,
+			Slowness: endpoint.slowness, InFlight: len(endpoint.attempts), Down: now.Before(endpoint.downUntil), Missing: !endpoint.missingSince.IsZero(),
+			Leaving: endpoint.leaves(), Cold: fleet.coldLeft(now, endpoint) > 0}
+		if until := endpoint.reported.pausedUntil; now.Before(until) {
+			view.PausedUntil = &until
+		}
+		if endpoint.reported.weight(now) > 0 {
+			view.ReportedPace = endpoint.reported.load.PacePercent
+		}
+		views = append(views, view)
 	}
 	slices.SortFunc(views, func(a, b EndpointView) int {
 		if a.ID < b.ID {
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -110,7 +110,8 @@
 
 // callable reports whether an endpoint may be called at all, however high its cost.
 func (fleet *Fleet) callable(now time.Time, endpoint *trackedEndpoint) bool {
-	return endpoint.State == Ready && !endpoint.displaced && !endpoint.graceExpired(now) && !fleet.reachabilityOf(endpoint.FailureDomain).cutOff(now)
+	return endpoint.State == Ready && !endpoint.displaced && !endpoint.graceExpired(now) && !fleet.reachabilityOf(endpoint.FailureDomain).cutOff(now) &&
+		!now.Before(endpoint.reported.pausedUntil) && !fleet.left(now, endpoint.reported)
 }
 
 // VMsForCalls returns how many VMs with this number of cores can make some calls so that none of them is busy for longer than limit. It
@@ -140,7 +141,7 @@
 	best, bestCost := "", time.Duration(0)
 	costs := map[string]time.Duration{}
 	for _, endpoint := range fleet.services[service] {
-		if !fleet.callable(now, endpoint) || now.Before(endpoint.downUntil) {
+		if !fleet.directlyCallable(now, endpoint) || now.Before(endpoint.downUntil) {
 			continue
 		}
 		cost := fleet.cost(now, endpoint, baseline)
--- /dev/null
+++ b/core/place/leaving.go
@@ -0,0 +1,176 @@
+package place
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	defaultDrainDelay = 2 * time.Second        // assumed where the settings have no drain delay
+	departedStateTTL  = 10 * time.Minute       // for which the state of a removed incarnation is kept, longer than any pause
+	maxHintedPause    = time.Second            // for which another VM's hint lowers the preference for a paused target
+	leavingPenalty    = 5 * time.Second        // below downPenalty: a leaving target is preferred to one that is down
+	hintedPenalty     = 400 * time.Millisecond // above deprioritizedPenalty: the target asked for a pause
+	maxHintMillis     = 1_000_000_000          // of a time in a hint
+)
+
+// LeavingHint tells other VMs that a target is leaving.
+type LeavingHint struct {
+	Target           string `json:"server"`
+	Address          string `json:"address"`
+	StartedUnixMilli int64  `json:"born,omitempty"`
+	AgeMillis        int64  `json:"age"` // since the target said so
+}
+
+// PauseHint tells other VMs that a target wants no requests for some time.
+type PauseHint struct {
+	Target           string `json:"server"`
+	Address          string `json:"address"`
+	StartedUnixMilli int64  `json:"born,omitempty"`
+	LeftMillis       int64  `json:"left"` // until the end of the pause
+}
+
+// Valid reports whether a decoded hint is usable.
+func (hint LeavingHint) Valid() bool {
+	return hint.Target != "" && hint.AgeMillis >= 0 && hint.AgeMillis <= maxHintMillis
+}
+
+// Valid reports whether a decoded hint is usable.
+func (hint PauseHint) Valid() bool {
+	return hint.Target != "" && hint.LeftMillis >= 0 && hint.LeftMillis <= maxHintMillis
+}
+
+// SetMaxDrainDelay sets the time within which a leaving target must get no more requests; 0 restores the default.
+func (fleet *Fleet) SetMaxDrainDelay(delay time.Duration) {
+	if delay <= 0 {
+		delay = defaultDrainDelay
+	}
+	fleet.maxDrainDelay = delay
+}
+
+// markLeaving records that a target has been leaving for some time.
+func (fleet *Fleet) markLeaving(now time.Time, target Endpoint, state *reportedState, age time.Duration) bool {
+	since := now.Add(-age)
+	if !state.leavingSince.IsZero() {
+		if since.Before(state.leavingSince) {
+			state.leavingSince = since
+		}
+		return false
+	}
+	state.leavingSince = since
+	fleet.recordChange(target, "leaving", fleet.maxDrainDelay/2-age)
+	if age == 0 {
+		fleet.addHint(target.ID)
+	}
+	return true
+}
+
+// pause records that a target wants no requests for some time. Pauses are never shortened, since answers may arrive out of order.
+func (fleet *Fleet) pause(now time.Time, target Endpoint, state *reportedState, left time.Duration) {
+	if until := now.Add(left); until.After(state.pausedUntil) {
+		if !now.Before(state.pausedUntil) {
+			fleet.recordChange(target, "paused", left)
+			fleet.addHint(target.ID)
+		}
+		state.pausedUntil = until
+	}
+}
+
+// addHint notes a target that other VMs should hear of.
+func (fleet *Fleet) addHint(id string) {
+	if len(fleet.hints) < maxPendingObservations && !slices.Contains(fleet.hints, id) {
+		fleet.hints = append(fleet.hints, id)
+	}
+}
+
+// HasHints reports whether hints wait to be shared.
+func (fleet *Fleet) HasHints() bool { return len(fleet.hints) > 0 }
+
+// TakeHints returns the targets that said since the last call that they are leaving or paused, and clears the list.
+func (fleet *Fleet) TakeHints() []string {
+	hints := fleet.hints
+	fleet.hints = nil
+	return hints
+}
+
+// Hints returns the hints that describe the present state of some targets.
+func (fleet *Fleet) Hints(now time.Time, targets []string) (leaving []LeavingHint, paused []PauseHint) {
+	for _, id := range targets {
+		endpoint, ok := fleet.endpoints[id]
+		if !ok {
+			continue
+		}
+		state := endpoint.reported
+		if !state.leavingSince.IsZero() {
+			leaving = append(leaving, LeavingHint{id, endpoint.Address, endpoint.StartedUnixMilli, max(now.Sub(state.leavingSince), 0).Milliseconds()})
+		}
+		until := state.pausedUntil
+		if state.hintedPauseUntil.After(until) {
+			until = state.hintedPauseUntil
+		}
+		if left := until.Sub(now).Milliseconds(); left > 0 {
+			paused = append(paused, PauseHint{id, endpoint.Address, endpoint.StartedUnixMilli, left})
+		}
+	}
+	return leaving, paused
+}
+
+// ApplyLeavingHint applies a hint of another VM and reports whether it was news.
+func (fleet *Fleet) ApplyLeavingHint(now time.Time, hint LeavingHint) bool {
+	endpoint, ok := fleet.hinted(hint.Target, hint.Address, hint.StartedUnixMilli)
+	return ok && fleet.markLeaving(now, endpoint.Endpoint, endpoint.reported, max(time.Duration(hint.AgeMillis)*time.Millisecond, time.Millisecond))
+}
+
+// ApplyPauseHint applies a hint of another VM and reports whether it was news.
+func (fleet *Fleet) ApplyPauseHint(now time.Time, hint PauseHint) bool {
+	endpoint, ok := fleet.hinted(hint.Target, hint.Address, hint.StartedUnixMilli)
+	if !ok {
+		return false
+	}
+	news := !now.Before(endpoint.reported.hintedPauseUntil)
+	endpoint.reported.hintedPauseUntil = now.Add(min(time.Duration(hint.LeftMillis)*time.Millisecond, maxHintedPause))
+	return news
+}
+
+// hinted returns the target that a hint is about, if the incarnation is the known one.
+func (fleet *Fleet) hinted(id, address string, startedUnixMilli int64) (*trackedEndpoint, bool) {
+	endpoint, ok := fleet.endpoints[id]
+	if !ok || endpoint.Peer || endpoint.Address != address || endpoint.StartedUnixMilli != startedUnixMilli {
+		return nil, false
+	}
+	return endpoint, true
+}
+
+// left reports whether a target has been leaving for so long that it must get no more calls.
+func (fleet *Fleet) left(now time.Time, state *reportedState) bool {
+	return !state.leavingSince.IsZero() && now.Sub(state.leavingSince) >= fleet.maxDrainDelay/2
+}
+
+// leaves reports whether an endpoint is leaving.
+func (endpoint *trackedEndpoint) leaves() bool { return !endpoint.reported.leavingSince.IsZero() }
+
+// hasStaying reports whether a service has an endpoint in reach that can be called, is not down and is not leaving.
+func (fleet *Fleet) hasStaying(now time.Time, service string, outOfReach []string) bool {
+	return slices.ContainsFunc(fleet.services[service], func(endpoint *trackedEndpoint) bool {
+		return !endpoint.leaves() && fleet.directlyCallable(now, endpoint) && !now.Before(endpoint.downUntil) &&
+			!slices.Contains(outOfReach, endpoint.ID)
+	})
+}
+
+// NextPauseEnd returns the earliest end of a pause of a service's targets if none of its targets can be called except those in
+// outOfReach, and reports whether that is so.
+func (fleet *Fleet) NextPauseEnd(now time.Time, service string, outOfReach []string) (end time.Time, ok bool) {
+	for _, endpoint := range fleet.services[service] {
+		if slices.Contains(outOfReach, endpoint.ID) {
+			continue
+		}
+		if fleet.callable(now, endpoint) {
+			return time.Time{}, false
+		}
+		until := endpoint.reported.pausedUntil
+		if now.Before(until) && endpoint.State == Ready && !fleet.left(until, endpoint.reported) && (!ok || until.Before(end)) {
+			end, ok = until, true
+		}
+	}
+	return end, ok
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -28,6 +28,7 @@
 	Slots            int // calls that it processes at the same time without slowing down
 	State            State
 	WarmupLeft       time.Duration // remaining time for which it answers slowly after its start
+	WarmupKnown      bool          // its entry states WarmupLeft, which may be 0
 	StartedUnixMilli int64         // 0 if unknown
 	Cores            float64       // processor cores of an entry VM; 0 if unknown
 	Peer             bool          // an entry VM, which relays calls to targets of its failure domain
@@ -36,10 +37,11 @@
 // trackedEndpoint is an endpoint with the state derived from calls to it.
 type trackedEndpoint struct {
 	Endpoint
-	warmAt             time.Time
-	missingSince       time.Time // when its entry lapsed or was missing from the list, if it may reappear; zero while it is listed
-	slowness           float64   // smoothed ratio of its latency to the baseline of the route
-	slownessUpdated    time.Time // when slowness was last updated
+	reported           *reportedState // what this incarnation has said of itself
+	missingSince       time.Time      // when its entry lapsed or was missing from the list, if it may reappear; zero while it is listed
+	slowness           float64        // smoothed ratio of its latency to the baseline of the route
+	slownessUpdated    time.Time      // when slowness was last updated
+	lastSlowCall       time.Time      // when slowness was last updated with a ratio of at least suspectSlowness
 	attempts           []*Attempt
 	downUntil          time.Time
 	downTime           time.Duration
@@ -59,31 +61,39 @@
 	failureDomains map[string]*reachability
 	regions        map[string]string // by failure domain; nil if unknown
 	baselines      map[string]*Baseline
-	observations   []Observation // not yet shared with other VMs
+	observations   []Observation                  // not yet shared with other VMs
+	departed       map[incarnation]*reportedState // of targets whose entry was removed or replaced
+	maxDrainDelay  time.Duration                  // within which a leaving target must get no more requests
+	hints          []string                       // targets whose leaving or pause is not yet shared with other VMs
+	stateChanges   []StateChange                  // not yet taken
+	cold           coldLimits
 }
 
 // New returns a fleet without endpoints for a VM with this failure domain and number of processor cores.
 func New(failureDomain string, cores float64, random *rand.Rand) *Fleet {
 	return &Fleet{failureDomain: failureDomain, cores: cores, random: random, endpoints: map[string]*trackedEndpoint{},
-		services: map[string][]*trackedEndpoint{}, failureDomains: map[string]*reachability{}, baselines: map[string]*Baseline{}}
+		services: map[string][]*trackedEndpoint{}, failureDomains: map[string]*reachability{}, baselines: map[string]*Baseline{},
+		departed: map[incarnation]*reportedState{}, maxDrainDelay: defaultDrainDelay,
+		cold: coldLimits{bounds: ColdBounds{Overshoot: 1}, members: map[string]time.Time{}, calls: map[string][]time.Time{}, shares: map[string]ownColdShare{}}}
 }
 
 // Update stores the newest entry of an endpoint and reports whether the change affects which endpoints can be called. An endpoint that
 // was restarted or moved loses its call history.
 func (fleet *Fleet) Update(now time.Time, endpoint Endpoint) bool {
 	found, ok := fleet.endpoints[endpoint.ID]
+	restarted := ok && found.StartedUnixMilli != endpoint.StartedUnixMilli
 	if ok && (found.Service != endpoint.Service || found.Address != endpoint.Address || found.StartedUnixMilli != endpoint.StartedUnixMilli) {
 		fleet.remove(found)
 		ok = false
 	}
 	if !ok {
-		found = &trackedEndpoint{slowness: 1}
+		found = &trackedEndpoint{slowness: 1, reported: fleet.takeState(endpoint)}
 		fleet.endpoints[endpoint.ID] = found
 		fleet.services[endpoint.Service] = append(fleet.services[endpoint.Service], found)
 	}
 	changed := !ok || found.State != endpoint.State || !found.missingSince.IsZero()
 	found.Endpoint, found.missingSince = endpoint, time.Time{}
-	found.warmAt = now.Add(endpoint.WarmupLeft)
+	found.reported.setEntry(now, endpoint, !ok, restarted)
 	return changed
 }
 
@@ -98,6 +108,7 @@
 
 func (fleet *Fleet) remove(removed *trackedEndpoint) {
 	delete(fleet.endpoints, removed.ID)
+	fleet.keepState(removed)
 	list := fleet.services[removed.Service]
 	for i, endpoint := range list {
 		if endpoint == removed {
@@ -113,6 +124,7 @@
 
 // ReplacePeers replaces all other entry VMs by a complete list.
 func (fleet *Fleet) ReplacePeers(now time.Time, list []Endpoint) {
+	fleet.setMembers(now, list)
 	listed := map[string]bool{}
 	for _, peer := range list {
 		listed[peer.ID] = true
@@ -153,6 +165,8 @@
 
 // Expire removes endpoints whose lapsed entries did not reappear within the grace period and returns their ids.
 func (fleet *Fleet) Expire(now time.Time) []string {
+	fleet.forgetStates(now)
+	fleet.noteCold(now)
 	var expired []string
 	for id, endpoint := range fleet.endpoints {
 		if endpoint.graceExpired(now) {
--- a/core/rpc/store_update.go
+++ b/core/rpc/store_update.go
@@ -38,9 +38,11 @@
 	Through        int64         `json:"through,omitempty"` // revision up to which the targets are known with this update; 0 for no change
 }
 
-// Observations carries observations of targets' latency.
+// Observations carries observations of targets' latency, and hints on what targets said of themselves.
 type Observations struct {
 	Observations []place.Observation `json:"findings"`
+	Leaving      []place.LeavingHint `json:"leaving,omitempty"`
+	Paused       []place.PauseHint   `json:"paused,omitempty"`
 }
 
 // Validate checks decoded observations.
@@ -50,6 +52,16 @@
 			return invalid("findings", "target %q with latency ratio %v", observation.Endpoint, observation.LatencyRatio)
 		}
 	}
+	for _, hint := range observations.Leaving {
+		if !hint.Valid() {
+			return invalid("findings", "leaving target %q since %d ms", hint.Target, hint.AgeMillis)
+		}
+	}
+	for _, hint := range observations.Paused {
+		if !hint.Valid() {
+			return invalid("findings", "target %q paused for %d ms", hint.Target, hint.LeftMillis)
+		}
+	}
 	return nil
 }
 
--- a/poplarpind/gateway/apply.go
+++ b/poplarpind/gateway/apply.go
@@ -23,6 +23,7 @@
 		return
 	}
 	gateway.table.Store(table)
+	gateway.fleet.SetTable(table)
 	gateway.log.Info("configuration applied", zap.Int64("version", table.Version), zap.Int64("revision", object.Revision),
 		zap.String("source", source), zap.Int("routes", table.RouteCount()))
 }
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -57,6 +57,7 @@
 	peers               []platform.VM             // the other entry VMs
 	subscribers         map[string]*subscriber    // VMs that get store updates from this one, by name
 	pendingObservations []reportedObservation     // not yet sent to other VMs
+	pendingHints        []reportedHint            // not yet sent to other VMs
 	lastQueryID         int64                     // of the queries that this VM sends to relays
 	relayedCalls        map[string]relayedCall    // outgoing: calls of this VM that peers relay, by query ID
 	relayJobs           map[string]*job           // incoming: requests that this VM relays for peers, by peer and query ID
@@ -87,6 +88,8 @@
 		budgets:           fanout.NewBudgets(bounds.RetryBudgetRatio*extraBudgetShare, bounds.RetryBudgetSlack*extraBudgetShare, time.Now()),
 	}
 	gateway.fleet.SetRegions(settings.Regions)
+	gateway.fleet.SetMaxDrainDelay(bounds.MaxDrainDelay)
+	gateway.fleet.LimitCold(settings.VM, place.ColdBounds{Overshoot: bounds.ColdOvershoot, Slack: bounds.ColdSlack})
 	gateway.pool = http1.New(gateway.maxConnections)
 	gateway.mesh = peer.New(rpc.Hello{VM: settings.VM, Incarnation: time.Now().UnixMicro()}, gateway, nil)
 	gateway.currentStoreAddress.Store(&settings.StoreAddress)
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -207,6 +207,7 @@
 			zap.Duration("elapsed", time.Since(job.started)))
 	}
 	gateway.step(job, func(now time.Time) []fanout.Action {
+		gateway.applyReport(now, send.Target, reply) // also if the result is no longer needed
 		if reply.Outcome == fanout.Answered || reply.Outcome == fanout.Failed {
 			job.replies[send.Call] = reply
 		}
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -78,7 +78,7 @@
 	if err != nil && platform.KindOf(err) != platform.NotFound {
 		return false, err
 	}
-	registered := false
+	registered, listed := false, false
 	var peers []platform.VM
 	for _, object := range objects {
 		vm, err := platform.DecodeVM(object)
@@ -86,11 +86,16 @@
 		case err != nil:
 			gateway.log.Info("object of an entry VM rejected", zap.String("name", truncate(object.Name)), zap.Error(err))
 		case vm.Name == gateway.settings.VM:
-			registered = vm == gateway.self()
+			registered, listed = vm == gateway.self(), true
 		default:
 			peers = append(peers, vm)
 		}
 	}
+	if listed {
+		gateway.mu.Lock()
+		gateway.fleet.MarkListed()
+		gateway.mu.Unlock()
+	}
 	gateway.setPeers(peers)
 	if registered || gateway.Draining() {
 		return false, nil
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -141,7 +141,7 @@
 	case rpc.MethodStoreUpdate:
 		return peer.Handle(params, func(update rpc.StoreUpdate) { gateway.receiveUpdate(from, update) })
 	case rpc.MethodObservations:
-		return peer.Handle(params, func(observations rpc.Observations) { gateway.receiveObservations(from, observations.Observations) })
+		return peer.Handle(params, func(observations rpc.Observations) { gateway.receiveObservations(from, observations) })
 	case rpc.MethodGatherResult:
 		return peer.Handle(params, func(result rpc.GatherResult) { gateway.receiveGatherResult(from, result) })
 	}
--- a/poplarpind/gateway/share.go
+++ b/poplarpind/gateway/share.go
@@ -37,10 +37,13 @@
 		for _, observation := range gateway.fleet.TakeObservations() {
 			gateway.pendingObservations = append(gateway.pendingObservations, reportedObservation{observation, gateway.settings.VM})
 		}
-		pending := gateway.pendingObservations
-		gateway.pendingObservations = nil
-		if len(pending) > 0 {
-			gateway.sendObservations(pending)
+		for _, target := range gateway.fleet.TakeHints() {
+			gateway.pendingHints = append(gateway.pendingHints, reportedHint{target, gateway.settings.VM})
+		}
+		pending, hints := gateway.pendingObservations, gateway.pendingHints
+		gateway.pendingObservations, gateway.pendingHints = nil, nil
+		if len(pending)+len(hints) > 0 {
+			gateway.sendObservations(pending, hints)
 		}
 		gateway.mu.Unlock()
 	}
@@ -48,7 +51,7 @@
 
 // signalObservations wakes shareObservations if there are observations to send; the caller holds mu.
 func (gateway *Gateway) signalObservations() {
-	if len(gateway.pendingObservations) == 0 && !gateway.fleet.HasObservations() {
+	if len(gateway.pendingObservations)+len(gateway.pendingHints) == 0 && !gateway.fleet.HasObservations() && !gateway.fleet.HasHints() {
 		return
 	}
 	select {
@@ -57,12 +60,12 @@
 	}
 }
 
-// sendObservations sends observations to the source of store updates and to the subscribers, within this failure domain; the
+// sendObservations sends observations and hints to the source of store updates and to the subscribers, within this failure domain; the
 // caller holds mu.
-func (gateway *Gateway) sendObservations(pending []reportedObservation) {
+func (gateway *Gateway) sendObservations(pending []reportedObservation, hints []reportedHint) {
 	if source, ok := gateway.fleet.Endpoint(gateway.plan.Source); ok && source.FailureDomain == gateway.settings.FailureDomain {
-		if observations := observationsExceptFrom(pending, source.ID); len(observations) > 0 {
-			gateway.mesh.Notify(source.ID, source.Address, rpc.MethodObservations, rpc.Observations{Observations: observations}, func() {})
+		if message, ok := gateway.observationsExceptFrom(pending, hints, source.ID); ok {
+			gateway.mesh.Notify(source.ID, source.Address, rpc.MethodObservations, message, func() {})
 		}
 	}
 	for name, subscriber := range gateway.subscribers {
@@ -70,41 +73,36 @@
 		if !ok || vm.FailureDomain != gateway.settings.FailureDomain || name == gateway.plan.Source {
 			continue
 		}
-		if observations := observationsExceptFrom(pending, name); len(observations) > 0 {
-			subscriber.reply(rpc.MethodObservations, rpc.Observations{Observations: observations})
+		if message, ok := gateway.observationsExceptFrom(pending, hints, name); ok {
+			subscriber.reply(rpc.MethodObservations, message)
 		}
 	}
 	observationCounts.Add("told", int64(len(pending)))
 }
 
-// observationsExceptFrom returns the observations that other VMs than vm reported.
-func observationsExceptFrom(pending []reportedObservation, vm string) []place.Observation {
-	var observations []place.Observation
-	for _, observation := range pending {
-		if observation.reporter != vm {
-			observations = append(observations, observation.Observation)
-		}
-	}
-	return observations
-}
-
 // receiveObservations applies observations of another VM. If this VM watches the store, it also keeps those of a subscriber, to
 // forward them to the other subscribers and to its own source.
-func (gateway *Gateway) receiveObservations(from string, observations []place.Observation) {
+func (gateway *Gateway) receiveObservations(from string, message rpc.Observations) {
 	now := time.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	_, subscribed := gateway.subscribers[from]
-	for _, observation := range observations {
+	// Only what a subscriber reports is forwarded, and never what this VM's own source reports, so that no observation circulates.
+	forward := subscribed && gateway.plan.WatchStore && from != gateway.plan.Source
+	for _, observation := range message.Observations {
 		if gateway.fleet.ApplyObservation(now, observation) {
 			gateway.log.Info("observation by peer changed target selection", zap.String("target", observation.Endpoint),
 				zap.Float64("latencyRatio", observation.LatencyRatio), zap.String("peer", from))
 		}
-		// Only what a subscriber reports is forwarded, and never what this VM's own source reports, so that no observation circulates.
-		if subscribed && gateway.plan.WatchStore && from != gateway.plan.Source && len(gateway.pendingObservations) < maxForwardedObservations {
+		if forward && len(gateway.pendingObservations) < maxForwardedObservations {
 			gateway.pendingObservations = append(gateway.pendingObservations, reportedObservation{observation, from})
 		}
 	}
+	for _, target := range gateway.applyHints(now, from, message) {
+		if forward && len(gateway.pendingHints) < maxForwardedObservations {
+			gateway.pendingHints = append(gateway.pendingHints, reportedHint{target, from})
+		}
+	}
 	gateway.signalObservations()
-	observationCounts.Add("heard", int64(len(observations)))
+	observationCounts.Add("heard", int64(len(message.Observations)))
 }
--- /dev/null
+++ b/poplarpind/gateway/target_report.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"expvar"
+	"time"
+
+	"go.uber.org/zap"
+
+	"poplarpin.dev/core/place"
+	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/platform"
+)
+
+// targetReports counts load reports, changes of state, hints of other VMs that were news, and ignored headers by name.
+var targetReports = expvar.NewMap("targetReports")
+
+// reportedHint names a target that is leaving or paused, with the VM that reported it.
+type reportedHint struct {
+	target   string
+	reporter string
+}
+
+// applyReport records what a target said of itself in an answer; the caller holds mu.
+func (gateway *Gateway) applyReport(now time.Time, target place.Endpoint, reply platform.Reply) {
+	for _, header := range reply.Ignored {
+		targetReports.Add("ignored."+header, 1)
+	}
+	if reply.Report.Load != nil {
+		targetReports.Add("load", 1)
+	}
+	gateway.fleet.ApplyReport(now, target, reply.Report)
+	gateway.logStateChanges()
+}
+
+// logStateChanges logs and counts the changes of state since the last call; the caller holds mu.
+func (gateway *Gateway) logStateChanges() {
+	for _, change := range gateway.fleet.TakeStateChanges() {
+		targetReports.Add(change.State, 1)
+		gateway.log.Info("target state changed", zap.String("target", change.Target), zap.String("service", change.Service),
+			zap.String("state", change.State), zap.Duration("left", change.Left))
+	}
+}
+
+// applyHints applies hints of another VM and returns the targets for which they were news; the caller holds mu.
+func (gateway *Gateway) applyHints(now time.Time, from string, message rpc.Observations) []string {
+	var news []string
+	for _, hint := range message.Leaving {
+		if gateway.fleet.ApplyLeavingHint(now, hint) {
+			news = append(news, hint.Target)
+		}
+	}
+	for _, hint := range message.Paused {
+		if gateway.fleet.ApplyPauseHint(now, hint) {
+			news = append(news, hint.Target)
+		}
+	}
+	gateway.logStateChanges()
+	for _, target := range news {
+		targetReports.Add("hint", 1)
+		gateway.log.Info("peer reported a target that is leaving or paused", zap.String("target", target), zap.String("peer", from))
+	}
+	return news
+}
+
+// observationsExceptFrom returns the message with what other VMs than vm reported, and whether it says anything; the caller holds mu.
+func (gateway *Gateway) observationsExceptFrom(pending []reportedObservation, hints []reportedHint, vm string) (rpc.Observations, bool) {
+	var message rpc.Observations
+	for _, observation := range pending {
+		if observation.reporter != vm {
+			message.Observations = append(message.Observations, observation.Observation)
+		}
+	}
+	var targets []string
+	for _, hint := range hints {
+		if hint.reporter != vm {
+			targets = append(targets, hint.target)
+		}
+	}
+	message.Leaving, message.Paused = gateway.fleet.Hints(time.Now(), targets)
+	return message, len(message.Observations)+len(message.Leaving)+len(message.Paused) > 0
+}
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -154,6 +154,7 @@
 	every.Run(ctx, expireInterval, func() {
 		gateway.mu.Lock()
 		expired := gateway.fleet.Expire(time.Now())
+		gateway.logStateChanges()
 		gateway.mu.Unlock()
 		for _, id := range expired {
 			gateway.log.Info("target removed", zap.String("target", id), zap.String("reason", "entry lapsed and did not come back"))
