Limit on calls to cold targets: shares of VMs, tests

Cause: a cold target of a service with cold_per_s may crash if all VMs together send it more calls than it tolerates, also when some of them are cut off, restarted or know different lists of VMs.

Change: each VM of the target's failure domain has a share of 80% of the limit, dealt in whole calls in the order of a hash of VM and target, so that one VM more or less shifts the others by one position at most. A VM that was listed when it started waits one second, another one 10 s; VMs that leave the list count for 10 s. A list from a seed that names this VM counts as such a list.

--- a/core/place/cold.go
+++ b/core/place/cold.go
@@ -185,7 +185,7 @@
 
 // coldShare returns the calls that a VM of a cold target's failure domain may send it in each coldWindow. The calls are dealt one by one to
 // the VMs in the order of a hash of their name and the target's id, so that one VM more or less changes the position of the others by at
-// most one. A VM whose list may lack some VMs deals to more of them, which never raises its own share.
+// most one. A VM whose list may lack some VMs deals to more of them, of which a part comes before it; this never raises its own share.
 func (fleet *Fleet) coldShare(now time.Time, target *trackedEndpoint, vm string) int {
 	service := fleet.cold.table.Service(target.Service)
 	total := int(math.Floor(coldLimitShare * (service.ColdCallsPerSecond*fleet.cold.bounds.Overshoot + fleet.cold.bounds.Slack)))
@@ -198,7 +198,7 @@
 		}
 	}
 	if now.Sub(fleet.cold.listedAt) > listOldAfter {
-		vms = int(math.Ceil(float64(vms) * oldListFactor))
+		vms, position = int(math.Ceil(float64(vms)*oldListFactor)), int(math.Ceil(float64(position)*oldListFactor))
 	}
 	if position >= total || vms == 0 {
 		return 0
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -115,6 +115,9 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	gateway.peers = peers
+	if len(peers) < len(listed) {
+		gateway.fleet.MarkListed()
+	}
 	gateway.fleet.ReplacePeers(time.Now(), relays)
 	gateway.follower.SetPeers(toFollowPeers(peers))
 	gateway.budgets.SetVMs(time.Now(), len(peers)+1)
--- a/poplarpind/gateway/target_report_test.go
+++ b/poplarpind/gateway/target_report_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"testing"
@@ -67,4 +68,15 @@
 		assert.Assert(t, left > 0 && left < 1.5, "%v s", left)
 		waitFor(t, "the end of the pause", func() bool { return vm.do(t, http.MethodPost, "/o/x", nil).StatusCode == 200 })
 	})
+	t.Run("the answer to a client that left counts too", func(t *testing.T) {
+		targets[second].SetHandler(func(writer http.ResponseWriter, request *http.Request) {
+			time.Sleep(200 * time.Millisecond)
+			platformtest.Leaving(writer, request)
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := http.DefaultTransport.RoundTrip(platformtest.NewRequest(t, http.MethodPost, vm.clients.URL+"/o/x", nil).WithContext(ctx))
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		waitFor(t, "the answer", func() bool { return vm.gateway.Dump().Endpoint(second).Leaving })
+	})
 }
