Cold targets: longer wait of new VMs, test with two VMs

Cause: in a small failure domain one VM that the others do not count takes a large share. Lists that are read with stale_ok may be some seconds old, so 10 s after its start a new VM may still be unknown to a VM with a young list.

Change: a VM that was not listed when it started waits 15 s.

--- a/core/place/cold.go
+++ b/core/place/cold.go
@@ -17,6 +17,7 @@
 	coldLimitShare  = 0.8              // of the limit that all VMs together use; the rest covers VMs with different lists of VMs
 	listOldAfter    = 10 * time.Second // age from which the list of VMs may lack some
 	oldListFactor   = 1.25             // on the number of VMs while the list may lack some
+	newVMWait       = 15 * time.Second // until all others count a new VM: listOldAfter and the age of the stale lists that they read
 	removedVMTTL    = 10 * time.Second // for which a VM that left the list still counts, as it may still send calls
 	maxColdDuration = 5 * time.Minute
 	coldShareTTL    = 200 * time.Millisecond // hashing the names of all VMs at each call would take too much of a small VM's processor
@@ -155,7 +156,7 @@
 	if fleet.cold.firstListed.IsZero() {
 		return false
 	}
-	wait := listOldAfter
+	wait := newVMWait
 	if fleet.cold.wasListed {
 		wait = coldWindow
 	}
--- a/core/place/cold_test.go
+++ b/core/place/cold_test.go
@@ -126,6 +126,36 @@
 	assert.Assert(t, float64(len(calls)) >= perSecond*duration.Seconds(), "%d calls", len(calls))
 }
 
+// TestColdLimitOfTwoVMs guards against calls of a VM that another one does not count: it has joined after the other read the list, or it
+// was removed from the list and still calls.
+func TestColdLimitOfTwoVMs(t *testing.T) {
+	for name, knows := range map[string]bool{"joined": false, "removed": true} {
+		t.Run(name, func(t *testing.T) {
+			first, second, cold := vmFleet(t, "a01", coldPerSecond, true), vmFleet(t, "a02", coldPerSecond, knows), target("cold", "a")
+			cold.WarmupLeft = warmUp
+			all := []string{"a01", "a02"}
+			first.ReplacePeers(start, nil)
+			if knows {
+				first.ReplacePeers(start, peersExcept(all, "a01"))
+				first.ReplacePeers(start.Add(5*time.Second), nil)
+			}
+			second.ReplacePeers(start, peersExcept(all, "a02"))
+			first.Update(start, cold)
+			second.Update(start, cold)
+			var calls []time.Time
+			for now := start; now.Before(start.Add(14*time.Second)) || !knows && now.Before(start.Add(20*time.Second)); now = now.Add(20 * time.Millisecond) {
+				for _, fleet := range []*place.Fleet{first, second} {
+					if _, ok := fleet.Choose(now, "s", route, nil); ok {
+						fleet.StartAttempt(now, "cold", route).Answered(now)
+						calls = append(calls, now)
+					}
+				}
+			}
+			assert.Assert(t, mostInASecond(calls) <= coldPerSecond*1.5+5, "%d calls in a second", mostInASecond(calls))
+		})
+	}
+}
+
 // TestColdState guards against unlimited calls to a target that has just started, and against a limit on others.
 func TestColdState(t *testing.T) {
 	left, now := 3*time.Second, start.Add(10*time.Second)
