--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -196,6 +196,7 @@
 	started        time.Time
 	hedged         bool
 	hedgeAfter     time.Time // of a relayed call whose hedges were postponed; zero if they were not
+	noEarlyHedge   bool      // no other target was likely to be faster when its target reported that work is slow
 	ended          bool
 	outcome        Outcome
 }
@@ -259,7 +260,7 @@
 		if run.spec.Regions.Restricted() {
 			reason += " in the home regions"
 		}
-		return run.finish(now, Refuse{RetryAfter: run.retryAfter(), Reason: reason})
+		return run.finish(now, Refuse{RetryAfter: run.retryAfter(now), Reason: reason})
 	}
 	return actions
 }
