Evacuations of failure domains from the store to every VM's choice of targets

Cause: an operator needs to stop all calls to the targets of a failure domain while its VMs continue to serve. Change: the VM that watches the store also watches the kind evacuations, if the settings bound the delay of evacuations. Subscribers and starting VMs get the whole set with its revision. The fleet excludes targets of evacuated failure domains from every choice, from coverage, isolation and probes. A kind that the store answers with 404 is empty and is watched from a revision of the targets known before.

--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -69,7 +69,7 @@
 		}
 		var addresses []string
 		for _, id := range slices.Sorted(maps.Keys(fleet.endpoints)) {
-			if endpoint := fleet.endpoints[id]; endpoint.FailureDomain == name && endpoint.State == Ready {
+			if endpoint := fleet.endpoints[id]; endpoint.FailureDomain == name && endpoint.State == Ready && !fleet.isEvacuated(endpoint) {
 				addresses = append(addresses, endpoint.Address)
 			}
 		}
@@ -86,7 +86,7 @@
 func (fleet *Fleet) Isolated(now time.Time) bool {
 	cutOff := false
 	for _, endpoint := range fleet.endpoints {
-		if endpoint.FailureDomain == fleet.failureDomain || endpoint.State != Ready {
+		if endpoint.FailureDomain == fleet.failureDomain || endpoint.State != Ready || fleet.isEvacuated(endpoint) {
 			continue
 		}
 		if !fleet.reachabilityOf(endpoint.FailureDomain).cutOff(now) {
@@ -110,7 +110,8 @@
 
 // callable reports whether an endpoint may be called at all, however high its cost.
 func (fleet *Fleet) callable(now time.Time, endpoint *trackedEndpoint) bool {
-	return endpoint.State == Ready && !endpoint.displaced && !endpoint.graceExpired(now) && !fleet.reachabilityOf(endpoint.FailureDomain).cutOff(now)
+	return endpoint.State == Ready && !endpoint.displaced && !fleet.isEvacuated(endpoint) && !endpoint.graceExpired(now) &&
+		!fleet.reachabilityOf(endpoint.FailureDomain).cutOff(now)
 }
 
 // VMsForCalls returns how many VMs with this number of cores can make some calls so that none of them is busy for longer than limit. It
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -58,6 +58,7 @@
 	services       map[string][]*trackedEndpoint
 	failureDomains map[string]*reachability
 	regions        map[string]string // by failure domain; nil if unknown
+	evacuated      map[string]bool   // by failure domain
 	baselines      map[string]*Baseline
 	observations   []Observation // not yet shared with other VMs
 }
--- a/core/rpc/store_update.go
+++ b/core/rpc/store_update.go
@@ -17,6 +17,9 @@
 type StoreRevisions struct {
 	Config  int64 `json:"config"`  // revision of the known configuration
 	Servers int64 `json:"servers"` // revision up to which the targets are known
+
+	Evacuations    int64 `json:"evacuations,omitempty"`    // revision of the known evacuations
+	EvacuationsEra int64 `json:"evacuationsEra,omitempty"` // their era
 }
 
 // StoreObject is an object of the store, as entry VMs exchange it.
@@ -36,6 +39,7 @@
 	Full           bool          `json:"full,omitempty"`    // Servers is a complete list: targets that it lacks were deleted
 	Since          int64         `json:"since,omitempty"`   // revision that the changes of targets follow; a receiver that knows less stays at its revision, unless Full is set
 	Through        int64         `json:"through,omitempty"` // revision up to which the targets are known with this update; 0 for no change
+	Evacuations    *Evacuations  `json:"evacuations,omitempty"`
 }
 
 // Observations carries observations of targets' latency.
@@ -55,8 +59,8 @@
 
 // Validate checks decoded revisions.
 func (revisions StoreRevisions) Validate() error {
-	if revisions.Config < 0 || revisions.Servers < 0 {
-		return invalid("follow", "revisions %d and %d must not be negative", revisions.Config, revisions.Servers)
+	if revisions.Config < 0 || revisions.Servers < 0 || revisions.Evacuations < 0 {
+		return invalid("follow", "revisions %d, %d and %d must not be negative", revisions.Config, revisions.Servers, revisions.Evacuations)
 	}
 	return nil
 }
@@ -71,5 +75,8 @@
 			return invalid("news", "an entry of a target has no name")
 		}
 	}
+	if update.Evacuations != nil {
+		return update.Evacuations.Validate()
+	}
 	return nil
 }
--- a/poplarpind/gateway/dump.go
+++ b/poplarpind/gateway/dump.go
@@ -21,6 +21,7 @@
 	Seeds          []string             `json:"seeds"`
 	ActiveRequests int64                `json:"active"`
 	Connections    int                  `json:"connections"`
+	Evacuated      []string             `json:"evacuated,omitempty"` // failure domains whose targets get no calls
 	Endpoints      []place.EndpointView `json:"servers"`
 }
 
@@ -36,6 +37,7 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	dump.WatchingStore, dump.UpdateSource = gateway.plan.WatchStore, gateway.plan.Source
+	dump.Evacuated = gateway.fleet.Evacuated()
 	dump.Endpoints = gateway.fleet.Views(time.Now())
 	return dump
 }
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -50,6 +50,7 @@
 	fleet               *place.Fleet
 	budgets             *fanout.Budgets
 	storeCache          *follow.StoreCache
+	evacuations         *follow.Evacuations
 	follower            *follow.Follower
 	plan                follow.Plan
 	storeAnswered       time.Time                 // time of the store's last answer to this VM
@@ -78,6 +79,7 @@
 		peersRead:         make(chan struct{}),
 		observationsReady: make(chan struct{}, 1),
 		storeCache:        follow.NewStoreCache(),
+		evacuations:       follow.NewEvacuations(),
 		follower:          follow.New(follow.Peer{Name: settings.VM, FailureDomain: settings.FailureDomain, Cores: settings.Cores}),
 		subscribers:       map[string]*subscriber{},
 		relayedCalls:      map[string]relayedCall{},
--- a/poplarpind/gateway/seed.go
+++ b/poplarpind/gateway/seed.go
@@ -29,7 +29,7 @@
 // serveState sends what this VM knows of the store and the entry VMs, once it has a configuration.
 func (gateway *Gateway) serveState(writer http.ResponseWriter, _ *http.Request) {
 	gateway.mu.Lock()
-	state := seedState{StoreUpdate: gateway.storeCache.UpdateSince(rpc.StoreRevisions{}, gateway.storeReachable(time.Now())), EntryVMs: append([]platform.VM{gateway.self()}, gateway.peers...)}
+	state := seedState{StoreUpdate: gateway.updateSince(time.Now(), rpc.StoreRevisions{}), EntryVMs: append([]platform.VM{gateway.self()}, gateway.peers...)}
 	gateway.mu.Unlock()
 	if state.StoreUpdate.Config == nil {
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -51,7 +51,8 @@
 		plan := gateway.follower.Tick(now)
 		gateway.plan = plan
 		source, _ := gateway.fleet.Endpoint(plan.Source)
-		revisions := gateway.storeCache.Revisions()
+		revisions := gateway.revisions()
+		gateway.refreshEvacuations(now, "hold ended")
 		gateway.sendHeartbeats(now)
 		gateway.mu.Unlock()
 		if plan != before {
@@ -76,6 +77,9 @@
 	watchCtx, cancel := context.WithCancel(ctx)
 	go gateway.watchKind(watchCtx, platform.ConfigKind)
 	go gateway.watchKind(watchCtx, platform.TargetsKind)
+	if gateway.watchesEvacuations() {
+		go gateway.watchKind(watchCtx, platform.EvacuationsKind)
+	}
 	go gateway.pingStore(watchCtx)
 	return cancel
 }
@@ -133,7 +137,7 @@
 	if _, ok := gateway.subscribers[from]; !ok {
 		gateway.log.Info("peer subscribed to store updates", zap.String("peer", from), zap.Int64("config", revisions.Config), zap.Int64("targets", revisions.Servers))
 	}
-	update := gateway.storeCache.UpdateSince(revisions, gateway.storeReachable(now))
+	update := gateway.updateSince(now, revisions)
 	gateway.subscribers[from] = &subscriber{reply: reply, expires: now.Add(subscriptionTTL), lastSent: now, sentThrough: max(revisions.Servers, update.Through)}
 	reply(rpc.MethodStoreUpdate, update)
 }
@@ -162,11 +166,18 @@
 	if update.Through > 0 {
 		gateway.targetsKnown = true
 	}
-	if config == nil && len(targets) == 0 {
+	now := time.Now()
+	evacuations := gateway.applyEvacuations(now, source, update.Evacuations)
+	if config == nil && len(targets) == 0 && evacuations == nil {
 		return
 	}
-	now := time.Now()
-	forwarded := rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), Config: config, Servers: targets, Through: gateway.storeCache.Revisions().Servers}
+	gateway.forward(now, config, targets, evacuations)
+}
+
+// forward sends changes to the subscribers; the caller holds mu.
+func (gateway *Gateway) forward(now time.Time, config *rpc.StoreObject, targets []rpc.StoreObject, evacuations *rpc.Evacuations) {
+	forwarded := rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), Config: config, Servers: targets, Through: gateway.storeCache.Revisions().Servers,
+		Evacuations: evacuations}
 	for _, subscriber := range gateway.subscribers {
 		forwarded.Since = subscriber.sentThrough
 		subscriber.lastSent, subscriber.sentThrough = now, forwarded.Through
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -21,6 +21,7 @@
 	minBackoff        = 100 * time.Millisecond // after a failed store call
 	maxBackoff        = 400 * time.Millisecond // a tenth of the 4 s after which a VM that was cut off counts as connected again
 	maxBackoffFactor  = 4                      // for VMs that rank low as watchers, so that an outage does not make every VM call the store
+	emptyKindPause    = time.Second            // before a kind that the store answered with 404 is requested again
 	outageFailures    = 2                      // consecutive failed calls that count as an outage, during which entries may lapse
 	expireInterval    = time.Second            // between two removals of targets whose grace period has passed; they get no calls from its end on
 )
@@ -76,8 +77,11 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	revisions := gateway.storeCache.Revisions()
-	if kind == platform.ConfigKind {
+	switch kind {
+	case platform.ConfigKind:
 		return revisions.Config
+	case platform.EvacuationsKind:
+		return 0 // the set has the revision of its last change, which the store may have compacted
 	}
 	return revisions.Servers
 }
@@ -86,18 +90,34 @@
 // revision to continue from.
 func (gateway *Gateway) listOrWatch(ctx context.Context, store *platform.Store, kind string, known int64, afterOutage bool) (int64, error) {
 	if known == 0 {
+		before := gateway.knownRevision(platform.TargetsKind)
 		objects, revision, err := store.List(ctx, kind)
+		if kind == platform.EvacuationsKind && platform.KindOf(err) == platform.NotFound { // a kind without objects
+			revision, err = before, nil
+			if revision == 0 { // unknown until the targets are listed
+				sleep(ctx, emptyKindPause)
+				return 0, nil
+			}
+		}
 		if err == nil {
 			gateway.applyList(kind, objects, revision, afterOutage)
 		}
 		return revision, err
 	}
 	objects, revision, err := store.Watch(ctx, kind, known, gateway.watchTimeout())
+	if kind == platform.EvacuationsKind && platform.KindOf(err) == platform.NotFound {
+		sleep(ctx, emptyKindPause)
+		return 0, nil
+	}
 	if err != nil {
 		return known, err
 	}
 	gateway.mu.Lock()
-	gateway.applyUpdate("store", storeUpdateOf(kind, objects, revision, afterOutage))
+	if kind == platform.EvacuationsKind {
+		gateway.applyEvacuationChanges(objects)
+	} else {
+		gateway.applyUpdate("store", storeUpdateOf(kind, objects, revision, afterOutage))
+	}
 	gateway.mu.Unlock()
 	if kind == platform.TargetsKind {
 		sleep(ctx, targetsWatchPause)
@@ -129,6 +149,9 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	update := storeUpdateOf(kind, objects, revision, afterOutage)
+	if kind == platform.EvacuationsKind {
+		update = rpc.StoreUpdate{Evacuations: evacuationsOf(objects, revision)}
+	}
 	if kind == platform.TargetsKind {
 		listed := map[string]bool{}
 		for _, object := range objects {
