Eras of the store: a store restored from an older copy reverts nothing

Cause: a restore loses what was written after the copy and issues revisions again, so that VMs that compare revisions miss changes or bring back drained targets, withdrawn evacuations and older configurations. Change: store clients of a VM share the era from Store-Era. A rise ends every watch, and everything is listed again. Objects, updates and subscriptions carry the era; (era, revision) orders them. Without the header, messages have the same bytes as before.

--- a/core/follow/store_cache.go
+++ b/core/follow/store_cache.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"encoding/json"
 	"slices"
 
 	"poplarpin.dev/core/rpc"
@@ -12,17 +13,29 @@
 type StoreCache struct {
 	config         *rpc.StoreObject
 	targets        map[string]rpc.StoreObject // by name, tombstones included
+	deletedSpecs   map[string]json.RawMessage // of the targets that have tombstones, by name
 	tombstones     int
+	era            int64 // of the following revisions
 	revision       int64 // up to which all changes of targets are known
 	tombstoneFloor int64 // revision up to which tombstones were dropped
+	firstList      int64 // revision of the era's first list; 0 for an era without a restore
 }
 
 // NewStoreCache returns an empty cache.
-func NewStoreCache() *StoreCache { return &StoreCache{targets: map[string]rpc.StoreObject{}} }
+func NewStoreCache() *StoreCache {
+	return &StoreCache{targets: map[string]rpc.StoreObject{}, deletedSpecs: map[string]json.RawMessage{}}
+}
 
-// UpdateConfig stores a configuration if it is newer than the cached one and reports whether it is.
+// UpdateConfig stores a configuration if it is newer than the cached one and reports whether it is. A store that has eras may list an
+// older version again after a restore: its position is stored, the newer version stays.
 func (storeCache *StoreCache) UpdateConfig(object rpc.StoreObject) bool {
-	if object.Deleted || storeCache.config != nil && storeCache.config.Revision >= object.Revision {
+	cached := storeCache.config
+	if object.Deleted || cached != nil && !isNewer(object, *cached) {
+		return false
+	}
+	if cached != nil && object.Era > 0 && versionOf(object) <= versionOf(*cached) {
+		object.Spec = cached.Spec
+		storeCache.config = &object
 		return false
 	}
 	storeCache.config = &object
@@ -32,7 +45,7 @@
 // UpdateTarget stores a target or its tombstone if it is newer than the cached one and reports whether it is.
 func (storeCache *StoreCache) UpdateTarget(object rpc.StoreObject) bool {
 	before, ok := storeCache.targets[object.Name]
-	if ok && before.Revision >= object.Revision {
+	if ok && !isNewer(object, before) {
 		return false
 	}
 	if before.Deleted {
@@ -40,7 +53,12 @@
 	}
 	if object.Deleted {
 		storeCache.tombstones++
+		if !before.Deleted {
+			storeCache.deletedSpecs[object.Name] = before.Spec
+		}
 		object.Spec = nil
+	} else {
+		delete(storeCache.deletedSpecs, object.Name)
 	}
 	storeCache.targets[object.Name] = object
 	if storeCache.tombstones > maxTombstones {
@@ -53,8 +71,9 @@
 // and stay: the updates that fill the gap may still contain the deleted targets.
 func (storeCache *StoreCache) dropTombstones() {
 	for name, object := range storeCache.targets {
-		if object.Deleted && object.Revision <= storeCache.revision {
+		if object.Deleted && !rpc.IsAfter(object.Era, object.Revision, storeCache.era, storeCache.revision) {
 			delete(storeCache.targets, name)
+			delete(storeCache.deletedSpecs, name)
 			storeCache.tombstones--
 		}
 	}
@@ -62,13 +81,19 @@
 }
 
 // Apply merges an update and returns the objects that were newer than the cached ones, in order. An update that follows a gap after the
-// cached revision is merged too, but the revision stays, so that the gap is requested.
+// cached revision is merged too, but the revision stays, so that the gap is requested. Targets of a lower era change nothing, and those of
+// a higher era are merged only from a full list.
 func (storeCache *StoreCache) Apply(update rpc.StoreUpdate) (config *rpc.StoreObject, targets []rpc.StoreObject) {
 	if update.Config != nil && storeCache.UpdateConfig(*update.Config) {
 		config = update.Config
 	}
-	objects := update.Servers
-	if update.Full {
+	if update.Era < storeCache.era || update.Era > storeCache.era && !update.Full {
+		return config, nil
+	}
+	objects, entering := update.Servers, update.Era > storeCache.era
+	if entering {
+		objects = storeCache.enterEra(update)
+	} else if update.Full {
 		listed := map[string]bool{}
 		for _, object := range objects {
 			listed[object.Name] = true
@@ -77,7 +102,8 @@
 		storeCache.tombstoneFloor = max(storeCache.tombstoneFloor, update.Through) // a full list does not show earlier deletions
 	}
 	for _, object := range objects {
-		if storeCache.UpdateTarget(object) {
+		before := storeCache.targets[object.Name]
+		if storeCache.UpdateTarget(object) && !(entering && sameContent(before, object)) {
 			targets = append(targets, object)
 		}
 	}
@@ -96,8 +122,8 @@
 func (storeCache *StoreCache) Tombstones(listed map[string]bool, revision int64, lapsed bool) []rpc.StoreObject {
 	var tombstones []rpc.StoreObject
 	for name, object := range storeCache.targets {
-		if !listed[name] && !object.Deleted && object.Revision < revision {
-			tombstones = append(tombstones, rpc.StoreObject{Name: name, Revision: revision, Deleted: true, Lapsed: lapsed})
+		if !listed[name] && !object.Deleted && rpc.IsAfter(storeCache.era, revision, object.Era, object.Revision) {
+			tombstones = append(tombstones, rpc.StoreObject{Name: name, Era: storeCache.era, Revision: revision, Deleted: true, Lapsed: lapsed})
 		}
 	}
 	slices.SortFunc(tombstones, compareRevisions)
@@ -106,27 +132,32 @@
 
 // Revisions returns the cached revisions, from which updates are requested.
 func (storeCache *StoreCache) Revisions() rpc.StoreRevisions {
-	revisions := rpc.StoreRevisions{Servers: storeCache.revision}
+	revisions := rpc.StoreRevisions{Servers: storeCache.revision, ServersEra: storeCache.era}
 	if storeCache.config != nil {
-		revisions.Config = storeCache.config.Revision
+		revisions.Config, revisions.ConfigEra = storeCache.config.Revision, storeCache.config.Era
 	}
 	return revisions
 }
 
 // UpdateSince returns the changes after the revisions that a peer knows, or a full list if the peer knows no targets yet or tombstones
-// after its revision were dropped.
+// after its revision were dropped, or knows those of a lower era.
 func (storeCache *StoreCache) UpdateSince(revisions rpc.StoreRevisions, storeReachable bool) rpc.StoreUpdate {
 	update := rpc.StoreUpdate{StoreReachable: storeReachable}
-	if storeCache.config != nil && storeCache.config.Revision > revisions.Config {
+	if storeCache.config != nil && rpc.IsAfter(storeCache.config.Era, storeCache.config.Revision, revisions.ConfigEra, revisions.Config) {
 		update.Config = storeCache.config
 	}
-	if storeCache.revision <= revisions.Servers {
+	if !rpc.IsAfter(storeCache.era, storeCache.revision, revisions.ServersEra, revisions.Servers) {
 		return update
 	}
+	if revisions.ServersEra != storeCache.era {
+		revisions.Servers = 0
+	}
 	update.Since, update.Through = revisions.Servers, storeCache.revision
+	update.Era, update.FirstList = storeCache.era, storeCache.firstList
 	update.Full = revisions.Servers < storeCache.tombstoneFloor || revisions.Servers == 0
 	for _, object := range storeCache.targets {
-		if update.Full && !object.Deleted || !update.Full && object.Revision > revisions.Servers {
+		if update.Full && (!object.Deleted || storeCache.isWithheld(object)) ||
+			!update.Full && rpc.IsAfter(object.Era, object.Revision, storeCache.era, revisions.Servers) {
 			update.Servers = append(update.Servers, object)
 		}
 	}
--- a/core/rpc/store_update.go
+++ b/core/rpc/store_update.go
@@ -18,6 +18,8 @@
 	Config  int64 `json:"config"`  // revision of the known configuration
 	Servers int64 `json:"servers"` // revision up to which the targets are known
 
+	ConfigEra      int64 `json:"configEra,omitempty"`
+	ServersEra     int64 `json:"serversEra,omitempty"`
 	Evacuations    int64 `json:"evacuations,omitempty"`    // revision of the known evacuations
 	EvacuationsEra int64 `json:"evacuationsEra,omitempty"` // their era
 }
@@ -25,6 +27,7 @@
 // StoreObject is an object of the store, as entry VMs exchange it.
 type StoreObject struct {
 	Name     string          `json:"name"`
+	Era      int64           `json:"era,omitempty"` // of the store, in which revisions are comparable
 	Revision int64           `json:"revision"`
 	Spec     json.RawMessage `json:"spec,omitempty"`
 	Deleted  bool            `json:"deleted,omitempty"`
@@ -40,6 +43,8 @@
 	Since          int64         `json:"since,omitempty"`   // revision that the changes of targets follow; a receiver that knows less stays at its revision, unless Full is set
 	Through        int64         `json:"through,omitempty"` // revision up to which the targets are known with this update; 0 for no change
 	Evacuations    *Evacuations  `json:"evacuations,omitempty"`
+	Era            int64         `json:"era,omitempty"`       // of Since, Through and FirstList; without them the highest era that the sender knows
+	FirstList      int64         `json:"firstList,omitempty"` // revision of the era's first list: targets with a higher one were written in this era
 }
 
 // Observations carries observations of targets' latency.
@@ -59,6 +64,9 @@
 
 // Validate checks decoded revisions.
 func (revisions StoreRevisions) Validate() error {
+	if min(revisions.ConfigEra, revisions.ServersEra, revisions.EvacuationsEra) < 0 {
+		return invalid("follow", "eras must not be negative")
+	}
 	if revisions.Config < 0 || revisions.Servers < 0 || revisions.Evacuations < 0 {
 		return invalid("follow", "revisions %d, %d and %d must not be negative", revisions.Config, revisions.Servers, revisions.Evacuations)
 	}
@@ -67,8 +75,8 @@
 
 // Validate checks a decoded update.
 func (update StoreUpdate) Validate() error {
-	if update.Config != nil && update.Config.Revision <= 0 || update.Through < 0 {
-		return invalid("news", "configuration needs a positive revision, and through must not be negative")
+	if update.Config != nil && update.Config.Revision <= 0 || min(update.Through, update.Era, update.FirstList) < 0 {
+		return invalid("news", "configuration needs a positive revision, and no era or revision may be negative")
 	}
 	for _, entry := range update.Servers {
 		if entry.Name == "" {
--- a/poplarpind/gateway/dump.go
+++ b/poplarpind/gateway/dump.go
@@ -18,6 +18,7 @@
 	WatchingStore  bool                 `json:"watching"` // false where it relies on another VM's updates
 	UpdateSource   string               `json:"source"`   // VM that sends it store updates; empty for none
 	StoreAddress   string               `json:"store"`
+	StoreEra       int64                `json:"storeEra,omitempty"`
 	Seeds          []string             `json:"seeds"`
 	ActiveRequests int64                `json:"active"`
 	Connections    int                  `json:"connections"`
@@ -37,6 +38,7 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	dump.WatchingStore, dump.UpdateSource = gateway.plan.WatchStore, gateway.plan.Source
+	dump.StoreEra = gateway.era.Known()
 	dump.Evacuated = gateway.fleet.Evacuated()
 	dump.Endpoints = gateway.fleet.Views(time.Now())
 	return dump
--- a/poplarpind/gateway/evacuations.go
+++ b/poplarpind/gateway/evacuations.go
@@ -28,13 +28,16 @@
 // updateSince returns what a VM with these revisions lacks; the caller holds mu.
 func (gateway *Gateway) updateSince(now time.Time, revisions rpc.StoreRevisions) rpc.StoreUpdate {
 	update := gateway.storeCache.UpdateSince(revisions, gateway.storeReachable(now))
+	if known := gateway.era.Known(); update.Through == 0 || update.Era < known && revisions.Servers > 0 { // outdated, except for a VM that knows nothing
+		update = rpc.StoreUpdate{StoreReachable: update.StoreReachable, Config: update.Config, Era: known}
+	}
 	update.Evacuations = gateway.evacuations.Message(now, revisions.EvacuationsEra, revisions.Evacuations)
 	return update
 }
 
 // evacuationsOf returns the set of evacuations that a complete list contains.
-func evacuationsOf(objects []platform.Object, revision int64) *rpc.Evacuations {
-	set := rpc.Evacuations{Revision: revision}
+func evacuationsOf(objects []platform.Object, position platform.Position) *rpc.Evacuations {
+	set := rpc.Evacuations{Era: position.Era, Revision: position.Revision}
 	for _, object := range objects {
 		if object.Name != "" {
 			set.FailureDomains = append(set.FailureDomains, object.Name)
@@ -47,7 +50,7 @@
 func (gateway *Gateway) applyEvacuationChanges(objects []platform.Object) {
 	now, changed := time.Now(), false
 	for _, object := range objects {
-		if object.Name != "" && gateway.evacuations.Change(now, 0, object.Revision, object.Name, object.Deleted) {
+		if object.Name != "" && gateway.evacuations.Change(now, object.Era, object.Revision, object.Name, object.Deleted) {
 			changed = true
 		}
 	}
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -35,6 +35,7 @@
 	log                 *zap.Logger
 	pool                *http1.Pool
 	mesh                *peer.Mesh
+	era                 *platform.Era // of the store
 	table               atomic.Pointer[route.Table]
 	currentStoreAddress atomic.Pointer[string]
 	currentSeeds        atomic.Pointer[[]string]
@@ -51,6 +52,8 @@
 	budgets             *fanout.Budgets
 	storeCache          *follow.StoreCache
 	evacuations         *follow.Evacuations
+	eraChanges          int       // handled changes of the store's era
+	eraChanged          time.Time // time of the last one; zero for none
 	follower            *follow.Follower
 	plan                follow.Plan
 	storeAnswered       time.Time                 // time of the store's last answer to this VM
@@ -76,6 +79,7 @@
 		log:               log,
 		random:            random,
 		fleet:             place.New(settings.FailureDomain, settings.Cores, random),
+		era:               platform.NewEra(func(event string) { storeEras.Add(event, 1) }),
 		peersRead:         make(chan struct{}),
 		observationsReady: make(chan struct{}, 1),
 		storeCache:        follow.NewStoreCache(),
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -29,6 +29,7 @@
 	reads, firstReadDone := 0, false
 	for ; ctx.Err() == nil; reads++ {
 		wait := gateway.peersReadInterval(reads)
+		_, eraChanges := gateway.era.Changes()
 		registered, err := gateway.readPeers(ctx, store, true)
 		if err == nil && registered && !firstReadDone { // VMs that started at the same time register soon
 			sleep(ctx, registrationWait)
@@ -42,7 +43,7 @@
 			firstReadDone = true
 			close(gateway.peersRead)
 		}
-		sleep(ctx, wait)
+		gateway.waitForPeersRead(ctx, wait, eraChanges)
 	}
 }
 
@@ -91,7 +92,7 @@
 			peers = append(peers, vm)
 		}
 	}
-	gateway.setPeers(peers)
+	gateway.setPeers(gateway.withLostPeers(peers))
 	if registered || gateway.Draining() {
 		return false, nil
 	}
--- a/poplarpind/gateway/seed.go
+++ b/poplarpind/gateway/seed.go
@@ -89,6 +89,7 @@
 		return err
 	}
 	gateway.log.Info("seed state received", zap.String("seed", seed), zap.Int("targets", len(received.StoreUpdate.Servers)), zap.Int("vms", len(received.EntryVMs)))
+	gateway.era.Raise(received.StoreUpdate.Era)
 	gateway.mu.Lock()
 	gateway.applyUpdate(seed, received.StoreUpdate)
 	noPeers := len(gateway.peers) == 0
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -29,6 +29,7 @@
 	expires     time.Time
 	lastSent    time.Time // time of the last message sent to it
 	sentThrough int64     // revision up to which it was sent the targets
+	sentEra     int64     // of that revision
 }
 
 // syncStore keeps the configuration and the targets up to date, from the store or from another VM's updates.
@@ -47,6 +48,9 @@
 	for ; ctx.Err() == nil; sleep(ctx, syncInterval) {
 		now := time.Now()
 		gateway.mu.Lock()
+		if gateway.noteEra(now) {
+			subscribedAt = time.Time{} // the source may send a full update of the new era
+		}
 		before := gateway.plan
 		plan := gateway.follower.Tick(now)
 		gateway.plan = plan
@@ -92,7 +96,7 @@
 			delete(gateway.subscribers, name)
 		case now.Sub(subscriber.lastSent) >= heartbeatInterval:
 			subscriber.lastSent = now
-			subscriber.reply(rpc.MethodStoreUpdate, rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now)})
+			subscriber.reply(rpc.MethodStoreUpdate, rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), Era: gateway.era.Known()})
 		}
 	}
 }
@@ -126,7 +130,7 @@
 
 // newStore returns a client of the store; its calls are counted in storeCalls by operation and use.
 func (gateway *Gateway) newStore(use string) *platform.Store {
-	return platform.NewStore(gateway.storeAddress, func(op string) { storeCalls.Add(op+"."+use, 1) })
+	return platform.NewStore(gateway.storeAddress, gateway.era, func(op string) { storeCalls.Add(op+"."+use, 1) })
 }
 
 // subscribe registers or renews a subscriber and sends it what it lacks.
@@ -138,7 +142,8 @@
 		gateway.log.Info("peer subscribed to store updates", zap.String("peer", from), zap.Int64("config", revisions.Config), zap.Int64("targets", revisions.Servers))
 	}
 	update := gateway.updateSince(now, revisions)
-	gateway.subscribers[from] = &subscriber{reply: reply, expires: now.Add(subscriptionTTL), lastSent: now, sentThrough: max(revisions.Servers, update.Through)}
+	gateway.subscribers[from] = &subscriber{reply: reply, expires: now.Add(subscriptionTTL), lastSent: now, sentThrough: revisions.Servers, sentEra: revisions.ServersEra}
+	gateway.subscribers[from].sent(update)
 	reply(rpc.MethodStoreUpdate, update)
 }
 
@@ -147,11 +152,13 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	now := time.Now()
-	if from == gateway.plan.Source && update.StoreReachable {
+	storeReachable := update.StoreReachable && update.Era >= gateway.era.Known() // a source of a lower era has a store that was replaced
+	if from == gateway.plan.Source && storeReachable {
 		gateway.viewConfirmed = now
 	}
-	gateway.follower.HeardFrom(now, from, update.StoreReachable)
-	gateway.applyUpdate(from, update) // also from a former source: revisions make stale updates harmless
+	gateway.follower.HeardFrom(now, from, storeReachable)
+	gateway.era.Raise(update.Era)
+	gateway.applyUpdate(from, update) // also from a former source: eras and revisions make stale updates harmless
 }
 
 // applyUpdate applies a store update and forwards what was new to the subscribers; the caller holds mu.
@@ -159,11 +166,13 @@
 	config, targets := gateway.storeCache.Apply(update)
 	if config != nil {
 		gateway.applyConfig(source, *config)
+	} else if update.Config != nil && update.Config.Era > 0 && source == "store" {
+		gateway.log.Info("configuration not newer than the current one", zap.Int64("era", update.Config.Era), zap.Int64("revision", update.Config.Revision))
 	}
 	for _, object := range targets {
 		gateway.applyTarget(source, object)
 	}
-	if update.Through > 0 {
+	if gateway.storeCache.Revisions().Servers > 0 {
 		gateway.targetsKnown = true
 	}
 	now := time.Now()
@@ -176,18 +185,37 @@
 
 // forward sends changes to the subscribers; the caller holds mu.
 func (gateway *Gateway) forward(now time.Time, config *rpc.StoreObject, targets []rpc.StoreObject, evacuations *rpc.Evacuations) {
-	forwarded := rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), Config: config, Servers: targets, Through: gateway.storeCache.Revisions().Servers,
-		Evacuations: evacuations}
+	revisions := gateway.storeCache.Revisions()
+	forwarded := rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), Config: config, Servers: targets, Through: revisions.Servers,
+		Evacuations: evacuations, Era: revisions.ServersEra}
+	known := gateway.era.Known()
 	for _, subscriber := range gateway.subscribers {
-		forwarded.Since = subscriber.sentThrough
-		subscriber.lastSent, subscriber.sentThrough = now, forwarded.Through
-		subscriber.reply(rpc.MethodStoreUpdate, forwarded)
+		if revisions.ServersEra != known || subscriber.sentEra != known { // a subscriber of a lower era needs the full list
+			update := gateway.updateSince(now, rpc.StoreRevisions{Servers: subscriber.sentThrough, ServersEra: subscriber.sentEra,
+				Config: revisions.Config, ConfigEra: revisions.ConfigEra})
+			update.Config, update.Evacuations = config, evacuations
+			subscriber.lastSent = now
+			subscriber.sent(update)
+			subscriber.reply(rpc.MethodStoreUpdate, update)
+			continue
+		}
+		update := forwarded
+		update.Since = subscriber.sentThrough
+		subscriber.lastSent, subscriber.sentEra, subscriber.sentThrough = now, update.Era, update.Through
+		subscriber.reply(rpc.MethodStoreUpdate, update)
+	}
+}
+
+// sent records which targets an update carries.
+func (subscriber *subscriber) sent(update rpc.StoreUpdate) {
+	if update.Through > 0 {
+		subscriber.sentEra, subscriber.sentThrough = update.Era, update.Through
 	}
 }
 
 // toStoreObject converts an object of the store to the form that VMs exchange.
 func toStoreObject(object platform.Object, afterOutage bool) rpc.StoreObject {
-	return rpc.StoreObject{Name: object.Name, Revision: object.Revision, Spec: object.Spec, Deleted: object.Deleted, Lapsed: object.Deleted && afterOutage}
+	return rpc.StoreObject{Name: object.Name, Era: object.Era, Revision: object.Revision, Spec: object.Spec, Deleted: object.Deleted, Lapsed: object.Deleted && afterOutage}
 }
 
 func toPlatformObject(object rpc.StoreObject) platform.Object {
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -32,12 +32,16 @@
 func (gateway *Gateway) watchKind(ctx context.Context, kind string) {
 	store := gateway.newStore(kind)
 	defer store.Close()
-	failures, backoff, known := 0, minBackoff, gateway.knownRevision(kind)
+	failures, backoff, known := 0, minBackoff, gateway.knownPosition(kind)
 	for ctx.Err() == nil {
-		revision, err := gateway.listOrWatch(ctx, store, kind, known, failures >= outageFailures)
+		position, err := gateway.listOrWatch(ctx, store, kind, known, failures >= outageFailures)
 		if ctx.Err() != nil {
 			return // another VM sends the updates from now on
 		}
+		if platform.KindOf(err) == platform.EraChanged {
+			known = platform.Position{}
+			continue
+		}
 		gateway.mu.Lock()
 		now := time.Now()
 		gateway.follower.StoreResult(now, err == nil)
@@ -49,14 +53,14 @@
 			if failures > 0 {
 				gateway.log.Info("store reachable again", zap.String("kind", kind), zap.Int("failures", failures))
 			}
-			failures, backoff, known = 0, minBackoff, revision
+			failures, backoff, known = 0, minBackoff, position
 			continue
 		}
 		if failures++; failures == 1 || failures%failuresPerLogLine == 0 {
 			gateway.log.Warn("store call failed", zap.String("kind", kind), zap.Int("failures", failures), zap.Error(err))
 		}
 		if platform.KindOf(err) == platform.Compacted {
-			known = 0
+			known = platform.Position{}
 		}
 		sleep(ctx, backoff/2+rand.N(backoff/2))
 		backoff = min(2*backoff, gateway.backoffLimit())
@@ -72,42 +76,46 @@
 
 const failuresPerLogLine = 20 // one log line per this many failed calls
 
-// knownRevision returns the revision up to which the objects of a kind are known.
-func (gateway *Gateway) knownRevision(kind string) int64 {
+// knownPosition returns the position up to which the objects of a kind are known, the zero one if they must be listed.
+func (gateway *Gateway) knownPosition(kind string) platform.Position {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	revisions := gateway.storeCache.Revisions()
+	position := platform.Position{Era: revisions.ServersEra, Revision: revisions.Servers}
 	switch kind {
 	case platform.ConfigKind:
-		return revisions.Config
+		position = platform.Position{Era: revisions.ConfigEra, Revision: revisions.Config}
 	case platform.EvacuationsKind:
-		return 0 // the set has the revision of its last change, which the store may have compacted
+		return platform.Position{} // the set has the revision of its last change, which the store may have compacted
 	}
-	return revisions.Servers
+	if position.Era != gateway.era.Known() {
+		return platform.Position{} // the store has been restored since
+	}
+	return position
 }
 
 // listOrWatch makes one call of the store and applies its result: a list if no revision is known, else a watch. It returns the
-// revision to continue from.
-func (gateway *Gateway) listOrWatch(ctx context.Context, store *platform.Store, kind string, known int64, afterOutage bool) (int64, error) {
-	if known == 0 {
-		before := gateway.knownRevision(platform.TargetsKind)
-		objects, revision, err := store.List(ctx, kind)
+// position to continue from.
+func (gateway *Gateway) listOrWatch(ctx context.Context, store *platform.Store, kind string, known platform.Position, afterOutage bool) (platform.Position, error) {
+	if known.Revision == 0 {
+		before := gateway.knownPosition(platform.TargetsKind)
+		objects, position, err := store.List(ctx, kind)
 		if kind == platform.EvacuationsKind && platform.KindOf(err) == platform.NotFound { // a kind without objects
-			revision, err = before, nil
-			if revision == 0 { // unknown until the targets are listed
-				sleep(ctx, emptyKindPause)
-				return 0, nil
+			position, err = before, nil
+			if position.Revision == 0 || position.Era != gateway.era.Known() { // unknown until the targets are listed
+				sleep(ctx, targetsWatchPause)
+				return platform.Position{}, nil
 			}
 		}
 		if err == nil {
-			gateway.applyList(kind, objects, revision, afterOutage)
+			gateway.applyList(kind, objects, position, afterOutage)
 		}
-		return revision, err
+		return position, err
 	}
-	objects, revision, err := store.Watch(ctx, kind, known, gateway.watchTimeout())
+	objects, position, err := store.Watch(ctx, kind, known, gateway.watchTimeout())
 	if kind == platform.EvacuationsKind && platform.KindOf(err) == platform.NotFound {
 		sleep(ctx, emptyKindPause)
-		return 0, nil
+		return platform.Position{}, nil
 	}
 	if err != nil {
 		return known, err
@@ -116,7 +124,7 @@
 	if kind == platform.EvacuationsKind {
 		gateway.applyEvacuationChanges(objects)
 	} else {
-		gateway.applyUpdate("store", storeUpdateOf(kind, objects, revision, afterOutage))
+		gateway.applyUpdate("store", storeUpdateOf(kind, objects, position, afterOutage))
 	}
 	gateway.mu.Unlock()
 	if kind == platform.TargetsKind {
@@ -124,11 +132,11 @@
 	} else {
 		sleep(ctx, configWatchPause)
 	}
-	return revision, nil
+	return position, nil
 }
 
-// storeUpdateOf returns the store update for objects of a kind that changed up to a revision.
-func storeUpdateOf(kind string, objects []platform.Object, revision int64, afterOutage bool) rpc.StoreUpdate {
+// storeUpdateOf returns the store update for objects of a kind that changed up to a position.
+func storeUpdateOf(kind string, objects []platform.Object, position platform.Position, afterOutage bool) rpc.StoreUpdate {
 	update := rpc.StoreUpdate{}
 	for _, object := range objects {
 		stored := toStoreObject(object, afterOutage)
@@ -139,28 +147,30 @@
 		}
 	}
 	if kind == platform.TargetsKind {
-		update.Through = revision
+		update.Through, update.Era = position.Revision, position.Era
 	}
 	return update
 }
 
 // applyList applies a complete list of a kind. Targets that it lacks were deleted, or have lapsed after an outage of the store.
-func (gateway *Gateway) applyList(kind string, objects []platform.Object, revision int64, afterOutage bool) {
+func (gateway *Gateway) applyList(kind string, objects []platform.Object, position platform.Position, afterOutage bool) {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	update := storeUpdateOf(kind, objects, revision, afterOutage)
+	update := storeUpdateOf(kind, objects, position, afterOutage)
 	if kind == platform.EvacuationsKind {
-		update = rpc.StoreUpdate{Evacuations: evacuationsOf(objects, revision)}
+		update = rpc.StoreUpdate{Evacuations: evacuationsOf(objects, position)}
 	}
-	if kind == platform.TargetsKind {
+	update.Full = update.Era > gateway.storeCache.Revisions().ServersEra
+	if kind == platform.TargetsKind && !update.Full {
 		listed := map[string]bool{}
 		for _, object := range objects {
 			listed[object.Name] = true
 		}
-		update.Servers = append(update.Servers, gateway.storeCache.Tombstones(listed, revision, afterOutage)...)
+		update.Servers = append(update.Servers, gateway.storeCache.Tombstones(listed, position.Revision, afterOutage)...)
 	}
 	gateway.applyUpdate("store", update)
-	gateway.log.Info("store listed", zap.String("kind", kind), zap.Int("objects", len(objects)), zap.Int64("revision", revision), zap.Bool("afterOutage", afterOutage))
+	gateway.log.Info("store listed", zap.String("kind", kind), zap.Int("objects", len(objects)), zap.Int64("era", position.Era),
+		zap.Int64("revision", position.Revision), zap.Bool("afterOutage", afterOutage))
 }
 
 // watchTimeout returns the timeout of one watch call.
