--- a/poplarpind/gateway/dump.go
+++ b/poplarpind/gateway/dump.go
@@ -20,9 +20,11 @@
 	UpdateSource   string               `json:"source"`            // VM that sends it store updates; empty for none
 	ViewAge        config.Duration      `json:"viewAge,omitempty"` // time since the known configuration was surely the newest; omitted if it never was
 	StoreAddress   string               `json:"store"`
+	StoreEra       int64                `json:"storeEra,omitempty"`
 	Seeds          []string             `json:"seeds"`
 	ActiveRequests int64                `json:"active"`
 	Connections    int                  `json:"connections"`
+	Evacuated      []string             `json:"evacuated,omitempty"` // failure domains whose targets get no calls
 	Endpoints      []place.EndpointView `json:"servers"`
 }
 
@@ -40,6 +42,8 @@
 	dump.WatchingStore, dump.UpdateSource = gateway.plan.WatchStore, gateway.plan.Source
 	now := time.Now()
 	dump.ViewAge = gateway.dumpedViewAge(now)
+	dump.StoreEra = gateway.era.Known()
+	dump.Evacuated = gateway.fleet.Evacuated()
 	dump.Endpoints = gateway.fleet.Views(now)
 	return dump
 }
--- a/poplarpind/gateway/gateway_test.go
+++ b/poplarpind/gateway/gateway_test.go
@@ -43,7 +43,7 @@
 	t.Helper()
 	return platform.Settings{VM: name, FailureDomain: domain, IP: "127.0.0.1", InternalPorts: [2]int{freePort(t), 0},
 		PeerAddress: net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(t))), StoreAddress: store.Address(), Seeds: seeds,
-		Bounds: platform.Bounds{RetryBudgetRatio: 0.2, RetryBudgetSlack: 50}}
+		Bounds: platform.Bounds{RetryBudgetRatio: 0.2, RetryBudgetSlack: 50, MaxEvacuateDelay: 5 * time.Second}}
 }
 
 func startVM(t *testing.T, name, domain string, store *platformtest.Store, seeds ...string) *vm {
