Quotas in the gateway: tokens for client requests, loans and asks over links

Requests of accounts with a quota take a token after authentication: 429 when a pool says that the quota is used up, 503 when no token is available here. A request that was refused before anything was sent returns its token. The source of store updates is a VM's pool; readings and grants go back on the lender's link. VMs that have just read the list pass its length on with store updates (vms), so that subscribers count new VMs before their own next read. Without quotas in the settings and the configuration no node exists and nothing is sent.

go test ./poplarpind/gateway (also -race for the quota tests): three VMs over loopback links admit at least the depth and at most the bound of one account's quota and refuse the rest with Retry-After; a removed quota admits everything at once; no state without quotas.

--- a/core/quota/admit.go
+++ b/core/quota/admit.go
@@ -61,17 +61,31 @@
 
 // record counts a verdict.
 func (account *account) record(now time.Duration, verdict Verdict) {
+	account.counts.Record(verdict)
+	if _, ok := verdict.(Admitted); ok {
+		account.recordUse(now)
+	}
+}
+
+// Record counts a verdict.
+func (counts *Counts) Record(verdict Verdict) {
 	switch verdict.(type) {
 	case Admitted:
-		account.counts.Admitted++
-		account.recordUse(now)
+		counts.Admitted++
 	case Refused:
-		account.counts.Refused++
+		counts.Refused++
 	case Unknown:
-		account.counts.Unknown++
+		counts.Unknown++
 	}
 }
 
+// Add adds other counts.
+func (counts *Counts) Add(other Counts) {
+	counts.Admitted += other.Admitted
+	counts.Refused += other.Refused
+	counts.Unknown += other.Unknown
+}
+
 // Refund returns the token of a request that was admitted and reached no target.
 func (node *Node) Refund(now time.Duration, name string, admitted Admitted) {
 	node.advance(now)
--- a/core/rpc/store_update.go
+++ b/core/rpc/store_update.go
@@ -35,6 +35,7 @@
 	Servers        []StoreObject `json:"servers,omitempty"`
 	Full           bool          `json:"full,omitempty"`    // Servers is a complete list: targets that it lacks were deleted
 	Since          int64         `json:"since,omitempty"`   // revision that the changes of targets follow; a receiver that knows less stays at its revision, unless Full is set
+	VMs            int           `json:"vms,omitempty"`     // number of entry VMs, if the sender has just read it from the store
 	Through        int64         `json:"through,omitempty"` // revision up to which the targets are known with this update; 0 for no change
 }
 
@@ -63,8 +64,8 @@
 
 // Validate checks a decoded update.
 func (update StoreUpdate) Validate() error {
-	if update.Config != nil && update.Config.Revision <= 0 || update.Through < 0 {
-		return invalid("news", "configuration needs a positive revision, and through must not be negative")
+	if update.Config != nil && update.Config.Revision <= 0 || update.Through < 0 || update.VMs < 0 {
+		return invalid("news", "configuration needs a positive revision, and through and vms must not be negative")
 	}
 	for _, entry := range update.Servers {
 		if entry.Name == "" {
--- a/poplarpind/gateway/dump.go
+++ b/poplarpind/gateway/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"poplarpin.dev/core/place"
+	"poplarpin.dev/core/quota"
 )
 
 // Dump is a snapshot of a gateway's state for operators.
@@ -22,6 +23,7 @@
 	ActiveRequests int64                `json:"active"`
 	Connections    int                  `json:"connections"`
 	Endpoints      []place.EndpointView `json:"servers"`
+	Quotas         *quota.View          `json:"quotas,omitempty"` // nil without quotas
 }
 
 // Dump returns a snapshot of the gateway's state.
@@ -33,6 +35,7 @@
 		dump.ConfigVersion, dump.Routes = table.Version, table.RouteCount()
 	}
 	_, dump.Connections = gateway.pool.Counts()
+	dump.Quotas = gateway.quotas.view()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	dump.WatchingStore, dump.UpdateSource = gateway.plan.WatchStore, gateway.plan.Source
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -42,6 +42,7 @@
 	isolated            atomic.Bool               // cut off from targets that most recent requests need; other VMs may still reach them
 	isolatedChanged     atomic.Pointer[time.Time] // nil until the first change
 	activeRequests      atomic.Int64              // client requests in flight
+	quotas              *quotas
 
 	peersRead           chan struct{} // closed after the first attempt to read the list of entry VMs
 	observationsReady   chan struct{} // signals that observations are ready to be sent
@@ -87,6 +88,7 @@
 		budgets:           fanout.NewBudgets(bounds.RetryBudgetRatio*extraBudgetShare, bounds.RetryBudgetSlack*extraBudgetShare, time.Now()),
 	}
 	gateway.fleet.SetRegions(settings.Regions)
+	gateway.quotas = newQuotas(gateway)
 	gateway.pool = http1.New(gateway.maxConnections)
 	gateway.mesh = peer.New(rpc.Hello{VM: settings.VM, Incarnation: time.Now().UnixMicro()}, gateway, nil)
 	gateway.currentStoreAddress.Store(&settings.StoreAddress)
@@ -101,6 +103,7 @@
 	go gateway.shareObservations(ctx)
 	go gateway.expireLapsed(ctx)
 	go gateway.probe(ctx)
+	go gateway.quotas.run(ctx)
 	go gateway.maintainPeers(ctx)
 	go gateway.bootstrap(ctx)
 	<-ctx.Done()
--- a/poplarpind/gateway/gateway_test.go
+++ b/poplarpind/gateway/gateway_test.go
@@ -40,10 +40,14 @@
 }
 
 func startVM(t *testing.T, name, domain string, store *platformtest.Store, seeds ...string) *vm {
+	t.Helper()
+	return startVMWithin(t, platform.Bounds{RetryBudgetRatio: 0.2, RetryBudgetSlack: 50}, name, domain, store, seeds...)
+}
+
+func startVMWithin(t *testing.T, bounds platform.Bounds, name, domain string, store *platformtest.Store, seeds ...string) *vm {
 	t.Helper()
 	settings := platform.Settings{VM: name, FailureDomain: domain, IP: "127.0.0.1", InternalPorts: [2]int{freePort(t), 0},
-		PeerAddress: net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(t))), StoreAddress: store.Address(), Seeds: seeds,
-		Bounds: platform.Bounds{RetryBudgetRatio: 0.2, RetryBudgetSlack: 50}}
+		PeerAddress: net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(t))), StoreAddress: store.Address(), Seeds: seeds, Bounds: bounds}
 	started := &vm{gateway: gateway.New(settings, zap.NewNop()), peerAddress: settings.PeerAddress}
 	ctx, cancel := context.WithCancel(context.Background())
 	assert.NilError(t, started.gateway.Start(ctx))
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -29,6 +29,7 @@
 	route        *route.Route
 	account      *route.Account // nil for a request without one, and for parts that a peer asked for
 	limiter      *admit.Limiter // that admitted the request; nil for none
+	token        token
 	version      int64
 	machine      stateMachine
 	clientRun    *fanout.Run         // nil for parts that a peer asked for
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -70,6 +70,7 @@
 func (gateway *Gateway) readPeers(ctx context.Context, store *platform.Store, allowStale bool) (bool, error) {
 	var objects []platform.Object
 	var err error
+	readAt, listed := bootTime(), false
 	if allowStale {
 		objects, err = store.ListStale(ctx, platform.VMsKind)
 	} else {
@@ -86,12 +87,13 @@
 		case err != nil:
 			gateway.log.Info("object of an entry VM rejected", zap.String("name", truncate(object.Name)), zap.Error(err))
 		case vm.Name == gateway.settings.VM:
-			registered = vm == gateway.self()
+			listed, registered = true, vm == gateway.self()
 		default:
 			peers = append(peers, vm)
 		}
 	}
 	gateway.setPeers(peers)
+	gateway.quotas.listRead(readAt, peers, listed)
 	if registered || gateway.Draining() {
 		return false, nil
 	}
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -111,6 +111,7 @@
 	}
 	gateway.follower.LinkLost(time.Now(), name)
 	gateway.mu.Unlock()
+	gateway.quotas.linkDown(name)
 	gateway.log.Info("link to peer lost", zap.String("peer", name), zap.Int("calls", len(lostQueries)))
 	for _, queryID := range lostQueries {
 		gateway.endRelay(queryID, name, fanout.Lost)
@@ -142,6 +143,12 @@
 		return peer.Handle(params, func(update rpc.StoreUpdate) { gateway.receiveUpdate(from, update) })
 	case rpc.MethodObservations:
 		return peer.Handle(params, func(observations rpc.Observations) { gateway.receiveObservations(from, observations.Observations) })
+	case rpc.MethodQuotaLoan:
+		return peer.Handle(params, func(loan rpc.QuotaLoan) { gateway.quotas.receive(from, reply, loan) })
+	case rpc.MethodQuotaAsk:
+		return peer.Handle(params, func(ask rpc.QuotaAsk) { gateway.quotas.receive(from, reply, ask) })
+	case rpc.MethodQuotaGrant:
+		return peer.Handle(params, func(grant rpc.QuotaGrant) { gateway.quotas.receive(from, reply, grant) })
 	case rpc.MethodGatherResult:
 		return peer.Handle(params, func(result rpc.GatherResult) { gateway.receiveGatherResult(from, result) })
 	}
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -47,15 +47,20 @@
 	if rejection != nil {
 		return rejection
 	}
+	token, rejection, ok := gateway.quotas.take(ctx, request, matched, account, table)
+	if !ok {
+		return rejection
+	}
 	limiter, ok, retryAfter := gateway.admit(matched, account)
 	if !ok {
+		gateway.quotas.refund(token)
 		requestCounts.Add("overloaded", 1)
 		gateway.log.Info("request refused", zap.String("request", truncate(request.ID)), zap.String("route", matched.Name),
 			zap.Int64("version", table.Version), zap.String("reason", "servers are overloaded"), zap.Duration("retryAfter", retryAfter))
 		return platform.Refusal{RetryAfter: retryAfter, Reason: "servers are overloaded"}
 	}
 	job := gateway.newJob(request, matched, account, table.Version)
-	job.limiter = limiter
+	job.limiter, job.token = limiter, token
 	defer gateway.release(job)
 	gateway.step(job, func(now time.Time) []fanout.Action { return job.clientRun.Start(now) })
 	select {
@@ -149,6 +154,7 @@
 		gateway.logSummary(job, "serverFailed", "")
 		return platform.Relayed{Reply: job.reply(response.Call)}
 	case fanout.Refuse:
+		gateway.refundUnsent(job)
 		gateway.recordOutcome(job, "refused")
 		gateway.logSummary(job, "refused", response.Reason)
 		return platform.Refusal{RetryAfter: gateway.retryAfter(response.RetryAfter), Reason: response.Reason}
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -88,7 +88,7 @@
 			delete(gateway.subscribers, name)
 		case now.Sub(subscriber.lastSent) >= heartbeatInterval:
 			subscriber.lastSent = now
-			subscriber.reply(rpc.MethodStoreUpdate, rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now)})
+			subscriber.reply(rpc.MethodStoreUpdate, rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), VMs: gateway.quotas.currentCount()})
 		}
 	}
 }
@@ -134,6 +134,7 @@
 		gateway.log.Info("peer subscribed to store updates", zap.String("peer", from), zap.Int64("config", revisions.Config), zap.Int64("targets", revisions.Servers))
 	}
 	update := gateway.storeCache.UpdateSince(revisions, gateway.storeReachable(now))
+	update.VMs = gateway.quotas.currentCount()
 	gateway.subscribers[from] = &subscriber{reply: reply, expires: now.Add(subscriptionTTL), lastSent: now, sentThrough: max(revisions.Servers, update.Through)}
 	reply(rpc.MethodStoreUpdate, update)
 }
@@ -145,6 +146,7 @@
 	now := time.Now()
 	if from == gateway.plan.Source && update.StoreReachable {
 		gateway.viewConfirmed = now
+		gateway.quotas.countHeard(update.VMs)
 	}
 	gateway.follower.HeardFrom(now, from, update.StoreReachable)
 	gateway.applyUpdate(from, update) // also from a former source: revisions make stale updates harmless
@@ -166,7 +168,7 @@
 		return
 	}
 	now := time.Now()
-	forwarded := rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), Config: config, Servers: targets, Through: gateway.storeCache.Revisions().Servers}
+	forwarded := rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), Config: config, Servers: targets, Through: gateway.storeCache.Revisions().Servers, VMs: gateway.quotas.currentCount()}
 	for _, subscriber := range gateway.subscribers {
 		forwarded.Since = subscriber.sentThrough
 		subscriber.lastSent, subscriber.sentThrough = now, forwarded.Through
