--- a/core/rpc/store_update.go
+++ b/core/rpc/store_update.go
@@ -42,6 +42,7 @@
 	Servers        []StoreObject `json:"servers,omitempty"`
 	Full           bool          `json:"full,omitempty"`    // Servers is a complete list: targets that it lacks were deleted
 	Since          int64         `json:"since,omitempty"`   // revision that the changes of targets follow; a receiver that knows less stays at its revision, unless Full is set
+	VMs            int           `json:"vms,omitempty"`     // number of entry VMs, if the sender has just read it from the store
 	Through        int64         `json:"through,omitempty"` // revision up to which the targets are known with this update; 0 for no change
 	// ViewAge is the age of the sender's view of the configuration; it is omitted while the configuration has no accounts.
 	ViewAge     config.Duration `json:"viewAge,omitempty"`
@@ -90,8 +91,8 @@
 
 // Validate checks a decoded update.
 func (update StoreUpdate) Validate() error {
-	if update.Config != nil && update.Config.Revision <= 0 || min(update.Through, update.Era, update.FirstList) < 0 || update.ViewAge < 0 {
-		return invalid("news", "configuration needs a positive revision, and no era, revision or viewAge may be negative")
+	if update.Config != nil && update.Config.Revision <= 0 || min(update.Through, update.Era, update.FirstList) < 0 || update.ViewAge < 0 || update.VMs < 0 {
+		return invalid("news", "configuration needs a positive revision, and no era, revision, viewAge or vms may be negative")
 	}
 	for _, entry := range update.Servers {
 		if entry.Name == "" {
--- a/poplarpind/gateway/dump.go
+++ b/poplarpind/gateway/dump.go
@@ -5,6 +5,7 @@
 
 	"poplarpin.dev/core/config"
 	"poplarpin.dev/core/place"
+	"poplarpin.dev/core/quota"
 )
 
 // Dump is a snapshot of a gateway's state for operators.
@@ -26,6 +27,7 @@
 	Connections    int                  `json:"connections"`
 	Evacuated      []string             `json:"evacuated,omitempty"` // failure domains whose targets get no calls
 	Endpoints      []place.EndpointView `json:"servers"`
+	Quotas         *quota.View          `json:"quotas,omitempty"` // nil without quotas
 }
 
 // Dump returns a snapshot of the gateway's state.
@@ -37,6 +39,7 @@
 		dump.ConfigVersion, dump.Routes = table.Version, table.RouteCount()
 	}
 	_, dump.Connections = gateway.pool.Counts()
+	dump.Quotas = gateway.quotas.view()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	dump.WatchingStore, dump.UpdateSource = gateway.plan.WatchStore, gateway.plan.Source
--- a/poplarpind/gateway/gateway_test.go
+++ b/poplarpind/gateway/gateway_test.go
@@ -51,6 +51,13 @@
 	return startVMWith(t, newSettings(t, name, domain, store, seeds...), zap.NewNop())
 }
 
+func startVMWithin(t *testing.T, bounds platform.Bounds, name, domain string, store *platformtest.Store, seeds ...string) *vm {
+	t.Helper()
+	settings := newSettings(t, name, domain, store, seeds...)
+	settings.Bounds = bounds
+	return startVMWith(t, settings, zap.NewNop())
+}
+
 func startVMWith(t *testing.T, settings platform.Settings, log *zap.Logger) *vm {
 	t.Helper()
 	started := &vm{gateway: gateway.New(settings, log), peerAddress: settings.PeerAddress}
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -71,6 +71,7 @@
 func (gateway *Gateway) readPeers(ctx context.Context, store *platform.Store, allowStale bool) (bool, error) {
 	var objects []platform.Object
 	var err error
+	readAt, listed := bootTime(), false
 	if allowStale {
 		objects, err = store.ListStale(ctx, platform.VMsKind)
 	} else {
@@ -87,7 +88,7 @@
 		case err != nil:
 			gateway.log.Info("object of an entry VM rejected", zap.String("name", truncate(object.Name)), zap.Error(err))
 		case vm.Name == gateway.settings.VM:
-			registered, listed = vm == gateway.self(), true
+			listed, registered = true, vm == gateway.self()
 		default:
 			peers = append(peers, vm)
 		}
@@ -97,7 +98,9 @@
 		gateway.fleet.MarkListed()
 		gateway.mu.Unlock()
 	}
-	gateway.setPeers(gateway.withLostPeers(peers))
+	peers = gateway.withLostPeers(peers)
+	gateway.setPeers(peers)
+	gateway.quotas.listRead(readAt, peers, listed)
 	if registered || gateway.Draining() {
 		return false, nil
 	}
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -48,15 +48,20 @@
 		return rejection
 	}
 	defer func() { countAnswer(account, answer) }()
+	token, rejection, ok := gateway.quotas.take(ctx, request, matched, account, table)
+	if !ok {
+		return rejection
+	}
 	limiter, ok, retryAfter := gateway.admit(matched, account)
 	if !ok {
+		gateway.quotas.refund(token)
 		requestCounts.Add("overloaded", 1)
 		gateway.log.Info("request refused", zap.String("request", truncate(request.ID)), zap.String("route", matched.Name),
 			zap.Int64("version", table.Version), zap.String("reason", overloadedReason), zap.Duration("retryAfter", retryAfter))
 		return platform.Refusal{RetryAfter: retryAfter, Reason: overloadedReason}
 	}
 	job := gateway.newJob(request, matched, account, nextClientPath(ctx), table.Version)
-	job.limiter = limiter
+	job.limiter, job.token = limiter, token
 	defer gateway.release(job)
 	gateway.step(job, func(now time.Time) []fanout.Action { return job.clientRun.Start(now) })
 	select {
@@ -152,6 +157,7 @@
 		gateway.logSummary(job, "serverFailed", "")
 		return platform.Relayed{Reply: job.reply(response.Call)}
 	case fanout.Refuse:
+		gateway.refundUnsent(job)
 		gateway.recordOutcome(job, "refused")
 		gateway.logSummary(job, "refused", response.Reason)
 		return platform.Refusal{RetryAfter: gateway.retryAfter(response.RetryAfter), Reason: response.Reason}
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -99,7 +99,7 @@
 		case now.Sub(subscriber.lastSent) >= heartbeatInterval:
 			subscriber.lastSent = now
 			subscriber.reply(rpc.MethodStoreUpdate, rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), ViewAge: gateway.sharedViewAge(now),
-				Era: gateway.era.Known()})
+				Era: gateway.era.Known(), VMs: gateway.quotas.currentCount()})
 		}
 	}
 }
@@ -152,7 +152,7 @@
 		gateway.log.Info("peer subscribed to store updates", zap.String("peer", from), zap.Int64("config", revisions.Config), zap.Int64("targets", revisions.Servers))
 	}
 	update := gateway.updateSince(now, revisions)
-	update.ViewAge = gateway.sharedViewAge(now)
+	update.ViewAge, update.VMs = gateway.sharedViewAge(now), gateway.quotas.currentCount()
 	gateway.subscribers[from] = &subscriber{reply: reply, expires: now.Add(subscriptionTTL), lastSent: now, sentThrough: revisions.Servers, sentEra: revisions.ServersEra}
 	gateway.subscribers[from].sent(update)
 	reply(rpc.MethodStoreUpdate, update)
@@ -166,6 +166,9 @@
 	storeReachable := update.StoreReachable && update.Era >= gateway.era.Known() // a source of a lower era has a store that was replaced
 	if storeReachable {
 		gateway.confirmView(now, from, update)
+		if from == gateway.plan.Source {
+			gateway.quotas.countHeard(update.VMs)
+		}
 	}
 	gateway.follower.HeardFrom(now, from, storeReachable)
 	gateway.era.Raise(update.Era)
@@ -198,7 +201,8 @@
 func (gateway *Gateway) forward(now time.Time, config *rpc.StoreObject, targets []rpc.StoreObject, evacuations *rpc.Evacuations) {
 	revisions := gateway.storeCache.Revisions()
 	forwarded := rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), ViewAge: gateway.sharedViewAge(now), Config: config, Servers: targets,
-		Through: revisions.Servers, Evacuations: evacuations, Era: revisions.ServersEra}
+		Through: revisions.Servers, Evacuations: evacuations, Era: revisions.ServersEra,
+		VMs: gateway.quotas.currentCount()}
 	known := gateway.era.Known()
 	for _, subscriber := range gateway.subscribers {
 		if revisions.ServersEra != known || subscriber.sentEra != known { // a subscriber of a lower era needs the full list
