Quota pools by preference instead of by the source of store updates; shares are lent before the first quota comes

Change: core/quota.PoolChooser takes the first of the failure domain's best three VMs that answers; the node runs from the start where the settings have quota_window_s, and an account that is new starts with a full bucket for shares that have been here for a window.

--- a/core/follow/rank.go
+++ b/core/follow/rank.go
@@ -22,3 +22,14 @@
 	}
 	return names
 }
+
+// RankedIn returns the names of the VMs of a failure domain in the order of precedence for watching the store.
+func RankedIn(peers []Peer, failureDomain string) []string {
+	inDomain := slices.DeleteFunc(slices.Clone(peers), func(peer Peer) bool { return peer.FailureDomain != failureDomain })
+	slices.SortFunc(inDomain, compareRank)
+	names := make([]string, len(inDomain))
+	for i, peer := range inDomain {
+		names[i] = peer.Name
+	}
+	return names
+}
--- a/core/quota/ask.go
+++ b/core/quota/ask.go
@@ -376,3 +376,9 @@
 		return vm != node.pool && !slices.Contains(node.otherPools, vm) && len(lane.asks) == 0 && len(lane.pending) == 0
 	})
 }
+
+// AwaitsAnswer reports whether a VM was asked and has not answered yet.
+func (node *Node) AwaitsAnswer(vm string) bool {
+	lane := node.lanes[vm]
+	return lane != nil && lane.unanswered
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"slices"
 	"time"
 
@@ -103,7 +104,8 @@
 	limits      Limits
 	tokenTerm   time.Duration
 	accounts    map[string]*account
-	names       []string // of the accounts, sorted
+	removedAt   map[string]time.Duration // of accounts that were removed within settleSpan
+	names       []string                 // of the accounts, sorted
 	actions     []Action
 	events      eventQueue
 	ticking     bool // the periodic events are scheduled
@@ -116,7 +118,7 @@
 func New(self string, incarnation int64, limits Limits, now time.Duration) *Node {
 	tokenTerm := time.Duration(rateShare * limits.Overshoot * float64(limits.Window))
 	return &Node{
-		self: self, incarnation: incarnation, limits: limits, tokenTerm: max(tokenTerm, minTokenTerm), accounts: map[string]*account{},
+		self: self, incarnation: incarnation, limits: limits, tokenTerm: max(tokenTerm, minTokenTerm), accounts: map[string]*account{}, removedAt: map[string]time.Duration{},
 		shares:     newShares(now),
 		borrowings: borrowings{lanes: map[string]*lane{}, waiting: map[uint64]*demand{}, lastAsks: map[string]*recentAsks{}},
 	}
@@ -153,10 +155,7 @@
 		}
 		known := node.accounts[configured.Name]
 		if known == nil {
-			known = newAccount(configured.Name, now+node.settleSpan(), now)
-			known.Account = configured
-			known.depth, known.fresh = node.bucketSize(known)
-			known.full = float64(known.fresh)
+			known = node.addAccount(configured, now)
 		}
 		if known.Account != configured {
 			node.fill(known, now)
@@ -166,6 +165,12 @@
 		}
 		next[configured.Name] = known
 	}
+	for name := range node.accounts {
+		if next[name] == nil {
+			node.removedAt[name] = now
+		}
+	}
+	maps.DeleteFunc(node.removedAt, func(_ string, at time.Duration) bool { return now-at > node.settleSpan() })
 	node.accounts, node.names = next, node.names[:0]
 	for name := range next {
 		node.names = append(node.names, name)
@@ -176,9 +181,26 @@
 	return node.takeActions()
 }
 
-// startTicking schedules the periodic events once there are accounts.
+// addAccount returns the state of an account that is new in the configuration. Its bucket starts full as far as shares have been here for
+// settleSpan, since no other VM can have used them for it; an account that was removed recently may have used its tokens.
+func (node *Node) addAccount(configured Account, now time.Duration) *account {
+	settlesAt := time.Duration(0)
+	if _, removed := node.removedAt[configured.Name]; removed {
+		settlesAt = now + node.settleSpan()
+	}
+	added := newAccount(configured.Name, settlesAt, now)
+	added.Account = configured
+	added.depth, added.fresh = node.bucketSize(added)
+	added.full = float64(added.depth)
+	if settlesAt == 0 {
+		added.release()
+	}
+	return added
+}
+
+// startTicking schedules the periodic events.
 func (node *Node) startTicking(now time.Duration) {
-	if len(node.accounts) > 0 && !node.ticking {
+	if !node.ticking {
 		node.ticking = true
 		node.schedule(now, event{kind: offerDue})
 	}
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -234,10 +234,16 @@
 		}
 		node.sendOffer()
 	}
+	node.startTicking(now)
 	node.pruneLanes()
 	return node.takeActions()
 }
 
+// Probe returns the message that shows whether a VM answers.
+func (node *Node) Probe(vm string) []Action {
+	return []Action{Send{vm, rpc.QuotaLoan{Rank: node.ownShare.rank, VMs: max(node.ownShare.vms, 1)}}}
+}
+
 // hasRemotePool reports whether another VM is this VM's pool.
 func (node *Node) hasRemotePool() bool { return node.pool != "" && node.pool != node.self }
 
@@ -248,10 +254,6 @@
 
 // offer repeats the offer to the pool while it sends no readings.
 func (node *Node) offer(now time.Duration) {
-	if len(node.accounts) == 0 {
-		node.ticking = false
-		return
-	}
 	if now-node.readingAt > loanInterval {
 		node.sendOffer()
 	}
@@ -259,7 +261,7 @@
 }
 
 func (node *Node) sendOffer() {
-	if node.hasRemotePool() && len(node.accounts) > 0 {
+	if node.hasRemotePool() {
 		node.send(node.pool, rpc.QuotaLoan{Rank: node.ownShare.rank, VMs: max(node.ownShare.vms, 1)})
 	}
 }
@@ -272,7 +274,7 @@
 	}
 	node.seenReading, node.readingAt, node.poolHeard = reading, now, now
 	mayLend := node.listKnown && now >= node.ownFrom && (node.lentTo == from || now >= node.lentUntil)
-	if !mayLend || len(node.accounts) == 0 {
+	if !mayLend {
 		return
 	}
 	node.lentTo, node.lentUntil = from, now+loanTerm
@@ -312,7 +314,7 @@
 	if known == nil || known.serial != serial {
 		return
 	}
-	if known.share.vms == 0 && now-known.heard > 3*loanTerm || len(node.accounts) == 0 {
+	if known.share.vms == 0 && now-known.heard > 3*loanTerm {
 		node.changeShare(now, &known.production, share{})
 		delete(node.loans, vm)
 		return
--- a/poplarpind/gateway/quota.go
+++ b/poplarpind/gateway/quota.go
@@ -23,8 +23,8 @@
 	quotaPoolRefresh = syncInterval
 )
 
-// quotas takes tokens for client requests and carries out what this VM's quota node decides. There is no node until a configuration has a
-// quota. Where both mutexes are held, the gateway's mu is locked first.
+// quotas takes tokens for client requests and carries out what this VM's quota node decides. There is a node only if the settings permit
+// quotas. Where both mutexes are held, the gateway's mu is locked first.
 type quotas struct {
 	gateway     *Gateway
 	log         *zap.Logger
@@ -34,6 +34,7 @@
 	node        *quota.Node
 	table       *route.Table // whose accounts the node has
 	list        vmList
+	chooser     *quota.PoolChooser
 	pool        string
 	otherPools  []string
 	replies     map[string]peer.Reply // of the VMs that lend to this one or ask it
@@ -61,8 +62,14 @@
 }
 
 func newQuotas(gateway *Gateway) *quotas {
-	return &quotas{gateway: gateway, log: gateway.log, incarnation: time.Now().UnixMicro(), replies: map[string]peer.Reply{},
+	quotas := &quotas{gateway: gateway, log: gateway.log, incarnation: time.Now().UnixMicro(), replies: map[string]peer.Reply{},
 		waiters: map[uint64]chan quota.Verdict{}}
+	if quotas.enabled() {
+		now, self, bounds := bootTime(), gateway.settings.VM, gateway.settings.Bounds
+		quotas.node = quota.New(self, quotas.incarnation, quota.Limits{Window: bounds.QuotaWindow, Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack}, now)
+		quotas.chooser = quota.NewPoolChooser(self, now)
+	}
+	return quotas
 }
 
 // bootTime returns the time since the start of the machine, including the time in which it was suspended.
@@ -87,32 +94,42 @@
 	quotas.applyTable(quotas.gateway.table.Load())
 	gateway := quotas.gateway
 	gateway.mu.Lock()
-	plan, peers := gateway.plan, toFollowPeers(gateway.peers)
+	peers := toFollowPeers(gateway.peers)
 	gateway.mu.Unlock()
-	pool := plan.Source
-	if pool == "" && plan.WatchStore {
-		pool = gateway.settings.VM
-	}
-	otherPools := follow.BestElsewhere(peers, gateway.settings.FailureDomain)
+	settings := gateway.settings
+	otherPools := follow.BestElsewhere(peers, settings.FailureDomain)
+	self := follow.Peer{Name: settings.VM, FailureDomain: settings.FailureDomain, Cores: settings.Cores}
+	ranked := follow.RankedIn(append(peers, self), settings.FailureDomain)
 	quotas.step(func(now time.Duration, node *quota.Node) []quota.Action {
 		for vm := range quotas.replies {
 			if !slices.ContainsFunc(peers, func(peer follow.Peer) bool { return peer.Name == vm }) {
 				delete(quotas.replies, vm)
 			}
 		}
-		var actions []quota.Action
-		if pool != quotas.pool || !slices.Equal(otherPools, quotas.otherPools) {
-			quotas.pool, quotas.otherPools = pool, otherPools
-			actions = node.SetPool(now, pool, otherPools)
-		}
+		quotas.chooser.SetRanked(ranked)
+		actions := quotas.choosePool(now, node, otherPools)
 		quotas.logChanges(node.Summary(now))
 		return actions
 	})
 }
 
-// applyTable gives the node the accounts of a configuration, and creates the node for the first one with a quota.
+// choosePool lets the chooser decide on the pool and tells the node; the caller holds mu.
+func (quotas *quotas) choosePool(now time.Duration, node *quota.Node, otherPools []string) []quota.Action {
+	pool, probes := quotas.chooser.Choose(now)
+	var actions []quota.Action
+	for _, vm := range probes {
+		actions = append(actions, node.Probe(vm)...)
+	}
+	if pool != quotas.pool || !slices.Equal(otherPools, quotas.otherPools) {
+		quotas.pool, quotas.otherPools = pool, otherPools
+		actions = append(actions, node.SetPool(now, pool, otherPools)...)
+	}
+	return actions
+}
+
+// applyTable gives the node the accounts of a configuration.
 func (quotas *quotas) applyTable(table *route.Table) {
-	if table == nil {
+	if table == nil || !quotas.enabled() {
 		return
 	}
 	quotas.mu.Lock()
@@ -127,17 +144,7 @@
 			accounts = append(accounts, quota.Account{Name: account.Name, RatePerSecond: account.RequestsPerSecond, Burst: account.Burst})
 		}
 	}
-	if quotas.node == nil && len(accounts) == 0 {
-		return
-	}
 	now := bootTime()
-	if quotas.node == nil {
-		bounds := quotas.gateway.settings.Bounds
-		quotas.node = quota.New(quotas.gateway.settings.VM, quotas.incarnation,
-			quota.Limits{Window: bounds.QuotaWindow, Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack}, now)
-		quotas.pool, quotas.otherPools = "", nil
-		quotas.setVMs(now)
-	}
 	actions := quotas.node.SetAccounts(now, accounts)
 	quotas.schedule(now)
 	go quotas.carryOut(quotas.decide(actions))
@@ -198,7 +205,7 @@
 	}
 	quotas.mu.Lock()
 	defer quotas.mu.Unlock()
-	if quotas.node == nil || bootTime()-quotas.list.readAt > freshListAge {
+	if bootTime()-quotas.list.readAt > freshListAge {
 		return 0
 	}
 	return len(quotas.list.vms)
@@ -290,9 +297,20 @@
 	return quotas.replies[send.VM]
 }
 
+// awaitsAnswer reports whether a VM was asked for tokens and has not answered yet.
+func (quotas *quotas) awaitsAnswer(vm string) bool {
+	quotas.mu.Lock()
+	defer quotas.mu.Unlock()
+	return quotas.node != nil && quotas.node.AwaitsAnswer(vm)
+}
+
 // linkDown ends the wait for what was asked of a VM.
 func (quotas *quotas) linkDown(vm string) {
-	quotas.step(func(now time.Duration, node *quota.Node) []quota.Action { return node.LinkDown(now, vm) })
+	quotas.step(func(now time.Duration, node *quota.Node) []quota.Action {
+		quotas.chooser.Lost(vm)
+		actions := quotas.choosePool(now, node, quotas.otherPools)
+		return append(node.LinkDown(now, vm), actions...)
+	})
 }
 
 // receive handles a message of another VM; reply is nil if the VM answers on a link of this VM.
@@ -301,7 +319,12 @@
 		if reply != nil {
 			quotas.replies[from] = reply
 		}
-		return node.Receive(now, from, message)
+		var actions []quota.Action
+		if loan, ok := message.(rpc.QuotaLoan); ok && loan.VMs == 0 { // a reading of the clock, which only pools and probed VMs send
+			quotas.chooser.Heard(now, from)
+			actions = quotas.choosePool(now, node, quotas.otherPools)
+		}
+		return append(actions, node.Receive(now, from, message)...)
 	})
 }
 
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -127,7 +127,7 @@
 			return true
 		}
 	}
-	return false
+	return gateway.quotas.awaitsAnswer(name)
 }
 
 // Notify implements peer.Handler.
