Quota buckets: no tokens beyond the depth when an account and a share settle together

An account that settles while a share is being settled already counted that share as settled, and it was subtracted a second time: the bucket then exceeded its depth by the share's units. The share now counts as fresh until all accounts are done. The property test checks that no bucket exceeds its depth and lets buckets fill between bursts; new tests cover a share that settles and a pool that fails.

--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"poplarpin.dev/core/quota"
 	"poplarpin.dev/core/rpc"
 )
@@ -263,15 +265,20 @@
 	return worst
 }
 
-// produced returns the fraction of all quotas that the VMs that are up produce.
-func (fleet *fleet) produced() float64 {
+// assertProduction checks that the VMs that are up produce no more than all shares, and that no bucket exceeds its depth.
+func (fleet *fleet) assertProduction(t assert.TestingT) {
 	sum := 0.0
 	for _, vm := range fleet.vms {
-		if !vm.down {
-			sum += vm.node.Summary(vm.clock(fleet)).Fraction
+		if vm.down {
+			continue
+		}
+		view := vm.node.View(vm.clock(fleet))
+		sum += view.Fraction
+		for _, account := range view.Accounts {
+			assert.Assert(t, account.Level <= float64(account.Depth), "%s: %+v", vm.name, account)
 		}
 	}
-	return sum
+	assert.Assert(t, sum <= 1+1e-9, "%v of the quotas is produced", sum)
 }
 
 // newZones returns a fleet in three failure domains whose VMs were listed before it starts.
--- a/core/quota/load_test.go
+++ b/core/quota/load_test.go
@@ -144,3 +144,23 @@
 		})
 	}
 }
+
+// TestPoolFails guards against refusals beyond the time in which lenders change to another pool: the pool of one of three failure domains
+// fails under the usual load of 74 accounts on 64 VMs, and its VMs choose another after 600 ms.
+func TestPoolFails(t *testing.T) {
+	accounts, usual := newAccounts(50)
+	fleet := newZones(3, 64, limits, accounts)
+	fleet.after(peakStart, func() {
+		fleet.vms[0].down = true
+		for _, vm := range fleet.vms {
+			fleet.step(vm, vm.node.LinkDown(vm.clock(fleet), fleet.vms[0].name))
+		}
+	})
+	fleet.after(peakStart+600*time.Millisecond, fleet.usePools)
+	fleet.sendLoad(usual, false)
+	fleet.run(loadEnd)
+	all := fleet.totals(func(string) bool { return true })
+	t.Logf("%+v", all)
+	assert.Assert(t, all.refusedShare() < 0.03, "%+v", all)
+	assertWithinQuotas(t, fleet)
+}
--- a/core/quota/node_test.go
+++ b/core/quota/node_test.go
@@ -17,17 +17,18 @@
 )
 
 var (
+	slow      = quota.Account{Name: "slow", RatePerSecond: 0.001, Burst: 10}
 	bulk      = quota.Account{Name: "bulk", RatePerSecond: 10, Burst: 10}
 	twoVMs    = quota.VMs{Listed: []quota.VM{{FailureDomain: "a", Name: "a1"}, {FailureDomain: "a", Name: "a2"}}, Settled: true}
 	fiveVMs   = quota.VMs{Listed: append([]quota.VM{{FailureDomain: "b", Name: "b1"}, {FailureDomain: "b", Name: "b2"}, {FailureDomain: "b", Name: "b3"}}, twoVMs.Listed...), Settled: true}
 	objective = 400 * time.Millisecond
 )
 
-// newNode returns a node that was started a minute before, with the account bulk, in a fleet of two. A pool that is another VM is chosen
+// newNode returns a node that was started a minute before, with the accounts bulk and slow, in a fleet of two. A pool that is another VM is chosen
 // at the end, and has the node's share on loan.
 func newNode(self, pool string, otherPools ...string) *quota.Node {
 	node := quota.New(self, 7, limits, 0)
-	node.SetAccounts(0, []quota.Account{bulk})
+	node.SetAccounts(0, []quota.Account{bulk, slow})
 	if pool == self {
 		node.SetPool(0, pool, otherPools)
 	}
@@ -209,6 +210,17 @@
 		node.Receive(minute+second-1, "a1", loan) // doubled
 		assert.Equal(t, node.Summary(minute+second).Fraction, 0.5)
 	})
+	t.Run("a share counts as full when no window contains tokens that another VM produced from it", func(t *testing.T) {
+		node := newNode("a2", "a2")
+		level := func(at time.Duration) int { return int(node.View(at).Accounts[1].Level) }
+		own := level(minute)
+		settled := minute + 5*second + 2*tokenEnd
+		for now := minute; now < settled; now += second / 2 {
+			lend(node, now)
+		}
+		assert.Equal(t, level(settled-1), own)
+		assert.Equal(t, level(settled), 25) // 10 + 0.75 x 20
+	})
 	t.Run("a loan for a reading of an earlier process counts for nothing", func(t *testing.T) {
 		node := newNode("a2", "a2")
 		echo := rpc.ClockReading{Incarnation: 6, Micros: minute.Microseconds()}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -86,15 +86,17 @@
 			}
 			return delays
 		}
-		for end := 8 * time.Second; fleet.now < 40*time.Second; end += time.Duration(rapid.IntRange(10, 1500).Draw(t, "pause")) * time.Millisecond {
+		for end := 8 * time.Second; fleet.now < 50*time.Second; {
+			perStep := rapid.SampledFrom([]int{0, 0, 20, 200}).Draw(t, "perStep") // buckets fill while there are no requests
 			for fleet.now < end {
-				for range rapid.IntRange(0, 20).Draw(t, "requests") {
+				for range perStep {
 					fleet.send(fleet.vms[fleet.random.IntN(len(fleet.vms))], accounts[fleet.random.IntN(2)].Name)
 				}
-				fleet.run(fleet.now + time.Duration(fleet.random.Int64N(int64(100*time.Millisecond))))
-				assert.Assert(t, fleet.produced() <= 1+1e-9, "%v of the quotas is produced", fleet.produced())
+				fleet.run(fleet.now + time.Duration(fleet.random.Int64N(int64(200*time.Millisecond))))
+				fleet.assertProduction(t)
 			}
 			disturb(t, fleet, store, cut)
+			end += time.Duration(rapid.IntRange(10, 4000).Draw(t, "pause")) * time.Millisecond
 		}
 		for _, account := range accounts {
 			assert.Assert(t, fleet.overuse(account) <= 0, "account %s is %.1f over its bound", account.Name, fleet.overuse(account))
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -126,15 +126,15 @@
 		node.settlesAt = min(node.settlesAt, at)
 		return
 	}
-	production.settled = true
 	for _, name := range node.names {
 		account := node.accounts[name]
-		node.fill(account, now)
+		node.fill(account, now) // may let the account settle, which counts the shares that are still fresh
 		if account.settlesAt == 0 {
 			account.fresh -= node.units(account, production.share)
 			account.release()
 		}
 	}
+	production.settled = true
 }
 
 // expireLoans ends the loans whose term has passed, each at its own time.
