--- a/poplarpind/gateway/quota_test.go
+++ b/poplarpind/gateway/quota_test.go
@@ -95,6 +95,27 @@
 	})
 }
 
+// TestQuotaOfOtherFailureDomain guards against an account that is refused in one failure domain while another has tokens.
+func TestQuotaOfOtherFailureDomain(t *testing.T) {
+	store, _ := newDeployment(t)
+	store.Put("config", "main", configWithQuota(1, 1, 3))
+	for name, domain := range map[string]string{"vm-a1": "a", "vm-b1": "b"} {
+		store.Put(platform.VMsKind, name, platform.VM{Name: name, FailureDomain: domain, Address: "127.0.0.1:1"})
+	}
+	vms := []*vm{startVMWithin(t, quotaBounds, "vm-a1", "a", store), startVMWithin(t, quotaBounds, "vm-b1", "b", store)}
+	for _, vm := range vms {
+		waitFor(t, "a pool with half of the quota", func() bool { return vm.quotas().Accounts[0].Level >= 9 })
+	}
+	admitted := 0
+	for range 40 {
+		if vms[0].send(t).StatusCode == 200 {
+			admitted++
+		}
+	}
+	assert.Assert(t, admitted >= 18, "%d", admitted)
+	assert.Assert(t, vms[1].quotas().Granted >= 9, "%d", vms[1].quotas().Granted)
+}
+
 // TestNoQuotas guards against deployments without quotas that pay for them.
 func TestNoQuotas(t *testing.T) {
 	store, _ := newDeployment(t)
