Quotas: VMs ask again at a pool's next token; loans of 0.7 s, offered as soon as a share may be lent

After all VMs restarted, loans began 1.25 to 1.75 s after the processes. Change: a refusal carries the time of the pool's next token, until which a VM refuses without asking, beside the promised time, which goes to the client; loanTerm 0.7 s (readings each 0.45 s); an owner offers its share at the moment at which it may be lent.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -25,14 +25,20 @@
 	fresh         int           // units in full of shares that came recently
 	settlesAt     time.Duration // the account itself came recently, so that until then all shares count as fresh
 	filledAt      time.Duration
-	promisedUntil time.Duration            // time up to which tokens are promised to refused requests
-	refusedBy     map[string]time.Duration // by pool, the time until which it refuses
-	stock         []tokens                 // granted by others, by the end of their term
-	usage         float64                  // tokens used here recently, decaying over usageSpan
+	promisedUntil time.Duration      // time up to which tokens are promised to refused requests
+	refusedBy     map[string]refusal // the latest of each pool
+	stock         []tokens           // granted by others, by the end of their term
+	usage         float64            // tokens used here recently, decaying over usageSpan
 	usageAt       time.Duration
 	counts        Counts
 }
 
+// refusal is a pool's answer that an account has no token there.
+type refusal struct {
+	until   time.Duration // the pool may have a token from then on, so that it is asked again
+	retryAt time.Duration // a refused client is let in then
+}
+
 // Counts counts the requests of an account by verdict.
 type Counts struct {
 	Admitted int64 `json:"admitted"`
@@ -42,7 +48,7 @@
 
 func newAccount(name string, settlesAt, now time.Duration) *account {
 	offset := float64(xxhash.Sum64String(name)>>11) / (1 << 53)
-	return &account{offset: offset, settlesAt: settlesAt, filledAt: now, refusedBy: map[string]time.Duration{}}
+	return &account{offset: offset, settlesAt: settlesAt, filledAt: now, refusedBy: map[string]refusal{}}
 }
 
 // share is the right of the VM at a rank among all VMs to produce tokens.
@@ -143,21 +149,22 @@
 	return taken
 }
 
-// promise returns the time until the account's next token that is not yet promised, and promises it.
-func (node *Node) promise(account *account, now time.Duration) time.Duration {
+// promise returns the time until the account's next token that is not yet promised, which it promises, and the time until the next one.
+func (node *Node) promise(account *account, now time.Duration) Refused {
 	rate := node.fillRate(account)
 	if rate <= 0 {
-		return maxPromise
+		return Refused{maxPromise, maxPromise}
 	}
 	node.fill(account, now)
 	interval := time.Duration(min(1/rate, maxPromise.Seconds()) * float64(time.Second))
 	first := now + time.Duration(max(1-account.level, 0)*float64(interval))
 	next := max(first, account.promisedUntil)
+	nextToken := min(max(first-now, time.Millisecond), maxPromise)
 	if next-now >= maxPromise {
-		return maxPromise
+		return Refused{maxPromise, nextToken}
 	}
 	account.promisedUntil = next + interval
-	return max(next-now, time.Millisecond)
+	return Refused{max(next-now, time.Millisecond), nextToken}
 }
 
 // takeStock takes a token that another VM granted; it returns the end of its term.
--- a/core/quota/admit.go
+++ b/core/quota/admit.go
@@ -51,10 +51,10 @@
 		if node.fraction == 0 || now < node.unsteadyUntil {
 			return Unknown{unknownRetry}
 		}
-		return Refused{node.promise(account, now)}
+		return node.promise(account, now)
 	}
-	if until := account.refusedBy[node.pool]; until > now {
-		return Refused{until - now}
+	if refusal := account.refusedBy[node.pool]; refusal.until > now {
+		return Refused{max(refusal.retryAt, refusal.until) - now, refusal.until - now}
 	}
 	return Unknown{unknownRetry}
 }
--- a/core/quota/ask.go
+++ b/core/quota/ask.go
@@ -85,7 +85,7 @@
 		candidates = []string{node.pool}
 	}
 	for _, vm := range candidates {
-		if vm == node.self || slices.Contains(demand.tried, vm) || account.refusedBy[vm] > now {
+		if vm == node.self || slices.Contains(demand.tried, vm) || account.refusedBy[vm].until > now {
 			continue
 		}
 		next := node.lanes[vm]
@@ -238,7 +238,7 @@
 	answer := rpc.QuotaAnswer{Account: account, Tokens: granted}
 	switch verdict := verdict.(type) {
 	case Refused:
-		answer.RetryAfterMicros = max(verdict.RetryAfter.Microseconds(), 1)
+		answer.RetryAfterMicros, answer.NextTokenMicros = max(verdict.RetryAfter.Microseconds(), 1), max(verdict.NextToken.Microseconds(), 1)
 	case Unknown:
 		answer.Unknown = true
 	}
@@ -337,7 +337,8 @@
 	if account != nil {
 		account.addStock(now, tokens{count: left, until: until})
 		if answer.RetryAfterMicros > 0 {
-			account.refusedBy[from] = now + min(time.Duration(answer.RetryAfterMicros)*time.Microsecond, maxPromise)
+			within := func(micros int64) time.Duration { return min(time.Duration(micros)*time.Microsecond, maxPromise) }
+			account.refusedBy[from] = refusal{until: now + within(answer.NextTokenMicros), retryAt: now + within(answer.RetryAfterMicros)}
 		}
 	}
 	for _, demand := range demands {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	loanTerm       = time.Second
-	loanInterval   = 750 * time.Millisecond  // between two readings that a pool sends to a lender; a renewal has the rest of loanTerm to arrive
+	loanTerm       = 700 * time.Millisecond
+	loanInterval   = 450 * time.Millisecond  // between two readings that a pool sends to a lender; a renewal has the rest of loanTerm to arrive
 	settleTime     = maxListAge + 2*loanTerm // by then VMs with an older list assume more VMs, and so do the loans to their pools
 	maxListAge     = 10 * time.Second        // beyond which more VMs are assumed than listed
 	oldListFactor  = 1.25
@@ -66,7 +66,10 @@
 type Admitted struct{ Until time.Duration }
 
 // Refused says that the account's quota is used up.
-type Refused struct{ RetryAfter time.Duration }
+type Refused struct {
+	RetryAfter time.Duration // until the account's next token that is not promised to others
+	NextToken  time.Duration // until the account's next token, which goes to whoever asks first
+}
 
 // Unknown says that there is no token here and that the quota is not known to be used up.
 type Unknown struct{ RetryAfter time.Duration }
@@ -203,6 +206,7 @@
 	if !node.ticking {
 		node.ticking = true
 		node.schedule(now, event{kind: offerDue})
+		node.schedule(node.ownFrom, event{kind: lendDue})
 	}
 }
 
@@ -210,6 +214,7 @@
 
 const (
 	offerDue    eventKind = iota // an offer to the pool may be due
+	lendDue                      // this VM's share may be lent from now on
 	readingDue                   // a reading for a lender is due
 	flushDue                     // waiting demands may be sent to a pool
 	askDue                       // an ask has timed out
@@ -266,6 +271,8 @@
 		switch due := heap.Pop(&node.events).(event); due.kind {
 		case offerDue:
 			node.offer(now)
+		case lendDue:
+			node.sendOffer()
 		case readingDue:
 			node.sendReading(now, due.vm, due.id)
 		case flushDue:
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -169,6 +169,7 @@
 	node.advance(now)
 	if !node.listKnown && !vms.Settled {
 		node.ownFrom = max(node.ownFrom, now+settleTime)
+		node.schedule(node.ownFrom, event{kind: lendDue})
 	}
 	listed := slices.SortedFunc(slices.Values(vms.Listed), compareVMs)
 	for _, vm := range node.listed {
@@ -233,6 +234,9 @@
 			node.unsteadyUntil = max(node.unsteadyUntil, now+loanTerm)
 		}
 		node.sendOffer()
+		if node.lentUntil > now {
+			node.schedule(node.lentUntil, event{kind: lendDue})
+		}
 	}
 	node.startTicking(now)
 	node.pruneLanes()
@@ -254,7 +258,7 @@
 
 // offer repeats the offer to the pool while it sends no readings.
 func (node *Node) offer(now time.Duration) {
-	if now-node.readingAt > loanInterval {
+	if now >= node.lentUntil || now-node.readingAt > loanInterval {
 		node.sendOffer()
 	}
 	node.schedule(now+loanInterval, event{kind: offerDue})
--- a/core/rpc/quota.go
+++ b/core/rpc/quota.go
@@ -51,6 +51,7 @@
 	Account          string `json:"account"`
 	Tokens           int    `json:"tokens,omitempty"`
 	RetryAfterMicros int64  `json:"retry,omitempty"`   // positive if tokens are refused: the time until the next token that is not promised yet
+	NextTokenMicros  int64  `json:"next,omitempty"`    // with RetryAfterMicros: the time until the next token, promised or not
 	Unknown          bool   `json:"unknown,omitempty"` // the pool does not know whether the quota is used up
 }
 
@@ -97,7 +98,7 @@
 		return invalid(MethodQuotaGrant, "id %d with %d answers", grant.ID, len(grant.Answers))
 	}
 	for _, answer := range grant.Answers {
-		if answer.Account == "" || answer.Tokens < 0 || answer.Tokens > 2*maxQuotaTokens || answer.RetryAfterMicros < 0 {
+		if answer.Account == "" || answer.Tokens < 0 || answer.Tokens > 2*maxQuotaTokens || min(answer.RetryAfterMicros, answer.NextTokenMicros) < 0 {
 			return invalid(MethodQuotaGrant, "%d tokens of account %q", answer.Tokens, answer.Account)
 		}
 	}
