Tests of eras: states without a sequence, a source of a lower era, peers lost by a restore

Cause: mutations of these conditions failed no test. Change: a test for each; the check of the known position for its era is left to the watch, which makes it anyway. Result: tests of core/follow, platform and poplarpind/gateway (Restore, Era) pass.

--- a/core/follow/era_test.go
+++ b/core/follow/era_test.go
@@ -80,6 +80,18 @@
 		storeCache.Apply(listOf(2, 84, entry("drained", 2, 10, "ready", 3), entry("removed", 2, 83, "ready", 5), entry("serving", 2, 12, "ready", 3)))
 		assertStates(t, storeCache, map[string]string{"drained": "draining", "removed": "ready", "serving": "ready"})
 	})
+	t.Run("a state that shows no sequence stays", func(t *testing.T) {
+		storeCache := follow.NewStoreCache()
+		storeCache.Apply(listOf(1, 80, entry("drained", 1, 70, "draining", 3)))
+		storeCache.Apply(listOf(2, 60, entry("drained", 2, 10, "ready", 3)))
+		assertStates(t, storeCache, map[string]string{"drained": "draining"})
+	})
+	t.Run("a later entry stays", func(t *testing.T) {
+		storeCache := follow.NewStoreCache()
+		storeCache.Apply(listOf(1, 80, entry("returned", 1, 70, "ready", 4)))
+		storeCache.Apply(listOf(2, 60, entry("returned", 2, 10, "draining", 3)))
+		assertStates(t, storeCache, map[string]string{"returned": "ready"})
+	})
 	t.Run("a missing target has lapsed", func(t *testing.T) {
 		_, changes := cacheOf().Apply(listOf(2, 80))
 		assert.Equal(t, len(changes), 2)
--- a/poplarpind/gateway/era_test.go
+++ b/poplarpind/gateway/era_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -69,6 +71,9 @@
 		for deadline := time.Now().Add(2 * time.Second); time.Now().Before(deadline); {
 			for _, vm := range vms {
 				dump := vm.gateway.Dump()
+				for _, peer := range vms {
+					assert.Assert(t, peer == vm || dump.Endpoint(peer.gateway.Dump().VM).ID != "", "a peer is gone")
+				}
 				assert.Equal(t, dump.ConfigVersion, int64(2))
 				assert.Equal(t, dump.Endpoint("i-5").ID, "")
 				assert.DeepEqual(t, dump.Evacuated, []string{"c"})
@@ -151,6 +156,10 @@
 		store.SetEraHeader(only(func(request *http.Request) bool { return request.URL.Query().Has("stale_ok") }))
 		restore(t)
 	})
+	t.Run("only in answers to the watcher", func(t *testing.T) {
+		store.SetEraHeader(only(func(request *http.Request) bool { return !strings.Contains(request.URL.Path, "entryvms") }))
+		restore(t)
+	})
 	t.Run("only in errors", func(t *testing.T) {
 		store.SetEraHeader(only(func(*http.Request) bool { return true }))
 		store.SetDown(true)
@@ -175,3 +184,31 @@
 		waitForVersion(t, vms, int64(version+1))
 	})
 }
+
+// TestSourceOfLowerEra guards against a VM that relies on another one whose store was replaced: the other VM does not know of the new era.
+func TestSourceOfLowerEra(t *testing.T) {
+	store, _ := newDeployment(t)
+	store.SetEra(1)
+	newer := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Store-Era", "2")
+		store.ServeHTTP(keepEra{writer}, request)
+	}))
+	t.Cleanup(newer.Close)
+	watcher, subscriber := newSettings(t, "vm-a1", "a", store), newSettings(t, "vm-a2", "a", store)
+	watcher.Cores, subscriber.Cores, subscriber.StoreAddress = 2, 1, strings.TrimPrefix(newer.URL, "http://")
+	vms := []*vm{startWith(t, watcher), startWith(t, subscriber)}
+	for _, vm := range vms {
+		waitFor(t, "ready", vm.gateway.Ready)
+	}
+	time.Sleep(2 * time.Second) // until a VM that relies on the other would have stopped its own watch
+	assert.Assert(t, vms[1].gateway.Dump().WatchingStore)
+	assert.Equal(t, vms[1].gateway.Dump().StoreEra, int64(2))
+	store.Put("config", "main", platformtest.Config(2))
+	waitForVersion(t, vms, 2)
+}
+
+// keepEra is an answer whose era is already set.
+type keepEra struct{ http.ResponseWriter }
+
+// Header returns a copy, so that the era stays.
+func (answer keepEra) Header() http.Header { return answer.ResponseWriter.Header().Clone() }
--- a/poplarpind/gateway/gateway_test.go
+++ b/poplarpind/gateway/gateway_test.go
@@ -41,9 +41,18 @@
 
 func startVM(t *testing.T, name, domain string, store *platformtest.Store, seeds ...string) *vm {
 	t.Helper()
-	settings := platform.Settings{VM: name, FailureDomain: domain, IP: "127.0.0.1", InternalPorts: [2]int{freePort(t), 0},
+	return startWith(t, newSettings(t, name, domain, store, seeds...))
+}
+
+func newSettings(t *testing.T, name, domain string, store *platformtest.Store, seeds ...string) platform.Settings {
+	t.Helper()
+	return platform.Settings{VM: name, FailureDomain: domain, IP: "127.0.0.1", InternalPorts: [2]int{freePort(t), 0},
 		PeerAddress: net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(t))), StoreAddress: store.Address(), Seeds: seeds,
 		Bounds: platform.Bounds{RetryBudgetRatio: 0.2, RetryBudgetSlack: 50, MaxEvacuateDelay: 5 * time.Second}}
+}
+
+func startWith(t *testing.T, settings platform.Settings) *vm {
+	t.Helper()
 	started := &vm{gateway: gateway.New(settings, zap.NewNop()), peerAddress: settings.PeerAddress}
 	ctx, cancel := context.WithCancel(context.Background())
 	assert.NilError(t, started.gateway.Start(ctx))
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -76,7 +76,7 @@
 
 const failuresPerLogLine = 20 // one log line per this many failed calls
 
-// knownPosition returns the position up to which the objects of a kind are known, the zero one if they must be listed.
+// knownPosition returns the position up to which the objects of a kind are known.
 func (gateway *Gateway) knownPosition(kind string) platform.Position {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
@@ -88,9 +88,6 @@
 	case platform.EvacuationsKind:
 		return platform.Position{} // the set has the revision of its last change, which the store may have compacted
 	}
-	if position.Era != gateway.era.Known() {
-		return platform.Position{} // the store has been restored since
-	}
 	return position
 }
 
