Delayed lists of an era bring no deleted target back

Cause: the model of eras showed a full list of one watcher that arrives after a later one of another. Deletions kept their position of the lower era, so that the entry of the older copy was newer and the deleted target returned. Change: deletions that the first list of an era confirms get its position; unknown targets before the full list are outdated.

--- a/core/follow/era.go
+++ b/core/follow/era.go
@@ -52,9 +52,10 @@
 	return before.Name == object.Name && before.Deleted == object.Deleted && bytes.Equal(before.Spec, object.Spec)
 }
 
-// isWithheld reports whether a tombstone stands for an entry that the era's first list brought back.
-func (storeCache *StoreCache) isWithheld(object rpc.StoreObject) bool {
-	return object.Deleted && !object.Lapsed && storeCache.firstList > 0 && object.Era == storeCache.era && object.Revision == storeCache.firstList
+// isOutdated reports whether an unknown target was deleted before the full list with which this VM entered the era.
+func (storeCache *StoreCache) isOutdated(object rpc.StoreObject) bool {
+	_, known := storeCache.targets[object.Name]
+	return !known && object.Era > 0 && object.Revision <= storeCache.tombstoneFloor
 }
 
 // enterEra starts a higher era with its first full list and returns the changes that the list makes. Targets that it lacks have lapsed,
@@ -72,6 +73,12 @@
 		listed[object.Name] = true
 		objects = append(objects, storeCache.withhold(object))
 	}
+	for name, object := range storeCache.targets { // a delayed list of the era, by another VM, may contain what this one lacks
+		if object.Deleted && !listed[name] {
+			object.Era, object.Revision = update.Era, update.Through
+			storeCache.targets[name] = object
+		}
+	}
 	return append(objects, storeCache.Tombstones(listed, update.Through, true)...)
 }
 
--- a/core/follow/store_cache.go
+++ b/core/follow/store_cache.go
@@ -15,10 +15,10 @@
 	targets        map[string]rpc.StoreObject // by name, tombstones included
 	deletedSpecs   map[string]json.RawMessage // of the targets that have tombstones, by name
 	tombstones     int
-	era            int64 // of the following revisions
-	revision       int64 // up to which all changes of targets are known
-	tombstoneFloor int64 // revision up to which tombstones were dropped
-	firstList      int64 // revision of the era's first list; 0 for an era without a restore
+	era            int64           // of the following revisions
+	revision       int64           // up to which all changes of targets are known
+	tombstoneFloor int64           // revision up to which tombstones were dropped
+	firstList      int64           // revision of the era's first list; 0 for an era without a restore
 }
 
 // NewStoreCache returns an empty cache.
@@ -102,6 +102,9 @@
 		storeCache.tombstoneFloor = max(storeCache.tombstoneFloor, update.Through) // a full list does not show earlier deletions
 	}
 	for _, object := range objects {
+		if !entering && storeCache.isOutdated(object) {
+			continue
+		}
 		before := storeCache.targets[object.Name]
 		if storeCache.UpdateTarget(object) && !(entering && sameContent(before, object)) {
 			targets = append(targets, object)
@@ -156,7 +159,7 @@
 	update.Era, update.FirstList = storeCache.era, storeCache.firstList
 	update.Full = revisions.Servers < storeCache.tombstoneFloor || revisions.Servers == 0
 	for _, object := range storeCache.targets {
-		if update.Full && (!object.Deleted || storeCache.isWithheld(object)) ||
+		if update.Full && !object.Deleted ||
 			!update.Full && rpc.IsAfter(object.Era, object.Revision, storeCache.era, revisions.Servers) {
 			update.Servers = append(update.Servers, object)
 		}
