--- a/core/follow/store_cache.go
+++ b/core/follow/store_cache.go
@@ -15,10 +15,10 @@
 	targets        map[string]rpc.StoreObject // by name, tombstones included
 	deletedSpecs   map[string]json.RawMessage // of the targets that have tombstones, by name
 	tombstones     int
-	era            int64           // of the following revisions
-	revision       int64           // up to which all changes of targets are known
-	tombstoneFloor int64           // revision up to which tombstones were dropped
-	firstList      int64           // revision of the era's first list; 0 for an era without a restore
+	era            int64 // of the following revisions
+	revision       int64 // up to which all changes of targets are known
+	tombstoneFloor int64 // revision up to which tombstones were dropped
+	firstList      int64 // revision of the era's first list; 0 for an era without a restore
 }
 
 // NewStoreCache returns an empty cache.
