--- a/core/follow/era_test.go
+++ b/core/follow/era_test.go
@@ -80,6 +80,18 @@
 		storeCache.Apply(listOf(2, 84, entry("drained", 2, 10, "ready", 3), entry("removed", 2, 83, "ready", 5), entry("serving", 2, 12, "ready", 3)))
 		assertStates(t, storeCache, map[string]string{"drained": "draining", "removed": "ready", "serving": "ready"})
 	})
+	t.Run("a state that shows no sequence stays", func(t *testing.T) {
+		storeCache := follow.NewStoreCache()
+		storeCache.Apply(listOf(1, 80, entry("drained", 1, 70, "draining", 3)))
+		storeCache.Apply(listOf(2, 60, entry("drained", 2, 10, "ready", 3)))
+		assertStates(t, storeCache, map[string]string{"drained": "draining"})
+	})
+	t.Run("a later entry stays", func(t *testing.T) {
+		storeCache := follow.NewStoreCache()
+		storeCache.Apply(listOf(1, 80, entry("returned", 1, 70, "ready", 4)))
+		storeCache.Apply(listOf(2, 60, entry("returned", 2, 10, "draining", 3)))
+		assertStates(t, storeCache, map[string]string{"returned": "ready"})
+	})
 	t.Run("a missing target has lapsed", func(t *testing.T) {
 		_, changes := cacheOf().Apply(listOf(2, 80))
 		assert.Equal(t, len(changes), 2)
@@ -93,7 +105,7 @@
 		storeCache.Apply(listOf(3, 70, entry("drained", 3, 10, "ready", 3)))
 		assertStates(t, storeCache, map[string]string{"drained": "draining"})
 	})
-	t.Run("a VM that knows nothing learns what is withheld", func(t *testing.T) {
+	t.Run("a VM that starts meanwhile takes nothing older from the store", func(t *testing.T) {
 		watcher, started := cacheOf(), follow.NewStoreCache()
 		watcher.Apply(restored())
 		started.Apply(watcher.UpdateSince(rpc.StoreRevisions{}, true))
@@ -122,6 +134,14 @@
 		assert.Equal(t, subscriber.Revisions().Servers, int64(80))
 		assert.Equal(t, len(cacheOf().UpdateSince(subscriber.Revisions(), true).Servers), 0)
 	})
+	t.Run("a delayed list of the same era brings nothing back", func(t *testing.T) {
+		subscriber := cacheOf()
+		subscriber.Apply(listOf(2, 85, entry("serving", 2, 12, "ready", 3)))
+		delayed := restored()
+		delayed.Servers = append(delayed.Servers, entry("unknown", 2, 13, "ready", 1))
+		subscriber.Apply(delayed)
+		assertStates(t, subscriber, map[string]string{"serving": "ready"})
+	})
 	t.Run("a change of a higher era waits for the full list", func(t *testing.T) {
 		subscriber := cacheOf()
 		subscriber.Apply(rpc.StoreUpdate{Era: 2, Since: 80, Through: 99, Servers: []rpc.StoreObject{deleted("serving", 2, 99)}})
