Admission: fair among accounts of a priority, Retry-After from the rate of ends

Cause: one client account that sends several times its usual load took the places of all others, and clients were told to retry after a delay that had nothing to do with when there is room.

Change: core/admit divides the limit among the accounts of a priority by weight, from 80% of the limit on (with the request itself), by decaying admissions over weight. While an account has had more than its share, accounts well below theirs get one request beyond the limit, since the parts of a limit of a few requests hardly differ. Requests without an account count as one of weight 1; without accounts every decision is as before. Retry-After is (refused clients that have not come back + 1) / rate of ends, 50 ms to 5 s, spread; refusals by targets get it too. A refusal for lack of targets keeps 300 ms (noTargetRetryAfter).

Result: go test ./admit ./fanout in core and ./gateway in poplarpind pass, but for TestHotAccountFewRequests in core/admit: with 64 VMs of half a slot and 5 requests/s each the worst account gets 0.871 (rank 2 hot) and 0.858 (rank 3 hot) of its usual instead of 0.95. With 1 and 16 VMs, and with 64 for rank 1, all others get at least 0.95.

--- a/core/admit/doc.go
+++ b/core/admit/doc.go
@@ -1,3 +1,3 @@
-// Package admit implements adaptive admission control: it limits the concurrent queries of an entry VM to one service and refuses
-// low-priority classes first.
+// Package admit implements adaptive admission control: it limits the concurrent queries of an entry VM to one service, refuses
+// low-priority classes first, divides the limit among client accounts, and tells refused clients when to retry.
 package admit
--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -19,7 +19,7 @@
 	startupDivisor     = 4                      // a starting VM may use 1/startupDivisor of its share of the slack
 	assumedVMs         = 100                    // assumed to share the slack until SetVMs is called
 	minTimeLeft        = 10 * time.Millisecond  // no new calls are made this close to the deadline
-	defaultRetryAfter  = 300 * time.Millisecond // sent to refused clients
+	noTargetRetryAfter = 300 * time.Millisecond // sent to clients if too few parts have a target: no rate of ends says when one appears
 )
 
 // startCall sends a part to the best target other than that of the last call and those that may have processed the part or could not be
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -84,6 +84,7 @@
 // Refuse reports that the request was not processed and will not be.
 type Refuse struct {
 	RetryAfter time.Duration
+	Busy       bool // targets refused calls, so that the client should retry when enough requests have ended, whatever RetryAfter says
 	Reason     string
 }
 
@@ -254,7 +255,7 @@
 			call.attempt.Discard()
 			call.discardTargetAttempts()
 		}
-		return run.finish(now, Refuse{RetryAfter: run.retryAfter(), Reason: "too few parts have a server"})
+		return run.finish(now, Refuse{RetryAfter: noTargetRetryAfter, Reason: "too few parts have a server"})
 	}
 	return actions
 }
--- a/core/fanout/results.go
+++ b/core/fanout/results.go
@@ -169,7 +169,7 @@
 	if run.mayHaveRun() {
 		return run.finish(now, GiveUp{TimedOut: timedOut, Reason: run.reason()})
 	}
-	return run.finish(now, Refuse{RetryAfter: run.retryAfter(), Reason: run.reason()})
+	return run.finish(now, Refuse{RetryAfter: noTargetRetryAfter, Busy: run.targetsBusy(), Reason: run.reason()})
 }
 
 // reason returns the last outcome of a part without an answer.
@@ -182,8 +182,10 @@
 	return "no server answered"
 }
 
-// retryAfter returns the delay that is sent to refused clients.
-func (run *Run) retryAfter() time.Duration { return defaultRetryAfter }
+// targetsBusy reports whether a part has no answer because a target refused it.
+func (run *Run) targetsBusy() bool {
+	return slices.ContainsFunc(run.parts, func(part partState) bool { return part.answeredBy == nil && part.lastOutcome == Refused })
+}
 
 // finish ends the run and cancels the calls in flight.
 func (run *Run) finish(now time.Time, response Response) []Action {
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -64,6 +64,8 @@
 	limiters            map[string]*admit.Limiter // limits on concurrent requests, by first shard; routes that share it share a limiter
 	responseDelay       time.Duration             // largest recent delay of responses past their planned time, decaying
 	routeRequests       map[string]float64        // recent requests by route, decaying
+
+	retryPacers map[string]*admit.RetryPacer // of routes without a limiter, by route
 }
 
 // New returns a gateway without a configuration.
@@ -83,6 +85,7 @@
 		relayedCalls:      map[string]relayedCall{},
 		relayJobs:         map[string]*job{},
 		limiters:          map[string]*admit.Limiter{},
+		retryPacers:       map[string]*admit.RetryPacer{},
 		routeRequests:     map[string]float64{},
 		budgets:           fanout.NewBudgets(bounds.RetryBudgetRatio*extraBudgetShare, bounds.RetryBudgetSlack*extraBudgetShare, time.Now()),
 	}
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -151,7 +151,7 @@
 	case fanout.Refuse:
 		gateway.recordOutcome(job, "refused")
 		gateway.logSummary(job, "refused", response.Reason)
-		return platform.Refusal{RetryAfter: gateway.retryAfter(response.RetryAfter), Reason: response.Reason}
+		return gateway.refusal(job, response)
 	case fanout.GiveUp:
 		gateway.recordOutcome(job, "failed")
 		gateway.logSummary(job, "failed", response.Reason)
