--- a/core/fanout/load_test.go
+++ b/core/fanout/load_test.go
@@ -73,7 +73,8 @@
 	order   int
 	targets map[string]*fakeTarget
 	shared  fanout.SharedState
-	limiter *admit.Limiter // nil for no admission control
+	limiter *admit.Limiter                         // nil for no admission control
+	slow    func(now time.Time, id string) float64 // factor on the time of calls at a target; nil for none
 	inTime  int
 	late    int
 	refused int
@@ -108,6 +109,9 @@
 // receive starts a call at a target, queues it, or refuses it if the queue is full.
 func (cluster *cluster) receive(now time.Time, id string, call *fakeCall) {
 	target := cluster.targets[id]
+	if cluster.slow != nil {
+		call.work = time.Duration(float64(call.work) * cluster.slow(now, id))
+	}
 	if target.busy < loadSlots {
 		cluster.serve(now, target, call)
 	} else if len(target.queue) < loadQueue {
