Model of quota loans and tokens

Cause: that a share is produced by one VM at a time, and a token used in its time, rests on which clock reading ends a right; tests of single VMs don't show it.

Entries in model/check.sh.

--- a/model/check.sh
+++ b/model/check.sh
@@ -101,6 +101,16 @@
 expect_rejected follow eventuallyUpdated ANY_MESSAGE
 expect_rejected follow eventuallyUpdated BETTER_ONLY
 expect_rejected follow eventuallyUpdated NO_RETURN
+expect_holds quota producedOnce
+expect_holds quota usedInTime
+expect_rejected quota producedOnce RECEIPT_TIME
+expect_rejected quota producedOnce EARLY_RETURN
+expect_rejected quota producedOnce RESTART_PRODUCES
+expect_rejected quota producedOnce CHANGE_EARLY
+expect_rejected quota producedOnce STOPPED_CLOCK
+expect_rejected quota usedInTime USE_LATE
+expect_rejected quota usedInTime TOKEN_RECEIPT
+expect_rejected quota usedInTime STOPPED_CLOCK
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
