Accounts of admission at the gateway: test; query service passes the time

AdmitFrom with the present time gives the older query service Retry-After from the rate of ends also while none ends.

--- a/poplarpind/entry/query.go
+++ b/poplarpind/entry/query.go
@@ -102,7 +102,7 @@
 	service := vm.service(request.Service)
 	if vm.settings.Mode != settings.Direct {
 		service.Lock()
-		ok, delay := service.limiter.Admit(admit.Class{Name: class.Name, Priority: class.Priority, GuaranteedShare: class.Share})
+		ok, delay := service.limiter.AdmitFrom(time.Now(), admit.Class{Name: class.Name, Priority: class.Priority, GuaranteedShare: class.Share}, nil)
 		service.Unlock()
 		if !ok {
 			return api.Answer{}, &api.Error{Op: "query", Kind: api.Overloaded, Message: "the service's targets are busy with requests of this class and higher ones",
--- a/poplarpind/gateway/admit_test.go
+++ b/poplarpind/gateway/admit_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"poplarpin.dev/core/admit"
 	"poplarpin.dev/core/route"
 	"poplarpin.dev/platform"
 )
@@ -56,3 +57,16 @@
 	assert.Assert(t, !gateway.fleet.Has("vm-a1"))
 	assert.Assert(t, gateway.fleet.Has("vm-a2"))
 }
+
+// TestAdmissionAccount guards against requests without an account that are counted as several accounts, and against accounts where the
+// configuration has none: admission must then decide as without them.
+func TestAdmissionAccount(t *testing.T) {
+	gateway := newTestGateway()
+	assert.Assert(t, gateway.admissionAccount(nil) == nil)
+	table, errs := route.New(route.Config{Accounts: []route.Account{{Name: "x", Keys: []string{"k"}, RequestsPerSecond: 7}, {Name: "y", Keys: []string{"l"}}}})
+	assert.Equal(t, len(errs), 0)
+	gateway.table.Store(table)
+	assert.Equal(t, *gateway.admissionAccount(nil), admit.Account{Weight: 1})
+	assert.Equal(t, *gateway.admissionAccount(table.AccountByKey("k")), admit.Account{Name: "x", Weight: 7})
+	assert.Equal(t, *gateway.admissionAccount(table.AccountByKey("l")), admit.Account{Name: "y", Weight: 1})
+}
