--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -84,6 +84,7 @@
 // Refuse reports that the request was not processed and will not be.
 type Refuse struct {
 	RetryAfter time.Duration
+	Busy       bool // targets refused calls, so that the client should retry when enough requests have ended, whatever RetryAfter says
 	Reason     string
 }
 
@@ -260,7 +261,8 @@
 		if run.spec.Regions.Restricted() {
 			reason += " in the home regions"
 		}
-		return run.finish(now, Refuse{RetryAfter: run.retryAfter(now), Reason: reason})
+		retryAfter, _ := run.retryAfter(now)
+		return run.finish(now, Refuse{RetryAfter: retryAfter, Reason: reason})
 	}
 	return actions
 }
--- a/core/fanout/load_test.go
+++ b/core/fanout/load_test.go
@@ -81,9 +81,10 @@
 	refused   int
 	failed    int
 	calls     int
-	reports   bool          // targets report their load in answers
-	latency   time.Duration // of all delivered requests together
-	slowCalls int           // to targets with a slowdown
+	reports   bool                                   // targets report their load in answers
+	latency   time.Duration                          // of all delivered requests together
+	slowCalls int                                    // to targets with a slowdown
+	slow      func(now time.Time, id string) float64 // factor on the time of calls at a target; nil for none
 }
 
 func newCluster(replicas int, limited bool) *cluster {
@@ -113,6 +114,9 @@
 // receive starts a call at a target, queues it, or refuses it if the queue is full.
 func (cluster *cluster) receive(now time.Time, id string, call *fakeCall) {
 	target := cluster.targets[id]
+	if cluster.slow != nil {
+		call.work = time.Duration(float64(call.work) * cluster.slow(now, id))
+	}
 	if target.busy < loadSlots {
 		cluster.serve(now, target, call)
 	} else if len(target.queue) < loadQueue {
--- a/core/fanout/reports.go
+++ b/core/fanout/reports.go
@@ -40,8 +40,8 @@
 }
 
 // retryAfter returns the delay that is sent to refused clients: until the earliest end of a pause if parts were refused because all of
-// their targets have paused.
-func (run *Run) retryAfter(now time.Time) time.Duration {
+// their targets have paused, else noTargetRetryAfter.
+func (run *Run) retryAfter(now time.Time) (delay time.Duration, paused bool) {
 	var earliest time.Time
 	for i := range run.parts {
 		part := &run.parts[i]
@@ -53,9 +53,9 @@
 		}
 	}
 	if earliest.IsZero() {
-		return defaultRetryAfter
+		return noTargetRetryAfter, false
 	}
-	return earliest.Sub(now)
+	return earliest.Sub(now), true
 }
 
 // relayColdParts relays the parts whose targets this VM may not call itself because they are cold, to VMs with a share of the calls that
--- a/core/fanout/results.go
+++ b/core/fanout/results.go
@@ -169,7 +169,8 @@
 	if run.mayHaveRun() {
 		return run.finish(now, GiveUp{TimedOut: timedOut, Reason: run.reason()})
 	}
-	return run.finish(now, Refuse{RetryAfter: run.retryAfter(now), Reason: run.reason()})
+	retryAfter, paused := run.retryAfter(now)
+	return run.finish(now, Refuse{RetryAfter: retryAfter, Busy: run.targetsBusy() && !paused, Reason: run.reason()})
 }
 
 // reason returns the last outcome of a part without an answer.
@@ -182,6 +183,11 @@
 	return "no server answered"
 }
 
+// targetsBusy reports whether a part has no answer because a target refused it.
+func (run *Run) targetsBusy() bool {
+	return slices.ContainsFunc(run.parts, func(part partState) bool { return part.answeredBy == nil && part.lastOutcome == Refused })
+}
+
 // finish ends the run and cancels the calls in flight.
 func (run *Run) finish(now time.Time, response Response) []Action {
 	run.finished = true
