Fewer store calls of VMs that watch alone

Change: the first list of evacuations is a stale read, a tenth of the price, since the watch from there brings what it lacks; a VM without subscribers waits twice as long between watches of targets.

--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -73,7 +73,7 @@
 	var err error
 	readAt, listed := bootTime(), false
 	if allowStale {
-		objects, err = store.ListStale(ctx, platform.VMsKind)
+		objects, _, err = store.ListStale(ctx, platform.VMsKind)
 	} else {
 		objects, _, err = store.List(ctx, platform.VMsKind)
 	}
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -19,6 +19,7 @@
 	minTargetsPause   = 250 * time.Millisecond // between two watches of targets, so that one call returns several changes
 	maxTargetsPause   = 500 * time.Millisecond
 	targetsPauseShare = 0.1                    // of the time within which a draining target must get no more calls
+	alonePauseFactor  = 2                      // for a VM without subscribers
 	configWatchPause  = 50 * time.Millisecond  // between two watches of the configuration
 	minBackoff        = 100 * time.Millisecond // after a failed store call
 	maxBackoff        = 400 * time.Millisecond // a tenth of the 4 s after which a VM that was cut off counts as connected again
@@ -35,9 +36,13 @@
 	store := gateway.newStore(kind)
 	defer store.Close()
 	failures, backoff, known := 0, minBackoff, gateway.knownPosition(kind)
-	for ctx.Err() == nil {
+	read := store.List
+	if kind == platform.EvacuationsKind {
+		read = store.ListStale // the watch from there brings what the list lacks
+	}
+	for ; ctx.Err() == nil; read = store.List {
 		callCtx, cancel := gateway.beginRead(ctx, kind)
-		position, err := gateway.listOrWatch(callCtx, store, kind, known, failures >= outageFailures)
+		position, err := gateway.listOrWatch(callCtx, store, read, kind, known, failures >= outageFailures)
 		restarted := callCtx.Err() != nil
 		cancel()
 		if ctx.Err() != nil {
@@ -100,12 +105,15 @@
 	return position
 }
 
+// listObjects is platform.Store.List or ListStale.
+type listObjects func(ctx context.Context, kind string) ([]platform.Object, platform.Position, error)
+
 // listOrWatch makes one call of the store and applies its result: a list if no revision is known, else a watch. It returns the
 // position to continue from.
-func (gateway *Gateway) listOrWatch(ctx context.Context, store *platform.Store, kind string, known platform.Position, afterOutage bool) (platform.Position, error) {
+func (gateway *Gateway) listOrWatch(ctx context.Context, store *platform.Store, list listObjects, kind string, known platform.Position, afterOutage bool) (platform.Position, error) {
 	if known.Revision == 0 {
 		before := gateway.knownPosition(platform.TargetsKind)
-		objects, position, err := store.List(ctx, kind)
+		objects, position, err := list(ctx, kind)
 		if kind == platform.EvacuationsKind && platform.KindOf(err) == platform.NotFound { // a kind without objects
 			position, err = before, nil
 			if position.Revision == 0 || position.Era != gateway.era.Known() { // unknown until the targets are listed
@@ -144,7 +152,13 @@
 // targetsPause returns the pause between two watches of targets.
 func (gateway *Gateway) targetsPause() time.Duration {
 	share := time.Duration(float64(gateway.settings.Bounds.MaxDrainDelay) * targetsPauseShare)
-	return min(max(share, minTargetsPause), maxTargetsPause)
+	pause := min(max(share, minTargetsPause), maxTargetsPause)
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if len(gateway.subscribers) == 0 {
+		return pause * alonePauseFactor
+	}
+	return pause
 }
 
 // storeUpdateOf returns the store update for objects of a kind that changed up to a position.
