Quotas: the burst is produced in each window, so that a hot account fills its windows

Change: the burst is spread over the window; the bucket holds the slack. The bound stays: 0.75 slack + 1.04 x 1.04 x (5 rate + burst).

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -60,14 +60,20 @@
 	if share.vms == 0 {
 		return 0
 	}
-	total := max(math.Floor(account.Burst+slackShare*node.limits.Slack), 1)
+	total := max(math.Floor((1-node.burstInRate())*account.Burst+slackShare*node.limits.Slack), 1)
 	dealt := func(rank int) float64 { return math.Floor(float64(rank)*total/float64(share.vms) + account.offset) }
 	return int(dealt(share.rank+1) - dealt(share.rank))
 }
 
+// burstInRate returns the part of the burst that is produced steadily over each window instead of being held in the bucket. Any window may
+// contain the burst, so that an account which always asks for more gets it in each; the bucket then needs the slack, to bear that requests
+// arrive at random.
+func (node *Node) burstInRate() float64 { return min(node.limits.Slack/fullBurstSlack, 1) }
+
 // fillRate returns the tokens per second that this VM produces for an account.
 func (node *Node) fillRate(account *account) float64 {
-	return account.RatePerSecond * node.fraction * (1 + rateShare*node.limits.Overshoot)
+	burst := node.burstInRate() * account.Burst / node.limits.Window.Seconds()
+	return (account.RatePerSecond + burst) * node.fraction * (1 + rateShare*node.limits.Overshoot)
 }
 
 // fill adds the tokens produced until now.
--- a/core/quota/load_test.go
+++ b/core/quota/load_test.go
@@ -164,3 +164,24 @@
 	assert.Assert(t, all.refusedShare() < 0.03, "%+v", all)
 	assertWithinQuotas(t, fleet)
 }
+
+// TestHotAccountFillsItsWindows guards against an account that is refused while the last window holds fewer of its requests than its quota
+// permits: one of 74 accounts sends 6 times its usual load to 64 VMs for 10 s.
+func TestHotAccountFillsItsWindows(t *testing.T) {
+	accounts, usual := newAccounts(50)
+	fleet := newZones(3, 64, limits, accounts)
+	fleet.sendLoad(usual, true)
+	fleet.run(loadEnd)
+	account := accounts[hot]
+	quotaOfWindow := account.RatePerSecond*limits.Window.Seconds() + account.Burst
+	for end := peakStart + limits.Window; end <= peakEnd; end += time.Second / 4 {
+		used := 0
+		for _, at := range fleet.uses[account.Name] {
+			if at > end-limits.Window && at <= end {
+				used++
+			}
+		}
+		assert.Assert(t, float64(used) >= 0.97*quotaOfWindow, "%d of %.1f until %s", used, quotaOfWindow, end)
+	}
+	assertWithinQuotas(t, fleet)
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -26,6 +26,7 @@
 	minTokenTerm   = 20 * time.Millisecond
 	rateShare      = 0.4 // of the overshoot, for the fill rate and again for the time in which tokens are used
 	slackShare     = 0.75
+	fullBurstSlack = 10.0 // requests of slack from which on the whole burst is produced steadily
 	unsteadyLoss   = 0.75 // a pool whose shares fall below this part at once doesn't know whether quotas are used up
 	maxWaiting     = 4096 // requests that wait for tokens, and parts of other VMs' asks that wait for further pools
 	usageSpan      = time.Second
