Refusals count as slow answers in the choice of targets

Change: a refusal counts as an answer of three times the usual latency, on this VM and by an observation on the others of its failure domain.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -14,6 +14,7 @@
 	minDownTime            = 300 * time.Millisecond
 	maxDownTime            = 3 * time.Second
 	deprioritizeFor        = 30 * time.Millisecond  // after a refusal for lack of capacity or a broken connection
+	refusalRatio           = 3.0                    // latency ratio as which a refusal counts; about two calls and the time between them
 	remoteFactor           = 1.6                    // cost factor of other failure domains: a local endpoint with less slowness is preferred
 	slownessDecayInterval  = 400 * time.Millisecond // time without updates after which slownessDecay is applied once
 	brokenConnectionsLimit = 3                      // broken connections without an answer in between that indicate that an endpoint is down
@@ -217,9 +218,20 @@
 		attempt.fleet.reachabilityOf(attempt.endpoint.FailureDomain).answered()
 		attempt.endpoint.lastAnswer = now
 		attempt.endpoint.deprioritizedUntil = now.Add(deprioritizeFor)
+		attempt.observeRefusal(now)
 	}
 }
 
+// observeRefusal lets a target's refusal count as an answer that took refusalRatio times as long as usual, here and, by an observation, on
+// the other VMs: a refused call costs a second one, and a target that refuses part of its calls goes on doing so for a time.
+func (attempt *Attempt) observeRefusal(now time.Time) {
+	if attempt.endpoint.Peer {
+		return
+	}
+	attempt.fleet.recordObservation(attempt.endpoint, refusalRatio)
+	attempt.endpoint.updateSlowness(now, max(refusalRatio, attempt.endpoint.decayedSlowness(now)))
+}
+
 // Displaced records that another endpoint answers at the address.
 func (attempt *Attempt) Displaced() {
 	if attempt.end() {
