Model of the store's eras

Cause: the order of eras, lists and delayed updates needs an exhaustive check. Change: model/era.pml: a store that is restored once or twice, two watchers, a subscriber with delayed updates of both; entries in check.sh, whose expect_holds takes flags. Only the entries of this model were run, not the whole of check.sh.

--- a/model/check.sh
+++ b/model/check.sh
@@ -23,10 +23,11 @@
 search_completed() { ! grep -qi 'search not completed\|max search depth too small\|out of memory\|MEMLIM bound' "$work/out"; }
 trail_length() { cat "$work"/*.trail 2>/dev/null | grep -vc '^-'; }
 
-# expect_holds MODEL PROPERTY
+# expect_holds MODEL PROPERTY FLAGS...
 expect_holds() {
   local model=$1 property=$2
-  verify "$model" "$property"
+  shift 2
+  verify "$model" "$property" "$@"
   if [ "$(error_count)" = 0 ] && search_completed; then
     printf '%-10s %-17s %-16s %10s states  holds\n' "$model" "$property" - "$(stored_states)"
     passed=$((passed + 1))
@@ -101,6 +102,16 @@
 expect_rejected follow eventuallyUpdated ANY_MESSAGE
 expect_rejected follow eventuallyUpdated BETTER_ONLY
 expect_rejected follow eventuallyUpdated NO_RETURN
+expect_holds era neverBack
+expect_holds era neverBack -DRESTORES=2
+expect_holds era settledEqual
+expect_rejected era settledEqual REVISION_ONLY
+expect_rejected era settledEqual KEEP_WATCHING
+expect_rejected era neverBack NO_VERSION
+expect_rejected era neverBack TAKE_LISTED
+expect_rejected era neverBack ANY_ERA
+expect_rejected era neverBack NO_FULL_LIST
+expect_rejected era neverBack KEEP_STAMP
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
