--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,6 +36,7 @@
 // syncStore keeps the configuration and the targets up to date, from the store or from another VM's updates.
 func (gateway *Gateway) syncStore(ctx context.Context) {
 	var subscribedAt time.Time
+	var unsent atomic.Bool // the last subscribe message was not sent, as when the source has not started yet
 	var cancel context.CancelFunc
 	defer func() {
 		if cancel != nil {
@@ -70,9 +72,9 @@
 			cancel()
 			cancel = nil
 		}
-		if plan.Source != "" && (plan.Source != before.Source || now.Sub(subscribedAt) >= subscribeInterval) {
+		if plan.Source != "" && (plan.Source != before.Source || unsent.Swap(false) || now.Sub(subscribedAt) >= subscribeInterval) {
 			subscribedAt = now
-			gateway.mesh.Notify(plan.Source, source.Address, rpc.MethodSubscribe, revisions, func() {})
+			gateway.mesh.Notify(plan.Source, source.Address, rpc.MethodSubscribe, revisions, func() { unsent.Store(true) })
 		}
 	}
 }
