--- a/poplarpind/gateway/dump.go
+++ b/poplarpind/gateway/dump.go
@@ -25,7 +25,7 @@
 	Seeds          []string             `json:"seeds"`
 	ActiveRequests int64                `json:"active"`
 	Connections    int                  `json:"connections"`
-	Evacuated      []string             `json:"evacuated,omitempty"` // failure domains whose targets get no calls
+	Evacuated      []string             `json:"evacuations,omitempty"` // failure domains whose targets get no calls
 	Endpoints      []place.EndpointView `json:"servers"`
 	Quotas         *quota.View          `json:"quotas,omitempty"` // nil without quotas
 }
