Retry-After follows a pause only where pauses are what an answer lacks

Cause: a refused request took the earliest end of a pause of any of its parts. One shard whose only target had paused for 60 s sent the clients of all gathers away for 60 s when other shards refused, and a request that lacked several shards returned at the first pause's end rather than when enough had ended. The pause of a target in an evacuated failure domain, or of a displaced one, counted too.

Change: Run.retryAfter counts the parts that are answered or have a target, and returns the end of the pause with which these suffice for the minimum coverage; if they suffice already, or pauses alone are not enough, noTargetRetryAfter or the rate of ends applies. NextPauseEnd leaves out evacuated and displaced targets.

Measured: TestRetryAfterPauses and TestEvacuatedAndPaused fail before (Busy false; 2 s instead of 3 s; paused true) and pass after.

--- a/core/fanout/reports.go
+++ b/core/fanout/reports.go
@@ -1,6 +1,8 @@
 package fanout
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"poplarpin.dev/core/place"
@@ -39,23 +41,35 @@
 	return paused && end.After(at)
 }
 
-// retryAfter returns the delay that is sent to refused clients: until the earliest end of a pause if parts were refused because all of
-// their targets have paused, else noTargetRetryAfter.
+// retryAfter returns the delay that is sent to refused clients: if so many parts have no target but paused ones that the others do not suffice
+// for an answer, the time until enough of the pauses have ended, else noTargetRetryAfter.
 func (run *Run) retryAfter(now time.Time) (delay time.Duration, paused bool) {
-	var earliest time.Time
+	var ends []time.Time
+	available := 0 // parts that are answered or have a target
 	for i := range run.parts {
 		part := &run.parts[i]
 		if part.answeredBy != nil {
-			continue
-		}
-		if end, paused := run.shared.Fleet.NextPauseEnd(now, part.service, run.outOfReach(part.service)); paused && (earliest.IsZero() || end.Before(earliest)) {
-			earliest = end
+			available++
+		} else if end, paused := run.shared.Fleet.NextPauseEnd(now, part.service, run.outOfReach(part.service)); paused {
+			ends = append(ends, end)
+		} else if !part.exhausted || len(part.calls) > 0 {
+			available++
 		}
 	}
-	if earliest.IsZero() {
+	lacking := run.minParts() - available
+	if lacking <= 0 || lacking > len(ends) {
 		return noTargetRetryAfter, false
 	}
-	return earliest.Sub(now), true
+	slices.SortFunc(ends, time.Time.Compare)
+	return ends[lacking-1].Sub(now), true
+}
+
+// minParts returns the number of parts that an answer needs.
+func (run *Run) minParts() int {
+	if !run.spec.Gather {
+		return 1
+	}
+	return max(int(math.Ceil(run.spec.MinCoverage*float64(len(run.parts))-coverageTolerance)), 1)
 }
 
 // relayColdParts relays the parts whose targets this VM may not call itself because they are cold, to VMs with a share of the calls that
--- a/core/fanout/reports_test.go
+++ b/core/fanout/reports_test.go
@@ -85,6 +85,56 @@
 	})
 }
 
+// TestRetryAfterPauses guards against clients that are sent away for a pause which is not the reason of their refusal: a single shard whose
+// only target has paused for a minute would determine when the clients of all requests return that other shards refuse.
+func TestRetryAfterPauses(t *testing.T) {
+	newRun := func(pauses ...time.Duration) *fanout.Run {
+		services := serviceNames(4)
+		shared := newSharedState(nil)
+		for i, service := range services {
+			target := place.Endpoint{ID: service, Service: service, FailureDomain: "a", Slots: 2, State: place.Ready}
+			shared.Fleet.Update(start, target)
+			if i < len(pauses) {
+				shared.Fleet.ApplyReport(start, target, place.TargetReport{PauseFor: pauses[i]})
+			}
+		}
+		return fanout.New(gatherSpec(services), shared, start) // three shards suffice
+	}
+	t.Run("the rate of ends counts if the shards that have not paused suffice", func(t *testing.T) {
+		run, now := newRun(time.Minute), start
+		actions := run.Start(now)
+		for !run.Finished() {
+			var next []fanout.Action
+			for _, action := range actions {
+				if send, ok := action.(fanout.Send); ok {
+					now = now.Add(time.Millisecond) // so that the retries are sent one after another and none is in flight at the end
+					next = append(next, run.Result(now, send.Call, fanout.Refused)...)
+				}
+			}
+			if len(next) == 0 {
+				now = run.Next()
+				next = run.Tick(now)
+			}
+			actions = next
+		}
+		refuse := actions[len(actions)-1].(fanout.Finish).Response.(fanout.Refuse)
+		assert.Assert(t, refuse.Busy)
+		assert.Assert(t, refuse.RetryAfter < time.Second, "%s", refuse.RetryAfter)
+	})
+	t.Run("else clients return when enough shards have a target again", func(t *testing.T) {
+		for _, test := range []struct {
+			pauses []time.Duration
+			want   time.Duration
+		}{
+			{[]time.Duration{4 * time.Second, 2 * time.Second}, 2 * time.Second},
+			{[]time.Duration{4 * time.Second, 2 * time.Second, 3 * time.Second}, 3 * time.Second},
+		} {
+			refuse := newRun(test.pauses...).Start(start)[0].(fanout.Finish).Response.(fanout.Refuse)
+			assert.Equal(t, refuse.RetryAfter, test.want)
+		}
+	})
+}
+
 // TestLeavingAlone guards against the loss of a shard whose only target leaves: it is called until half of the drain delay, then the part
 // is left out of the answer.
 func TestLeavingAlone(t *testing.T) {
--- a/core/place/evacuated_test.go
+++ b/core/place/evacuated_test.go
@@ -39,3 +39,14 @@
 	assert.Assert(t, !fleet.Isolated(now))
 	assert.Equal(t, len(fleet.Probes(now.Add(time.Millisecond))), 0)
 }
+
+// TestEvacuatedAndPaused guards against clients that are told to return at the end of a target's pause though its failure domain is evacuated.
+func TestEvacuatedAndPaused(t *testing.T) {
+	fleet := newFleet(target("here", "a"))
+	fleet.ApplyReport(start, target("here", "a"), place.TargetReport{PauseFor: time.Minute})
+	_, paused := fleet.NextPauseEnd(start, "s", nil)
+	assert.Assert(t, paused)
+	fleet.SetEvacuated(start, []string{"a"})
+	_, paused = fleet.NextPauseEnd(start, "s", nil)
+	assert.Assert(t, !paused)
+}
--- a/core/place/leaving.go
+++ b/core/place/leaving.go
@@ -168,7 +168,7 @@
 			return time.Time{}, false
 		}
 		until := endpoint.reported.pausedUntil
-		if now.Before(until) && endpoint.State == Ready && !fleet.left(until, endpoint.reported) && (!ok || until.Before(end)) {
+		if now.Before(until) && endpoint.State == Ready && !fleet.isEvacuated(endpoint) && !endpoint.displaced && !fleet.left(until, endpoint.reported) && (!ok || until.Before(end)) {
 			end, ok = until, true
 		}
 	}
