Delays of responses are counted from the planned time also for distant clients

Cause: fanout.New plans an answer for half of the objective at the earliest; recordDelay did not know this bound. With a margin by the client's round trip, a client with a long path made the difference count as a delay of this VM, and all clients were answered earlier.

Change: recordDelay uses the same lower bound.

Measured: TestDelayOfDistantClient fails before (12.5 ms instead of 5 ms) and passes after, as do TestServe, TestLimitersKeepRequests and TestTargetReports.

--- a/poplarpind/gateway/admit.go
+++ b/poplarpind/gateway/admit.go
@@ -127,7 +127,8 @@
 	if job.route.Objective <= 0 {
 		return
 	}
-	delay := now.Sub(job.started) - (job.route.Objective - job.margin - gateway.responseDelay)
+	planned := max(job.route.Objective-job.margin-gateway.responseDelay, job.route.Objective/2) // as in fanout.New
+	delay := now.Sub(job.started) - planned
 	if delay < 0 || delay > maxCountedDelay {
 		return // sent before the planned time, or after waiting for more parts
 	}
--- a/poplarpind/gateway/admit_test.go
+++ b/poplarpind/gateway/admit_test.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// TestDelayOfDistantClient guards against a long network path that counts as a delay of this VM and makes it answer all clients earlier: a
+// run's answer is planned for half of the objective at the earliest.
+func TestDelayOfDistantClient(t *testing.T) {
+	gateway, now := newTestGateway(), time.Now()
+	gateway.recordDelay(now, &job{route: &route.Route{Objective: 100 * time.Millisecond}, margin: 65 * time.Millisecond, started: now.Add(-55 * time.Millisecond)})
+	assert.Equal(t, gateway.responseDelay, 5*time.Millisecond)
+}
+
 // TestPeersExcludeSelf guards against a VM that relays to itself: the list that a seed sends to a VM that starts may contain that VM.
 func TestPeersExcludeSelf(t *testing.T) {
 	gateway := newTestGateway()
