A stale list that does not know evacuations ends none

Cause: a VM that begins to watch the store reads evacuations with stale_ok. A store that has never had an evacuation answers 404, which has no position, so the position of the targets took its place. The stale list may be from before the first evacuation while the targets are up to date: the VM then ended an evacuation in force, and its watch from there never brought it back.

Change: after a stale 404 the kind is listed again without stale_ok, whose answer is at least as new as the targets known before.

--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -38,7 +38,7 @@
 	failures, backoff, known := 0, minBackoff, gateway.knownPosition(kind)
 	read := store.List
 	if kind == platform.EvacuationsKind {
-		read = store.ListStale // the watch from there brings what the list lacks
+		read = listStaleKind(store)
 	}
 	for ; ctx.Err() == nil; read = store.List {
 		callCtx, cancel := gateway.beginRead(ctx, kind)
@@ -108,6 +108,18 @@
 // listObjects is platform.Store.List or ListStale.
 type listObjects func(ctx context.Context, kind string) ([]platform.Object, platform.Position, error)
 
+// listStaleKind returns ListStale, whose gaps the watch from there fills, with List where the stale list does not know the kind: it then has
+// no position, and that of the targets may be later than the kind's first object.
+func listStaleKind(store *platform.Store) listObjects {
+	return func(ctx context.Context, kind string) ([]platform.Object, platform.Position, error) {
+		objects, position, err := store.ListStale(ctx, kind)
+		if platform.KindOf(err) == platform.NotFound {
+			return store.List(ctx, kind)
+		}
+		return objects, position, err
+	}
+}
+
 // listOrWatch makes one call of the store and applies its result: a list if no revision is known, else a watch. It returns the
 // position to continue from.
 func (gateway *Gateway) listOrWatch(ctx context.Context, store *platform.Store, list listObjects, kind string, known platform.Position, afterOutage bool) (platform.Position, error) {
