Quotas: an account that was removed long ago starts with a full bucket

Cause: the times of removals were pruned only after new accounts had looked them up, and only when a configuration changes. Change: old removals are dropped before accounts are added. TestQuotasHold now also removes an account on each VM within a second, adds it again, and runs with a slack of 20 (where the burst is in the fill rate) as well as without; neither was covered. Measured: the new case of TestChangedQuotas fails before (0 of 7 admitted) and passes.

--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -30,6 +30,7 @@
 	outcomes     map[string]*outcomes
 	list         []quota.VM // as last read
 	readAt       time.Duration
+	without      string // account that this VM's configuration lacks
 }
 
 // outcomes counts the verdicts on one account's requests.
@@ -132,10 +133,27 @@
 	vm.offset = time.Duration(fleet.random.Int64N(int64(time.Hour)))
 	vm.waiting = map[uint64]string{}
 	vm.node = quota.New(vm.name, vm.serial, fleet.limits, vm.clock(fleet))
-	fleet.step(vm, vm.node.SetAccounts(vm.clock(fleet), fleet.accounts))
+	fleet.step(vm, vm.node.SetAccounts(vm.clock(fleet), vm.configured(fleet)))
 	fleet.readList(vm, vm.serial, fleet.now-vm.addedAt > 12*time.Second)
 }
 
+// configured returns the accounts of a VM's configuration.
+func (vm *testVM) configured(fleet *fleet) []quota.Account {
+	return slices.DeleteFunc(slices.Clone(fleet.accounts), func(account quota.Account) bool { return account.Name == vm.without })
+}
+
+// configure removes an account from the configuration of all VMs, or adds it again, on each VM within a second.
+func (fleet *fleet) configure(without string) {
+	for _, vm := range fleet.vms {
+		fleet.after(time.Duration(fleet.random.Int64N(int64(time.Second))), func() {
+			fleet.whenAwake(vm, vm.serial, func() {
+				vm.without = without
+				fleet.step(vm, vm.node.SetAccounts(vm.clock(fleet), vm.configured(fleet)))
+			})
+		})
+	}
+}
+
 // readList lets a VM read the list of VMs now and every 4 s, unless the store cannot be reached.
 func (fleet *fleet) readList(vm *testVM, serial int64, settled bool) {
 	fleet.whenAwake(vm, serial, func() {
@@ -170,7 +188,9 @@
 		case quota.Decide:
 			name := vm.waiting[action.Request]
 			delete(vm.waiting, action.Request)
-			fleet.record(vm, name, action.Verdict)
+			if action.Verdict != (quota.Admitted{}) { // else the account's quota was removed
+				fleet.record(vm, name, action.Verdict)
+			}
 		}
 	}
 	next := vm.node.Next(vm.clock(fleet)) - vm.offset
@@ -207,6 +227,9 @@
 func (fleet *fleet) send(vm *testVM, account string) {
 	serial := vm.serial
 	fleet.whenAwake(vm, serial, func() {
+		if vm.without == account {
+			return // it would need no token
+		}
 		fleet.request++
 		verdict, actions := vm.node.Admit(vm.clock(fleet), account, fleet.request, 400*time.Millisecond)
 		if _, waits := verdict.(quota.Waiting); waits {
--- a/core/quota/node_test.go
+++ b/core/quota/node_test.go
@@ -291,6 +291,24 @@
 		count, _ := drain(node, minute)
 		assert.Equal(t, count, 7)
 	})
+	t.Run("an account that is new, or was removed long ago, starts with a full bucket; one that was removed within a window does not", func(t *testing.T) {
+		node := newNode("a2", "a2")
+		later, without := minute+minute, []quota.Account{slow}
+		admits := func(at time.Duration, expected int) {
+			t.Helper()
+			node.SetAccounts(at, []quota.Account{bulk, slow})
+			count, _ := drain(node, at)
+			assert.Equal(t, count, expected)
+		}
+		admits(minute, 7)
+		node.SetAccounts(minute, without)
+		admits(minute+second, 0)
+		node.SetAccounts(minute+second, without)
+		for now := minute; now <= later; now += second {
+			node.SetVMs(now, twoVMs)
+		}
+		admits(later, 7)
+	})
 	t.Run("requests of a dropped account need no token, also those that wait", func(t *testing.T) {
 		node := newNode("a1", "a2")
 		askOne(t, node, minute, 1)
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -152,6 +152,7 @@
 // SetAccounts replaces the accounts. Waiting requests of accounts without quota are admitted.
 func (node *Node) SetAccounts(now time.Duration, accounts []Account) []Action {
 	node.advance(now)
+	maps.DeleteFunc(node.removedAt, func(_ string, at time.Duration) bool { return now-at > node.settleSpan() })
 	next := map[string]*account{}
 	for _, configured := range accounts {
 		if !(configured.RatePerSecond > 0) {
@@ -174,7 +175,6 @@
 			node.removedAt[name] = now
 		}
 	}
-	maps.DeleteFunc(node.removedAt, func(_ string, at time.Duration) bool { return now-at > node.settleSpan() })
 	node.accounts, node.names = next, node.names[:0]
 	for name := range next {
 		node.names = append(node.names, name)
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -15,7 +15,7 @@
 func disturb(t *rapid.T, fleet *fleet, store map[string]bool, cut map[string]int) {
 	vm := fleet.vms[rapid.IntRange(0, len(fleet.vms)-1).Draw(t, "vm")]
 	other := fleet.vms[rapid.IntRange(0, len(fleet.vms)-1).Draw(t, "other")]
-	switch rapid.IntRange(0, 12).Draw(t, "change") {
+	switch rapid.IntRange(0, 14).Draw(t, "change") {
 	case 0:
 		vm.frozenUntil = fleet.now + time.Duration(rapid.IntRange(100, 7000).Draw(t, "frozen"))*time.Millisecond
 	case 1:
@@ -44,6 +44,9 @@
 		if !vm.down && vm.frozenUntil <= fleet.now {
 			fleet.step(vm, vm.node.LinkDown(vm.clock(fleet), other.name))
 		}
+	case 13, 14:
+		fleet.configure(rapid.SampledFrom([]string{"large", "small"}).Draw(t, "without"))
+		fleet.after(time.Duration(rapid.IntRange(1000, 6000).Draw(t, "removed"))*time.Millisecond, func() { fleet.configure("") })
 	case 11, 12:
 		burst := rapid.IntRange(20, 400).Draw(t, "burst")
 		account := rapid.SampledFrom(fleet.accounts).Draw(t, "account").Name
@@ -64,7 +67,7 @@
 			{Name: "large", RatePerSecond: float64(rapid.IntRange(10, 60).Draw(t, "rate")), Burst: float64(rapid.IntRange(0, 60).Draw(t, "burst"))},
 			{Name: "small", RatePerSecond: 1, Burst: 1},
 		}
-		fleet := newZones(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(4, 9).Draw(t, "vms"), withoutSlack, accounts)
+		fleet := newZones(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(4, 9).Draw(t, "vms"), quota.Limits{Window: 5 * time.Second, Overshoot: 0.1, Slack: rapid.SampledFrom([]float64{0, 20}).Draw(t, "slack")}, accounts)
 		fleet.vms = append(make([]*testVM, 0, len(fleet.vms)+1), fleet.vms...)
 		store, cut := map[string]bool{}, map[string]int{}
 		fleet.storeReachable = func(vm *testVM) bool { return !store[vm.name] }
