Quotas: a VM that comes back to the list is probed at once; probes of VMs that left are forgotten

Cause: the times of probes were kept for every VM name that was ever a candidate, and a candidate that left the list and came back within a second was not asked until that second was over. Change: both maps of the chooser are pruned when the list changes. Measured: the new case of TestPoolChooser fails before (no probe) and passes; core/quota passes.

--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -34,11 +35,9 @@
 		return
 	}
 	chooser.ranked = slices.Clone(ranked)
-	for vm := range chooser.heard {
-		if !slices.Contains(ranked, vm) {
-			chooser.Lost(vm)
-		}
-	}
+	left := func(vm string, _ time.Duration) bool { return !slices.Contains(ranked, vm) }
+	maps.DeleteFunc(chooser.heard, left)
+	maps.DeleteFunc(chooser.probed, left)
 }
 
 // Heard records a message of a VM that shows that it can be a pool.
--- a/core/quota/pool_test.go
+++ b/core/quota/pool_test.go
@@ -64,4 +64,12 @@
 		chooser.SetRanked(ranked[1:])
 		assertChooses(t, chooser, minute, "", "a2", "a3", "a4")
 	})
+	t.Run("a VM that leaves the list and comes back is asked at once", func(t *testing.T) {
+		chooser := newChooser("a3")
+		assertChooses(t, chooser, minute, "", "a1", "a2")
+		chooser.SetRanked(ranked[1:])
+		assertChooses(t, chooser, minute, "")
+		chooser.SetRanked(ranked)
+		assertChooses(t, chooser, minute, "", "a1")
+	})
 }
