Quotas: a VM that restarts soon after it entered the list does not count as settled

Change: the entry of a VM carries the time of its registration where the settings permit quotas; a restarted VM is settled once that is SettleTime ago, or where the entry of an earlier build does not say.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -11,9 +11,8 @@
 
 const (
 	loanTerm       = 700 * time.Millisecond
-	loanInterval   = 450 * time.Millisecond  // between two readings that a pool sends to a lender; a renewal has the rest of loanTerm to arrive
-	settleTime     = maxListAge + 2*loanTerm // by then VMs with an older list assume more VMs, and so do the loans to their pools
-	maxListAge     = 10 * time.Second        // beyond which more VMs are assumed than listed
+	loanInterval   = 450 * time.Millisecond // between two readings that a pool sends to a lender; a renewal has the rest of loanTerm to arrive
+	maxListAge     = 10 * time.Second       // beyond which more VMs are assumed than listed
 	oldListFactor  = 1.25
 	batchInterval  = 2 * time.Millisecond   // between two asks of a VM to the same pool
 	poolTimeout    = 35 * time.Millisecond  // for a pool of another failure domain; two in turn answer within maxWait
@@ -35,6 +34,10 @@
 	watchdogPeriod = time.Second
 )
 
+// SettleTime is the time after which every VM counts a VM that has entered the list: those with an older list assume more VMs by then, and
+// so do the loans to their pools.
+const SettleTime = maxListAge + 2*loanTerm
+
 // Limits are the bounds within which quotas must hold.
 type Limits struct {
 	Window    time.Duration // in which requests are counted
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -168,7 +168,7 @@
 func (node *Node) SetVMs(now time.Duration, vms VMs) []Action {
 	node.advance(now)
 	if !node.listKnown && !vms.Settled {
-		node.ownFrom = max(node.ownFrom, now+settleTime)
+		node.ownFrom = max(node.ownFrom, now+SettleTime)
 		node.schedule(node.ownFrom, event{kind: lendDue})
 	}
 	listed := slices.SortedFunc(slices.Values(vms.Listed), compareVMs)
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -80,7 +80,7 @@
 	if err != nil && platform.KindOf(err) != platform.NotFound {
 		return false, err
 	}
-	registered, listed := false, false
+	registered, registeredAt := false, int64(0)
 	var peers []platform.VM
 	for _, object := range objects {
 		vm, err := platform.DecodeVM(object)
@@ -88,6 +88,7 @@
 		case err != nil:
 			gateway.log.Info("object of an entry VM rejected", zap.String("name", truncate(object.Name)), zap.Error(err))
 		case vm.Name == gateway.settings.VM:
+			registeredAt, vm.RegisteredUnixMilli = vm.RegisteredUnixMilli, 0
 			listed, registered = true, vm == gateway.self()
 		default:
 			peers = append(peers, vm)
@@ -100,12 +101,16 @@
 	}
 	peers = gateway.withLostPeers(peers)
 	gateway.setPeers(peers)
-	gateway.quotas.listRead(readAt, peers, listed)
+	gateway.quotas.listRead(readAt, peers, listed, registeredAt)
 	if registered || gateway.Draining() {
 		return false, nil
 	}
 	gateway.log.Info("registering this VM in the store", zap.Int("peers", len(peers)))
-	return true, store.PutVM(ctx, gateway.self())
+	self := gateway.self()
+	if self.RegisteredUnixMilli = registeredAt; registeredAt == 0 && gateway.quotas.enabled() {
+		self.RegisteredUnixMilli = time.Now().UnixMilli()
+	}
+	return true, store.PutVM(ctx, self)
 }
 
 // setPeers replaces the list of peers; the list may name this VM, which is left out, so that it never relays to itself.
--- a/poplarpind/gateway/quota.go
+++ b/poplarpind/gateway/quota.go
@@ -150,15 +150,17 @@
 	go quotas.carryOut(quotas.decide(actions))
 }
 
-// listRead records the list of VMs that was read from the store; listed says whether it names this VM.
-func (quotas *quotas) listRead(readAt time.Duration, peers []platform.VM, listed bool) {
+// listRead records the list of VMs that was read from the store; listed says whether it names this VM, and registeredAt since when, in
+// milliseconds, 0 if its entry does not say. A VM that restarts soon after it entered the list is not known to all others yet.
+func (quotas *quotas) listRead(readAt time.Duration, peers []platform.VM, listed bool, registeredAt int64) {
 	if !quotas.enabled() {
 		return
 	}
 	quotas.mu.Lock()
 	defer quotas.mu.Unlock()
 	if !quotas.list.read {
-		quotas.list.read, quotas.list.settled = true, listed
+		listedFor := time.Since(time.UnixMilli(registeredAt))
+		quotas.list.read, quotas.list.settled = true, listed && (registeredAt == 0 || listedFor >= quota.SettleTime)
 	}
 	if !listed && quotas.list.vms == nil {
 		return // this VM registers now
