Quota pools are not on the VM that passes on observations

Change: the second best VM of a failure domain is preferred as pool where it has half of the cores of the best. TestPoolsElsewhere takes the place of TestBestElsewhere, with the same assertions on the renamed function.

--- a/poplarpind/gateway/quota.go
+++ b/poplarpind/gateway/quota.go
@@ -97,9 +97,9 @@
 	peers := toFollowPeers(gateway.peers)
 	gateway.mu.Unlock()
 	settings := gateway.settings
-	otherPools := follow.BestElsewhere(peers, settings.FailureDomain)
+	otherPools := follow.PoolsElsewhere(peers, settings.FailureDomain)
 	self := follow.Peer{Name: settings.VM, FailureDomain: settings.FailureDomain, Cores: settings.Cores}
-	ranked := follow.RankedIn(append(peers, self), settings.FailureDomain)
+	ranked := follow.PoolOrder(append(peers, self), settings.FailureDomain)
 	quotas.step(func(now time.Duration, node *quota.Node) []quota.Action {
 		for vm := range quotas.replies {
 			if !slices.ContainsFunc(peers, func(peer follow.Peer) bool { return peer.Name == vm }) {
