--- a/poplarpin/platform_test.go
+++ b/poplarpin/platform_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/alecthomas/kong"
 	"gotest.tools/v3/assert"
+
+	"poplarpin.dev/platform/platformtest"
 )
 
 // runCommand runs a command line and returns its output, one space between columns, and its error.
@@ -50,18 +52,15 @@
 	assert.Assert(t, !strings.Contains(err.Error(), "secret"), err.Error())
 }
 
-const validConfig = `{"version":7,"services":[{"name":"s"}],"routes":[{"name":"r","host":"h","path_prefix":"/","service":"s"}],
-"tenants":[{"name":"alpha","api_keys":["secret-1"]},{"name":"beta","api_keys":["secret-2"]}]}`
-
 // TestCheckConfig guards against a check that passes a configuration with problems, or that prints a key.
 func TestCheckConfig(t *testing.T) {
 	t.Run("a valid configuration is counted", func(t *testing.T) {
-		printed, err := runCommand(t, "check-config", writeFile(t, validConfig))
+		printed, err := runCommand(t, "check-config", writeFile(t, platformtest.ConfigWithAccounts))
 		assert.NilError(t, err)
 		assert.Equal(t, printed, "version 7\nroutes 1\nservices 1\naccounts 2")
 	})
 	t.Run("each problem is printed without the key", func(t *testing.T) {
-		text := strings.NewReplacer(`"secret-2"`, `"secret-1"`, `}]}`, `},{"name":"alpha","api_keys":["secret-3"]}]}`, `"service":"s"`, `"top_k":1`).Replace(validConfig)
+		text := strings.NewReplacer(`"secret-2"`, `"secret-1"`, `}]}`, `},{"name":"alpha","api_keys":["secret-3"]}]}`, `"service":"s"`, `"other":1`).Replace(platformtest.ConfigWithAccounts)
 		printed, err := runCommand(t, "check-config", writeFile(t, text))
 		assertExit(t, err, exitUsage)
 		assert.Equal(t, printed, "version 7\nroutes 0\nservices 1\naccounts 2\n"+
--- a/poplarpind/gateway/accounts_test.go
+++ b/poplarpind/gateway/accounts_test.go
@@ -29,8 +29,7 @@
 // accountConfig returns a configuration with accounts and a public route /p/ beside the other routes.
 func accountConfig(version int, accounts ...map[string]any) map[string]any {
 	config := platformtest.Config(version)
-	config["routes"] = append(config["routes"].([]map[string]any), map[string]any{"name": "p", "host": "h.example", "path_prefix": "/p/",
-		"kind": "idempotent", "timeout_ms": 5000, "service": "one", "attempts": 2, "public": true})
+	config["routes"] = append(config["routes"].([]map[string]any), platformtest.PublicRoute("p", "/p/", "one"))
 	if len(accounts) > 0 {
 		config["tenants"] = accounts
 	}
@@ -57,7 +56,7 @@
 			record.mu.Lock()
 			record.header = request.Header
 			record.mu.Unlock()
-			writer.Header().Set("X-Server-Stamp", "stamp-"+id)
+			platformtest.Sign(writer, id)
 			_, _ = writer.Write(make([]byte, platform.RecordSize))
 		})
 	}
--- a/poplarpind/gateway/evacuations_list_test.go
+++ b/poplarpind/gateway/evacuations_list_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +13,7 @@
 
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/platform"
+	"poplarpin.dev/platform/platformtest"
 )
 
 // staleStore serves lists of evacuations, of which the stale ones lack the first evacuation that was ever written. Watches bring nothing.
@@ -24,7 +24,7 @@
 	case query.Has("stale_ok"):
 		writer.WriteHeader(http.StatusNotFound)
 	default:
-		_, _ = fmt.Fprint(writer, `{"items": [{"meta": {"name": "a", "revision": 5}, "spec": {}}], "read_revision": 12}`)
+		platformtest.WriteList(writer, "a", 5, 12)
 	}
 }
 
