Two functions that nothing calls are removed

Change: they go. Measured: vet, staticcheck and tests of core/place, core/quota and core/fanout pass.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -221,9 +221,6 @@
 // SetRegions sets the region of each failure domain.
 func (fleet *Fleet) SetRegions(regions map[string]string) { fleet.regions = regions }
 
-// Region returns the region of a failure domain, "" if it is unknown.
-func (fleet *Fleet) Region(failureDomain string) string { return fleet.regions[failureDomain] }
-
 // OutsideRegions returns the ids of a service's endpoints in regions that are not allowed.
 func (fleet *Fleet) OutsideRegions(service string, allows func(region string) bool) []string {
 	var outside []string
--- a/core/quota/admit.go
+++ b/core/quota/admit.go
@@ -79,13 +79,6 @@
 	}
 }
 
-// Add adds other counts.
-func (counts *Counts) Add(other Counts) {
-	counts.Admitted += other.Admitted
-	counts.Refused += other.Refused
-	counts.Unknown += other.Unknown
-}
-
 // Refund returns the token of a request that was admitted and reached no target.
 func (node *Node) Refund(now time.Duration, name string, admitted Admitted) {
 	node.advance(now)
