The platform decodes what the store cache needs of entries and configurations

Cause: core/follow decoded the fields state, born, seq and version of the platform's objects by itself; wire names belong in platform/. Change: the store cache gets a decoder (follow.Contents), which platform implements; its behaviour is the same.

--- a/core/follow/era.go
+++ b/core/follow/era.go
@@ -7,39 +7,24 @@
 	"poplarpin.dev/core/rpc"
 )
 
-// writtenState is what a target's entry says about the order of its writes.
-type writtenState struct {
-	State string  `json:"state"`
-	Born  float64 `json:"born"` // start of the process, in Unix milliseconds
-	Seq   float64 `json:"seq"`  // rises with each write of the process
+// Entry is what a target's entry says about the order of its writes; the zero value counts as older than any other.
+type Entry struct {
+	Draining         bool  // the target accepts no new calls
+	StartedUnixMilli int64 // start of the process
+	Sequence         int64 // rises with each write of the process
 }
 
-// stateDraining is the state of a target that accepts no new calls.
-const stateDraining = "draining"
-
-// decodeState decodes an entry; an undecodable one counts as older than any other.
-func decodeState(spec json.RawMessage) writtenState {
-	var state writtenState
-	if json.Unmarshal(spec, &state) != nil {
-		return writtenState{}
-	}
-	return state
+// Contents decodes the contents of the store's objects, whose format is the platform's.
+type Contents interface {
+	// Entry decodes a target's entry; it returns the zero value for one that cannot be decoded.
+	Entry(spec json.RawMessage) Entry
+	// ConfigVersion returns the version of a configuration, 0 for one that cannot be decoded.
+	ConfigVersion(spec json.RawMessage) int64
 }
 
 // writtenAfter reports whether an entry was written after another one of the same target.
-func (state writtenState) writtenAfter(other writtenState) bool {
-	return state.Born > other.Born || state.Born == other.Born && state.Seq > other.Seq
-}
-
-// versionOf returns the version of a configuration, 0 for an undecodable one.
-func versionOf(object rpc.StoreObject) int64 {
-	var config struct {
-		Version int64 `json:"version"`
-	}
-	if json.Unmarshal(object.Spec, &config) != nil {
-		return 0
-	}
-	return config.Version
+func (entry Entry) writtenAfter(other Entry) bool {
+	return entry.StartedUnixMilli > other.StartedUnixMilli || entry.StartedUnixMilli == other.StartedUnixMilli && entry.Sequence > other.Sequence
 }
 
 // isNewer reports whether an object follows another in the order of eras and revisions.
@@ -93,7 +78,7 @@
 	if before.Deleted {
 		spec = storeCache.deletedSpecs[object.Name]
 	}
-	seen, listed := decodeState(spec), decodeState(object.Spec)
+	seen, listed := storeCache.contents.Entry(spec), storeCache.contents.Entry(object.Spec)
 	kept := rpc.StoreObject{Name: object.Name, Era: object.Era, Revision: storeCache.firstList}
 	switch {
 	case spec != nil && listed.writtenAfter(seen):
@@ -101,7 +86,7 @@
 	case before.Deleted && !before.Lapsed:
 		kept.Deleted = true
 		return kept
-	case spec != nil && (seen.writtenAfter(listed) || seen.State == stateDraining && listed.State != stateDraining):
+	case spec != nil && (seen.writtenAfter(listed) || seen.Draining && !listed.Draining):
 		kept.Spec = spec
 		return kept
 	}
--- a/core/follow/era_test.go
+++ b/core/follow/era_test.go
@@ -31,7 +31,7 @@
 
 // cacheOf returns a cache of era 1 at revision 90 that has seen a target drain, one being deleted and one serve.
 func cacheOf() *follow.StoreCache {
-	storeCache := follow.NewStoreCache()
+	storeCache := follow.NewStoreCache(testContents{})
 	storeCache.Apply(listOf(1, 80, entry("drained", 1, 10, "ready", 3), entry("removed", 1, 11, "ready", 3), entry("serving", 1, 12, "ready", 3)))
 	storeCache.Apply(rpc.StoreUpdate{Era: 1, Since: 80, Through: 90, Servers: []rpc.StoreObject{entry("drained", 1, 85, "draining", 4), deleted("removed", 1, 86)}})
 	return storeCache
@@ -81,13 +81,13 @@
 		assertStates(t, storeCache, map[string]string{"drained": "draining", "removed": "ready", "serving": "ready"})
 	})
 	t.Run("a state that shows no sequence stays", func(t *testing.T) {
-		storeCache := follow.NewStoreCache()
+		storeCache := follow.NewStoreCache(testContents{})
 		storeCache.Apply(listOf(1, 80, entry("drained", 1, 70, "draining", 3)))
 		storeCache.Apply(listOf(2, 60, entry("drained", 2, 10, "ready", 3)))
 		assertStates(t, storeCache, map[string]string{"drained": "draining"})
 	})
 	t.Run("a later entry stays", func(t *testing.T) {
-		storeCache := follow.NewStoreCache()
+		storeCache := follow.NewStoreCache(testContents{})
 		storeCache.Apply(listOf(1, 80, entry("returned", 1, 70, "ready", 4)))
 		storeCache.Apply(listOf(2, 60, entry("returned", 2, 10, "draining", 3)))
 		assertStates(t, storeCache, map[string]string{"returned": "ready"})
@@ -106,7 +106,7 @@
 		assertStates(t, storeCache, map[string]string{"drained": "draining"})
 	})
 	t.Run("a VM that starts meanwhile takes nothing older from the store", func(t *testing.T) {
-		watcher, started := cacheOf(), follow.NewStoreCache()
+		watcher, started := cacheOf(), follow.NewStoreCache(testContents{})
 		watcher.Apply(restored())
 		started.Apply(watcher.UpdateSince(rpc.StoreRevisions{}, true))
 		started.Apply(restored())
@@ -149,7 +149,7 @@
 		assertStates(t, subscriber, beforeRestore)
 	})
 	t.Run("configurations are compared by version", func(t *testing.T) {
-		storeCache := follow.NewStoreCache()
+		storeCache := follow.NewStoreCache(testContents{})
 		assert.Assert(t, storeCache.UpdateConfig(configOf(1, 90, 5)))
 		assert.Assert(t, !storeCache.UpdateConfig(configOf(2, 80, 4)))
 		assert.Assert(t, !storeCache.UpdateConfig(configOf(1, 95, 6)), "of a lower era")
@@ -161,7 +161,7 @@
 
 // TestMessagesWithoutEras guards against changed messages in deployments whose store has no eras.
 func TestMessagesWithoutEras(t *testing.T) {
-	storeCache := follow.NewStoreCache()
+	storeCache := follow.NewStoreCache(testContents{})
 	storeCache.Apply(listOf(0, 9, rpc.StoreObject{Name: "i", Revision: 3, Spec: json.RawMessage(`{}`)}))
 	storeCache.UpdateConfig(rpc.StoreObject{Name: "main", Revision: 4, Spec: json.RawMessage(`{}`)})
 	revisions, err := json.Marshal(storeCache.Revisions())
--- a/core/follow/store_cache.go
+++ b/core/follow/store_cache.go
@@ -11,6 +11,7 @@
 
 // StoreCache holds the objects of the store that a VM knows, with their revisions, from whichever source they came.
 type StoreCache struct {
+	contents       Contents
 	config         *rpc.StoreObject
 	targets        map[string]rpc.StoreObject // by name, tombstones included
 	deletedSpecs   map[string]json.RawMessage // of the targets that have tombstones, by name
@@ -22,8 +23,8 @@
 }
 
 // NewStoreCache returns an empty cache.
-func NewStoreCache() *StoreCache {
-	return &StoreCache{targets: map[string]rpc.StoreObject{}, deletedSpecs: map[string]json.RawMessage{}}
+func NewStoreCache(contents Contents) *StoreCache {
+	return &StoreCache{contents: contents, targets: map[string]rpc.StoreObject{}, deletedSpecs: map[string]json.RawMessage{}}
 }
 
 // UpdateConfig stores a configuration if it is newer than the cached one and reports whether it is. A store that has eras may list an
@@ -33,7 +34,7 @@
 	if object.Deleted || cached != nil && !isNewer(object, *cached) {
 		return false
 	}
-	if cached != nil && object.Era > 0 && versionOf(object) <= versionOf(*cached) {
+	if cached != nil && object.Era > 0 && storeCache.contents.ConfigVersion(object.Spec) <= storeCache.contents.ConfigVersion(cached.Spec) {
 		object.Spec = cached.Spec
 		storeCache.config = &object
 		return false
--- a/core/follow/store_cache_test.go
+++ b/core/follow/store_cache_test.go
@@ -25,7 +25,7 @@
 // several peers, out of order and with gaps. After a last update the cache must equal the store.
 func TestStoreCachesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		watcher, forwarder, follower := follow.NewStoreCache(), follow.NewStoreCache(), follow.NewStoreCache()
+		watcher, forwarder, follower := follow.NewStoreCache(testContents{}), follow.NewStoreCache(testContents{}), follow.NewStoreCache(testContents{})
 		store, revision := map[string]int64{}, int64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
@@ -61,7 +61,7 @@
 }
 
 func TestOlderUpdatesAreIgnored(t *testing.T) {
-	storeCache := follow.NewStoreCache()
+	storeCache := follow.NewStoreCache(testContents{})
 	assert.Assert(t, storeCache.UpdateTarget(rpc.StoreObject{Name: "i", Revision: 5, Deleted: true}))
 	assert.Assert(t, !storeCache.UpdateTarget(rpc.StoreObject{Name: "i", Revision: 4}))
 	assert.Assert(t, storeCache.UpdateConfig(rpc.StoreObject{Revision: 5}))
@@ -73,7 +73,7 @@
 // when too many tombstones are dropped, those after the gap must stay, since the missing update may still contain their targets.
 func TestTombstonesAfterGap(t *testing.T) {
 	const deleted = 2100 // more than the cache keeps tombstones
-	storeCache := follow.NewStoreCache()
+	storeCache := follow.NewStoreCache(testContents{})
 	storeCache.Apply(rpc.StoreUpdate{Through: 1, Full: true})
 	var created, removed []rpc.StoreObject
 	for i := range deleted {
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -86,7 +86,7 @@
 		era:               platform.NewEra(func(event string) { storeEras.Add(event, 1) }),
 		peersRead:         make(chan struct{}),
 		observationsReady: make(chan struct{}, 1),
-		storeCache:        follow.NewStoreCache(),
+		storeCache:        follow.NewStoreCache(platform.Contents{}),
 		evacuations:       follow.NewEvacuations(),
 		follower:          follow.New(follow.Peer{Name: settings.VM, FailureDomain: settings.FailureDomain, Cores: settings.Cores}),
 		subscribers:       map[string]*subscriber{},
