Targets that send without end no longer take down a VM

Cause: http.ReadResponse bounds neither a line of the head, nor the number of header fields, nor interim responses, and each body was read up to 16 MB whatever its route can use, without a limit over all calls. A call that was given up but left to complete stayed open for as long as its target sent a byte now and then.

Change: a head with all its interim responses has 16 KB, a part of a gather 64 KB or four times the merged answer, and all bodies together a tenth of the VM's memory (core/buffer decides which response ends: the largest, among equals the least urgent). Such a connection is reset at once; the reason stands in the log line and in serverResponsesInvalid. A connection that is busy half a second after its call's time is closed. Invalid answers in a row count like broken connections in the choice of targets.

--- a/core/fanout/results.go
+++ b/core/fanout/results.go
@@ -81,7 +81,7 @@
 	case NoCapacity:
 		attempt.Discard()
 	default:
-		attempt.InvalidAnswer()
+		attempt.InvalidAnswer(now)
 	}
 }
 
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -7,21 +7,21 @@
 )
 
 const (
-	maxSlownessChange      = 1.3                   // factor by which one call changes slowness at most, so that one slow call has little effect
-	maxSlowness            = 50.0                  // higher ratios make no difference
-	stuckFactor            = 2.5                   // multiple of the expected latency after which an unanswered call indicates a stuck endpoint
-	minStuckDelay          = 12 * time.Millisecond // lower bound of that delay
-	minDownTime            = 300 * time.Millisecond
-	maxDownTime            = 3 * time.Second
-	deprioritizeFor        = 30 * time.Millisecond  // after a refusal for lack of capacity or a broken connection
-	refusalRatio           = 3.0                    // latency ratio as which a refusal counts; about two calls and the time between them
-	remoteFactor           = 1.6                    // cost factor of other failure domains: a local endpoint with less slowness is preferred
-	slownessDecayInterval  = 400 * time.Millisecond // time without updates after which slownessDecay is applied once
-	brokenConnectionsLimit = 3                      // broken connections without an answer in between that indicate that an endpoint is down
-	downPenalty            = 10 * time.Second       // the penalties are added to a cost
-	deprioritizedPenalty   = 200 * time.Millisecond
-	missingPenalty         = time.Second // for an endpoint whose entry has lapsed or may have lapsed
-	slownessDecay          = 0.8         // factor on the excess of slowness over 1
+	maxSlownessChange     = 1.3                   // factor by which one call changes slowness at most, so that one slow call has little effect
+	maxSlowness           = 50.0                  // higher ratios make no difference
+	stuckFactor           = 2.5                   // multiple of the expected latency after which an unanswered call indicates a stuck endpoint
+	minStuckDelay         = 12 * time.Millisecond // lower bound of that delay
+	minDownTime           = 300 * time.Millisecond
+	maxDownTime           = 3 * time.Second
+	deprioritizeFor       = 30 * time.Millisecond  // after a refusal for lack of capacity or a broken connection
+	refusalRatio          = 3.0                    // latency ratio as which a refusal counts; about two calls and the time between them
+	remoteFactor          = 1.6                    // cost factor of other failure domains: a local endpoint with less slowness is preferred
+	slownessDecayInterval = 400 * time.Millisecond // time without updates after which slownessDecay is applied once
+	failuresLimit         = 3                      // broken connections and invalid answers, without an answer in between, that indicate that an endpoint is down
+	downPenalty           = 10 * time.Second       // the penalties are added to a cost
+	deprioritizedPenalty  = 200 * time.Millisecond
+	missingPenalty        = time.Second // for an endpoint whose entry has lapsed or may have lapsed
+	slownessDecay         = 0.8         // factor on the excess of slowness over 1
 )
 
 // Attempt is one call that was sent to an endpoint, or that a relay is assumed to have sent to it.
@@ -186,7 +186,7 @@
 	endpoint := attempt.endpoint
 	attempt.fleet.reachabilityOf(endpoint.FailureDomain).answered()
 	endpoint.lastAnswer = now
-	endpoint.downUntil, endpoint.downTime, endpoint.brokenConnections = time.Time{}, 0, 0
+	endpoint.downUntil, endpoint.downTime, endpoint.failures = time.Time{}, 0, 0
 	attempt.observe(now, latency)
 	attempt.baseline.record(latency)
 }
@@ -253,9 +253,13 @@
 	if !attempt.end() {
 		return
 	}
-	endpoint := attempt.endpoint
+	attempt.endpoint.recordFailure(now)
+}
+
+// recordFailure deprioritizes the endpoint and penalizes it after several failures without an answer in between.
+func (endpoint *trackedEndpoint) recordFailure(now time.Time) {
 	endpoint.deprioritizedUntil = now.Add(deprioritizeFor)
-	if endpoint.brokenConnections++; endpoint.brokenConnections >= brokenConnectionsLimit {
+	if endpoint.failures++; endpoint.failures >= failuresLimit {
 		endpoint.markDown(now)
 	}
 }
@@ -269,10 +273,12 @@
 	endpoint.downUntil = now.Add(endpoint.downTime)
 }
 
-// InvalidAnswer records that the answer was unusable, though the endpoint is reachable.
-func (attempt *Attempt) InvalidAnswer() {
+// InvalidAnswer records that the answer was unusable. The endpoint is reachable, but several in a row indicate that it answers nothing
+// else, such as bytes without end.
+func (attempt *Attempt) InvalidAnswer(now time.Time) {
 	if attempt.end() {
 		attempt.fleet.reachabilityOf(attempt.endpoint.FailureDomain).answered()
+		attempt.endpoint.recordFailure(now)
 	}
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -45,7 +45,7 @@
 	attempts           []*Attempt
 	downUntil          time.Time
 	downTime           time.Duration
-	brokenConnections  int // since its last answer
+	failures           int // broken connections and invalid answers since its last answer
 	deprioritizedUntil time.Time
 	lastAnswer         time.Time // of the last answer or refusal, to whichever call
 	displaced          bool      // another endpoint answers at its address
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -98,6 +98,18 @@
 		attempt.Answered(start.Add(10 * median))
 		assertChosen(t, fleet, start.Add(10*median), "here")
 	})
+	t.Run("avoids a target that answers nothing but invalid responses", func(t *testing.T) {
+		fleet := newFleet(target("here", "a"), target("there", "b"))
+		for range 3 {
+			fleet.StartAttempt(start, "here", route).InvalidAnswer(start)
+		}
+		assertChosen(t, fleet, start.Add(100*time.Millisecond), "there")
+	})
+	t.Run("does not regard a target as down after one invalid response", func(t *testing.T) {
+		fleet := newFleet(target("here", "a"), target("there", "b"))
+		fleet.StartAttempt(start, "here", route).InvalidAnswer(start)
+		assertChosen(t, fleet, start.Add(100*time.Millisecond), "here")
+	})
 	t.Run("does not regard a target as down after one broken connection", func(t *testing.T) {
 		fleet := newFleet(target("here", "a"), target("there", "b"))
 		fleet.StartAttempt(start, "here", route).ConnectionBroken(start)
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +16,11 @@
 	"poplarpin.dev/poplarpind/http1"
 )
 
+const (
+	gatherBodyFactor = 4        // multiple of the merged answer's size that one part may have
+	minGatherBody    = 64 << 10 // bytes of a part that are accepted whatever the size of the merged answer
+)
+
 // stateMachine decides the next actions of a job: a fanout.Run for a client's request, a fanout.RelayRun for a peer's.
 type stateMachine interface {
 	Result(now time.Time, call int, outcome fanout.Outcome) []fanout.Action
@@ -116,7 +123,7 @@
 	call := http1.Call{
 		Target: send.Target.ID, Address: send.Target.Address, Method: job.request.Method,
 		Encode:    func() []byte { return job.request.EncodeCall(send.Target.ID, time.Until(job.deadline)) },
-		FreshConn: !job.route.Idempotent,
+		FreshConn: !job.route.Idempotent, Deadline: job.deadline, MaxBody: maxResponseBody(job.route), Priority: job.route.EffectivePriority(job.account),
 		Done: func(response *http.Response, body []byte, err error) (bool, time.Duration) {
 			return gateway.exchangeEnded(job, send, response, body, err)
 		},
@@ -138,6 +145,27 @@
 	}
 }
 
+// maxResponseBody returns the limit on the body of a target's response on a route, 0 for the default.
+func maxResponseBody(matched *route.Route) int64 {
+	if gather, ok := matched.Destination.(route.Gather); ok {
+		return max(gatherBodyFactor*int64(gather.TopK)*platform.RecordSize, minGatherBody)
+	}
+	return 0
+}
+
+// releaseResponses says that the bodies of the responses to a job's calls are no longer referenced.
+func (job *job) releaseResponses() {
+	if job.gateway.pool.BufferedBytes() == 0 {
+		return
+	}
+	job.gateway.mu.Lock()
+	exchanges := slices.Collect(maps.Values(job.exchanges))
+	job.gateway.mu.Unlock()
+	for _, exchange := range exchanges {
+		exchange.Release()
+	}
+}
+
 func (job *job) isCancelled(call int) bool {
 	job.gateway.mu.Lock()
 	defer job.gateway.mu.Unlock()
@@ -210,7 +238,8 @@
 	}
 	gateway.step(job, func(now time.Time) []fanout.Action {
 		gateway.applyReport(now, send.Target, reply) // also if the result is no longer needed
-		if reply.Outcome == fanout.Answered || reply.Outcome == fanout.Failed {
+		_, cancelled := job.cancelled[send.Call]     // its body is released
+		if !cancelled && (reply.Outcome == fanout.Answered || reply.Outcome == fanout.Failed) {
 			job.replies[send.Call] = reply
 		}
 		return job.machine.Result(now, send.Call, reply.Outcome)
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -190,6 +190,9 @@
 			gateway.mu.Unlock()
 		}
 		reply(rpc.MethodGatherResult, gateway.gatherResult(job, gather, destination, report))
+		if report.Final {
+			job.releaseResponses()
+		}
 	}
 	gateway.mu.Lock()
 	gateway.relayJobs[key] = job
@@ -206,6 +209,7 @@
 	gateway.mu.Unlock()
 	if job != nil {
 		gateway.step(job, func(now time.Time) []fanout.Action { return job.relayRun.Abort(now) })
+		job.releaseResponses()
 	}
 }
 
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -63,6 +63,7 @@
 	job := gateway.newJob(request, matched, account, nextClientPath(ctx), table.Version)
 	job.limiter, job.token = limiter, token
 	defer gateway.release(job)
+	context.AfterFunc(ctx, job.releaseResponses) // the context ends once the answer has been written
 	gateway.step(job, func(now time.Time) []fanout.Action { return job.clientRun.Start(now) })
 	select {
 	case response := <-job.response:
--- a/poplarpind/http1/conn.go
+++ b/poplarpind/http1/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -11,13 +10,12 @@
 	"time"
 )
 
-const readBufferBytes = 2 << 10 // most responses are smaller
-
 // conn is a connection to a target, with a goroutine that reads from it.
 type conn struct {
 	pool        *Pool
 	target      string
 	netConn     net.Conn
+	source      *limitedReader // of reader
 	reader      *bufio.Reader
 	calls       int
 	idleSince   time.Time // when it became idle
@@ -30,12 +28,14 @@
 	written    bool       // the current call has been written completely
 	unsent     bool       // no byte of the current call has been written
 	closeOnce  sync.Once
-	closed     bool // close has been called
-	readerDone bool // read has failed, so that no further call can begin
+	closed     bool   // close has been called
+	readerDone bool   // read has failed, so that no further call can begin
+	endReason  string // why the pool has ended the current call; empty if it has not
 }
 
 func newConn(pool *Pool, target string, netConn net.Conn) *conn {
-	return &conn{pool: pool, target: target, netConn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes)}
+	source := &limitedReader{netConn, maxHeadBytes}
+	return &conn{pool: pool, target: target, netConn: netConn, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 // usable reports whether an idle connection may carry a call: the target has certainly not closed it for being idle yet.
@@ -112,14 +112,15 @@
 			conn.fail(&Error{"read", Malformed, "data without a call in flight"})
 			return
 		}
-		response, body, err := conn.readResponse(exchange.call.Method)
+		response, body, err := conn.readResponse(exchange)
+		conn.pool.memory.readingEnded(exchange, err == nil)
 		if err != nil {
 			conn.fail(err)
 			return
 		}
 		if !conn.finish(exchange, response, body) {
 			conn.close()
-			conn.pool.countClosed(conn.target)
+			conn.pool.remove(conn)
 			return
 		}
 	}
@@ -131,36 +132,6 @@
 	return conn.current
 }
 
-// readResponse reads one complete response; it skips interim (1xx) responses.
-func (conn *conn) readResponse(method string) (*http.Response, []byte, *Error) {
-	request := &http.Request{Method: method}
-	for {
-		response, err := http.ReadResponse(conn.reader, request)
-		if err != nil {
-			return nil, nil, &Error{"response", errorKind(err), err.Error()}
-		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
-		if err != nil {
-			return nil, nil, &Error{"body", errorKind(err), err.Error()}
-		}
-		if len(body) > maxBodyBytes {
-			return nil, nil, &Error{"body", Malformed, "the response body is too large"}
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, body, nil
-		}
-	}
-}
-
-// errorKind distinguishes a lost connection from a malformed response.
-func errorKind(err error) Kind {
-	var network net.Error
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &network) {
-		return Lost
-	}
-	return Malformed
-}
-
 // isWritten reports whether the current call has been written completely. The response to a short call can arrive before its
 // writer has recorded that, so isWritten waits for the writer of a short call.
 func (conn *conn) isWritten() bool {
@@ -201,12 +172,14 @@
 func (conn *conn) fail(err *Error) {
 	conn.close()
 	conn.pool.removeIdle(conn)
-	conn.pool.countClosed(conn.target)
+	conn.pool.remove(conn)
 	conn.mu.Lock()
 	exchange := conn.current
 	conn.current, conn.readerDone = nil, true
 	if conn.unsent {
 		err.Kind = NotSent
+	} else if conn.endReason != "" {
+		err = invalid("response", conn.endReason)
 	}
 	conn.mu.Unlock()
 	if exchange != nil {
@@ -214,6 +187,20 @@
 	}
 }
 
+// end closes the connection to end the current call for a reason; read then reports the call as invalid.
+func (conn *conn) end(reason string) {
+	conn.mu.Lock()
+	conn.endReason = reason
+	conn.mu.Unlock()
+	conn.close()
+}
+
+// overdue reports whether the current call has not ended although its time has passed.
+func (conn *conn) overdue(now time.Time) bool {
+	exchange := conn.currentExchange()
+	return exchange != nil && !exchange.call.Deadline.IsZero() && now.After(exchange.call.Deadline.Add(overdueGrace))
+}
+
 // close closes the connection; read then cleans up. The connection is reset: data still in the send buffer, for instance after a
 // network partition, is discarded, so that no target runs a call that nobody waits for.
 func (conn *conn) close() {
--- a/poplarpind/http1/pool.go
+++ b/poplarpind/http1/pool.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"poplarpin.dev/core/buffer"
 	"poplarpin.dev/poplarpind/every"
 )
 
@@ -19,11 +20,11 @@
 	tcpUserTimeoutOption = 18                      // TCP_USER_TIMEOUT, which package syscall does not define
 	idleMargin           = 500 * time.Millisecond  // before the target closes an idle connection, during which it is not used
 	maxFreshIdle         = 500 * time.Millisecond  // idle time up to which a connection counts as open for certain
-	sweepInterval        = 500 * time.Millisecond  // between two sweeps for connections that have been idle too long
+	sweepInterval        = 500 * time.Millisecond  // between two sweeps for connections that are idle or busy for too long
+	overdueGrace         = 500 * time.Millisecond  // after the end of a call's time, when most targets report that themselves
 	// An idle connection is closed after maxIdle: targets accept few connections, and VMs that lost power leave theirs open.
 	maxIdle         = 1500 * time.Millisecond
 	maxIdleLast     = 6 * time.Second // the same for a VM's only connection to a target
-	maxBodyBytes    = 16 << 20        // of a response
 	maxInlineBytes  = 8 << 10         // calls up to this size fit into the socket's send buffer and are written at once
 	rejectionPeriod = time.Second     // after a rejection, during which no more connections are opened than the target had accepted
 	minConns        = 1
@@ -67,6 +68,9 @@
 	Encode      func() []byte // encodes the request when it is sent, which may be later if a connection must be opened first
 	FreshConn   bool          // must not use a connection that the target may have closed in the meantime
 	DialTimeout time.Duration // for a new connection; 0 for the default
+	Deadline    time.Time     // when the call's time ends; its connection is closed soon after. Zero for none
+	MaxBody     int64         // bytes of the response's body; 0 for the default
+	Priority    int           // of the request, 0 is the highest; the memory for responses goes to the highest
 	// Done is called once with the response or with an Error. It returns whether the connection may be reused and how long the
 	// target keeps it open while idle, 0 if unknown. It is not called after Abort.
 	Done func(response *http.Response, body []byte, err error) (reusable bool, keepAlive time.Duration)
@@ -76,7 +80,9 @@
 type Pool struct {
 	mu        sync.Mutex
 	targets   map[string]*targetConns
+	conns     map[*conn]bool // all open ones
 	connLimit func(target string) int
+	memory    *memory
 }
 
 // targetConns holds the connections to one target.
@@ -95,12 +101,13 @@
 	return max(configured, minConns)
 }
 
-// New returns a pool without connections; connLimit returns the maximum number of connections to a target.
-func New(connLimit func(target string) int) *Pool {
-	return &Pool{targets: map[string]*targetConns{}, connLimit: connLimit}
+// New returns a pool without connections; connLimit returns the maximum number of connections to a target, and budgetBytes limits the
+// memory for the bodies of all responses.
+func New(connLimit func(target string) int, budgetBytes int64) *Pool {
+	return &Pool{targets: map[string]*targetConns{}, conns: map[*conn]bool{}, connLimit: connLimit, memory: newMemory(budgetBytes)}
 }
 
-// Run closes connections that have been idle too long, until the context ends.
+// Run closes connections that have been idle too long or whose call is past its time, until the context ends.
 func (pool *Pool) Run(ctx context.Context) {
 	every.Run(ctx, sweepInterval, func() { pool.sweep(time.Now()) })
 }
@@ -119,25 +126,38 @@
 			delete(pool.targets, id)
 		}
 	}
+	var overdue []*conn
+	for conn := range pool.conns {
+		if conn.overdue(now) {
+			overdue = append(overdue, conn)
+		}
+	}
 	pool.mu.Unlock()
 	for _, conn := range expired {
 		conn.close()
 	}
+	for _, conn := range overdue {
+		conn.end(responseTooOld)
+	}
 }
 
 // Exchange is a call in flight.
 type Exchange struct {
+	pool      *Pool
 	mu        sync.Mutex
 	call      Call
 	conn      *conn // nil until the call has a connection
 	cancel    context.CancelFunc
 	ended     bool
 	abandoned bool // abandoned before the call was sent
+
+	buffered *buffer.Response // memory that the response holds; nil for none
+	released bool             // the body of the response is not used any more
 }
 
 // Start starts a call. Its only error is of kind PoolExhausted.
 func (pool *Pool) Start(call Call) (*Exchange, error) {
-	exchange := &Exchange{call: call}
+	exchange := &Exchange{pool: pool, call: call}
 	now, configured := time.Now(), pool.connLimit(call.Target)
 	pool.mu.Lock()
 	conns, ok := pool.targets[call.Target]
@@ -200,10 +220,10 @@
 		exchange.end(nil, nil, &Error{"dial", kind, err.Error()})
 		return
 	}
-	conn := newConn(pool, exchange.call.Target, netConn)
+	conn := pool.add(exchange.call.Target, netConn)
 	if exchange.isAbandoned() {
 		conn.close()
-		pool.countClosed(exchange.call.Target)
+		pool.remove(conn)
 		exchange.end(nil, nil, &Error{"dial", Abandoned, "the call is no longer needed"})
 		return
 	}
@@ -222,6 +242,23 @@
 	return optionErr
 }
 
+// add adds a new connection to a target, which is already counted as open.
+func (pool *Pool) add(target string, netConn net.Conn) *conn {
+	conn := newConn(pool, target, netConn)
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.conns[conn] = true
+	return conn
+}
+
+// remove removes a closed connection.
+func (pool *Pool) remove(conn *conn) {
+	pool.mu.Lock()
+	delete(pool.conns, conn)
+	pool.mu.Unlock()
+	pool.countClosed(conn.target)
+}
+
 // countClosed removes a closed connection from the count of open connections to its target.
 func (pool *Pool) countClosed(id string) {
 	connsClosed.Add(1)
@@ -278,8 +315,23 @@
 	return len(pool.targets), open
 }
 
+// BufferedBytes returns the memory that the bodies of responses hold, apart from short ones.
+func (pool *Pool) BufferedBytes() int64 { return pool.memory.held() }
+
+// Release says that the body of the response is no longer referenced.
+func (exchange *Exchange) Release() { exchange.pool.memory.release(exchange) }
+
+// closeConn ends a call in favour of others that need its memory.
+func (exchange *Exchange) closeConn() {
+	exchange.mu.Lock()
+	conn := exchange.conn
+	exchange.mu.Unlock()
+	conn.end(memoryUsedUp)
+}
+
 // Abort ends a call by closing its connection, so that the target stops working on it.
 func (exchange *Exchange) Abort() {
+	exchange.Release()
 	exchange.mu.Lock()
 	exchange.ended = true
 	conn, cancel := exchange.conn, exchange.cancel
@@ -294,6 +346,7 @@
 // Abandon says that the response is no longer needed. A call that has not been sent yet is not sent; the response to one that
 // has been sent is still read and passed to Done.
 func (exchange *Exchange) Abandon() {
+	exchange.Release()
 	exchange.mu.Lock()
 	exchange.abandoned = exchange.conn == nil && !exchange.ended
 	abandoned := exchange.abandoned
--- a/poplarpind/http1/pool_test.go
+++ b/poplarpind/http1/pool_test.go
@@ -77,7 +77,10 @@
 	assert.Equal(t, failure.Kind, want)
 }
 
-func newPool() *http1.Pool { return http1.New(func(string) int { return 2 }) }
+func newPool() *http1.Pool { return newPoolOf(2) }
+
+// newPoolOf returns a pool that opens this number of connections to a target.
+func newPoolOf(conns int) *http1.Pool { return http1.New(func(string) int { return conns }, 18<<20) }
 
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -147,7 +150,7 @@
 	})
 	t.Run("a call beyond the connection limit fails at once", func(t *testing.T) {
 		address, _ := serve(t, func(int, int) []byte { select {} })
-		pool := http1.New(func(string) int { return 1 })
+		pool := newPoolOf(1)
 		done := func(*http.Response, []byte, error) (bool, time.Duration) { return false, 0 }
 		first, err := pool.Start(http1.Call{Target: "s", Address: address, Method: "GET", Encode: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n") }, Done: done})
 		assert.NilError(t, err)
--- /dev/null
+++ b/poplarpind/http1/response.go
@@ -0,0 +1,132 @@
+package http1
+
+import (
+	"errors"
+	"expvar"
+	"io"
+	"math"
+	"net"
+	"net/http"
+)
+
+const (
+	readBufferBytes  = 2 << 10  // most responses are smaller
+	maxHeadBytes     = 16 << 10 // of a response and its interim responses: status lines and header fields
+	maxBodyBytes     = 16 << 20 // of a response whose call sets no limit
+	initialBodyBytes = 512      // first size of the buffer for a body of unknown length
+	unbudgetedBytes  = 4 << 10  // of a body that do not count in the memory budget, so that short responses need none
+)
+
+// invalidResponses counts the calls that ended because of the response, by reason.
+var invalidResponses = expvar.NewMap("serverResponsesInvalid")
+
+// Why a response is invalid, in log lines and metrics.
+const (
+	headTooLarge   = "head too large"
+	bodyTooLarge   = "body too large"
+	memoryUsedUp   = "memory for responses used up"
+	responseTooOld = "not complete at the end of the call's time"
+	notHTTP        = "not HTTP"
+)
+
+var errHeadTooLarge = errors.New(headTooLarge)
+
+// limitedReader reads from a connection and fails after a number of bytes, for heads: http.ReadResponse limits neither a line nor the
+// number of header fields, nor the number of interim responses.
+type limitedReader struct {
+	netConn   net.Conn
+	remaining int64
+}
+
+// Read implements io.Reader.
+func (limitedReader *limitedReader) Read(buffer []byte) (int, error) {
+	if limitedReader.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	if int64(len(buffer)) > limitedReader.remaining {
+		buffer = buffer[:limitedReader.remaining]
+	}
+	count, err := limitedReader.netConn.Read(buffer)
+	limitedReader.remaining -= int64(count)
+	return count, err
+}
+
+// readResponse reads one complete response; it skips interim (1xx) responses.
+func (conn *conn) readResponse(exchange *Exchange) (*http.Response, []byte, *Error) {
+	defer func() { conn.source.remaining = maxHeadBytes }()
+	request := &http.Request{Method: exchange.call.Method}
+	for {
+		response, err := http.ReadResponse(conn.reader, request)
+		if err != nil {
+			return nil, nil, responseError("response", err)
+		}
+		if response.StatusCode < http.StatusOK {
+			continue // its head counts towards the limit
+		}
+		conn.source.remaining = math.MaxInt64
+		body, bodyErr := conn.readBody(exchange, response)
+		if bodyErr != nil {
+			return nil, nil, bodyErr
+		}
+		return response, body, nil
+	}
+}
+
+// readBody reads the body of a response into a buffer that grows with what has arrived, within the limit of the call and the memory
+// budget.
+func (conn *conn) readBody(exchange *Exchange, response *http.Response) ([]byte, *Error) {
+	limit := exchange.call.MaxBody
+	if limit <= 0 {
+		limit = maxBodyBytes
+	}
+	if response.Body == http.NoBody {
+		return nil, nil
+	}
+	if response.ContentLength > limit {
+		return nil, invalid("body", bodyTooLarge)
+	}
+	size := int64(initialBodyBytes)
+	if response.ContentLength >= 0 {
+		size = min(response.ContentLength+1, unbudgetedBytes) // one more, so that the end is noticed without growing
+	}
+	body := make([]byte, 0, size)
+	for {
+		count, err := response.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		switch {
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, responseError("body", err)
+		case int64(len(body)) > limit:
+			return nil, invalid("body", bodyTooLarge)
+		}
+		if len(body) == cap(body) {
+			if !conn.pool.memory.grow(exchange, int64(cap(body))) {
+				return nil, invalid("body", memoryUsedUp)
+			}
+			larger := make([]byte, len(body), 2*cap(body))
+			copy(larger, body)
+			body = larger
+		}
+	}
+}
+
+// responseError distinguishes a lost connection from an invalid response.
+func responseError(op string, err error) *Error {
+	var network net.Error
+	switch {
+	case errors.Is(err, errHeadTooLarge):
+		return invalid(op, headTooLarge)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), errors.As(err, &network):
+		return &Error{op, Lost, err.Error()}
+	}
+	invalidResponses.Add(notHTTP, 1)
+	return &Error{op, Malformed, err.Error()}
+}
+
+// invalid returns the error of a response that is given up for a reason, and counts it.
+func invalid(op, reason string) *Error {
+	invalidResponses.Add(reason, 1)
+	return &Error{op, Malformed, reason}
+}
