--- a/poplarpind/gateway/seed.go
+++ b/poplarpind/gateway/seed.go
@@ -18,6 +18,7 @@
 	seedRetryInterval = 300 * time.Millisecond // between two requests to seeds, until a configuration and the targets are known
 	seedTimeout       = 400 * time.Millisecond
 	maxStateBytes     = 16 << 20 // limit on a seed's response
+	maxStateHeadBytes = 64 << 10 // of which status line and header fields
 )
 
 // seedState is what a VM sends to one that has started and does not yet know a configuration and the targets.
@@ -43,7 +44,7 @@
 
 // bootstrap asks the seeds in turn for their state until a configuration and the targets are known, from whatever source.
 func (gateway *Gateway) bootstrap(ctx context.Context) {
-	client := &http.Client{Timeout: seedTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: seedTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxStateHeadBytes}}
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		sleep(ctx, seedRetryInterval) // usually the store has answered by then
 		if gateway.bootstrapped() {
--- a/poplarpind/peer/inbound.go
+++ b/poplarpind/peer/inbound.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"slices"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -16,6 +17,7 @@
 type inbound struct {
 	mesh    *Mesh
 	conn    net.Conn
+	codec   *frameCodec
 	from    string // the peer's name; empty until the handshake
 	replies chan message
 }
@@ -86,6 +88,8 @@
 		return
 	}
 	inbound.from = hello.VM
+	inbound.codec.handshakeComplete()
+	_ = inbound.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	_ = conn.Reply(ctx, request.ID, inbound.mesh.self)
 }
 
--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -69,7 +69,8 @@
 	if err != nil {
 		return err
 	}
-	stream := jsonrpc2.NewBufferedStream(countingConn{conn}, jsonrpc2.VarintObjectCodec{})
+	codec := newFrameCodec()
+	stream := jsonrpc2.NewBufferedStream(countingConn{conn}, codec)
 	rpcConn := jsonrpc2.NewConn(context.Background(), stream, replyHandler{link}, discardLog)
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
@@ -88,6 +89,7 @@
 		_ = rpcConn.Close()
 		return &Error{"open", Unreachable, "the link to " + link.name + " was closed while it was opened"}
 	}
+	codec.handshakeComplete()
 	link.rpc, link.conn = rpcConn, conn
 	return nil
 }
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"expvar"
 	"io"
 	"log"
@@ -19,13 +20,16 @@
 )
 
 const (
-	dialTimeout   = 300 * time.Millisecond
-	pingInterval  = 150 * time.Millisecond // between two checks of all links; links with awaited replies are pinged at each
-	pingTimeout   = 350 * time.Millisecond // for a ping's response or a write, after which a link is given up
-	probeAfter    = time.Second            // after the last message; if nothing was received since, the link is pinged even without awaited replies
-	idleTimeout   = 2 * time.Minute        // after which a link without messages is closed
-	redialBackoff = 400 * time.Millisecond // after a failure, during which no new link is opened
-	queueLength   = 8192                   // messages queued for one link
+	dialTimeout  = 300 * time.Millisecond
+	pingInterval = 150 * time.Millisecond // between two checks of all links; links with awaited replies are pinged at each
+	pingTimeout  = 350 * time.Millisecond // for a ping's response or a write, after which a link is given up
+	probeAfter   = time.Second            // after the last message; if nothing was received since, the link is pinged even without awaited replies
+	idleTimeout  = 2 * time.Minute        // after which a link without messages is closed
+	// A peer says its name as soon as the link is open, but a VM with a fraction of a core may be slow at it after its start.
+	handshakeTimeout = 2 * time.Second
+	acceptBackoff    = 50 * time.Millisecond  // after a failure to accept a link, for instance for lack of file descriptors
+	redialBackoff    = 400 * time.Millisecond // after a failure, during which no new link is opened
+	queueLength      = 8192                   // messages queued for one link
 )
 
 // Kind classifies an Error.
@@ -55,6 +59,7 @@
 	sentMessages = expvar.NewMap("peerMessages")
 	sentBytes    = expvar.NewInt("peerBytesSent")
 	linksLost    = expvar.NewInt("peerLinksLost")
+	acceptErrors = expvar.NewInt("peerAcceptErrors")
 )
 
 // Reply sends a notification back on the link on which a message arrived. It is nil for messages that are replies themselves.
@@ -197,9 +202,14 @@
 func (mesh *Mesh) Serve(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			acceptErrors.Add(1)
+			time.Sleep(acceptBackoff)
+			continue
+		}
 		mesh.mu.Lock()
 		mesh.inbound[conn] = true
 		mesh.mu.Unlock()
@@ -208,8 +218,10 @@
 }
 
 func (mesh *Mesh) serve(conn net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(countingConn{conn}, jsonrpc2.VarintObjectCodec{})
-	inbound := &inbound{mesh: mesh, conn: conn, replies: make(chan message, queueLength)}
+	codec := newFrameCodec()
+	stream := jsonrpc2.NewBufferedStream(countingConn{conn}, codec)
+	_ = conn.SetReadDeadline(time.Now().Add(handshakeTimeout)) // fails only on a closed connection
+	inbound := &inbound{mesh: mesh, conn: conn, codec: codec, replies: make(chan message, queueLength)}
 	rpcConn := jsonrpc2.NewConn(context.Background(), stream, inbound, discardLog)
 	go inbound.writeReplies(rpcConn)
 	<-rpcConn.DisconnectNotify()
