A late second copy of an answer without an id, and calls past their time

Cause: an answer without the request's id was accepted on its signature alone, so that a second copy of the previous answer on a connection in use again passed as the next caller's. A call whose connection became ready after the process had been paused beyond the call's time was still sent, with a deadline of 1 ms.

A call past its time ends as not sent.

--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,8 @@
 	cd core && $(GO) test -fuzz FuzzRequest -fuzztime 30s ./api
 	cd platform && $(GO) test -fuzz FuzzDecoders -fuzztime 30s .
 	cd platform && $(GO) test -fuzz FuzzRequest -fuzztime 30s .
+	cd poplarpind && $(GO) test -fuzz FuzzResponse -fuzztime 30s ./http1
+	cd poplarpind && $(GO) test -fuzz FuzzFrame -fuzztime 30s ./peer
 
 # Measures against plain scatter-gather in the same run; a bound that is missed is printed as such.
 bench: build
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net/http"
 	"slices"
 	"time"
 
@@ -124,8 +123,8 @@
 		Target: send.Target.ID, Address: send.Target.Address, Method: job.request.Method,
 		Encode:    func() []byte { return job.request.EncodeCall(send.Target.ID, time.Until(job.deadline)) },
 		FreshConn: !job.route.Idempotent, Deadline: job.deadline, MaxBody: maxResponseBody(job.route), Priority: job.route.EffectivePriority(job.account),
-		Done: func(response *http.Response, body []byte, err error) (bool, time.Duration) {
-			return gateway.exchangeEnded(job, send, response, body, err)
+		Done: func(response *http1.Response, err error) (bool, time.Duration) {
+			return gateway.exchangeEnded(job, send, response, err)
 		},
 	}
 	if !job.route.Idempotent {
@@ -196,19 +195,19 @@
 }
 
 // exchangeEnded handles the end of an HTTP exchange; it returns whether the connection may be reused and for how long.
-func (gateway *Gateway) exchangeEnded(job *job, send fanout.Send, response *http.Response, body []byte, err error) (bool, time.Duration) {
+func (gateway *Gateway) exchangeEnded(job *job, send fanout.Send, response *http1.Response, err error) (bool, time.Duration) {
 	if err != nil {
 		gateway.callEnded(job, send, platform.Reply{Outcome: outcomeOf(err), Detail: err.Error()})
 		return false, 0
 	}
-	reply, reusable := platform.DecodeReply(job.request, response, body)
+	reply, reusable := platform.DecodeReply(job.request, response.Response, response.Body, response.Previous)
 	if reply.Outcome == fanout.Answered {
 		if _, gather := job.route.Destination.(route.Gather); gather && !reply.Success() {
 			reply.Outcome = fanout.Failed
 		}
 	}
 	gateway.callEnded(job, send, reply)
-	return reusable, platform.KeepAliveTimeout(response)
+	return reusable, platform.KeepAliveTimeout(response.Response)
 }
 
 func outcomeOf(err error) fanout.Outcome {
--- a/poplarpind/http1/conn.go
+++ b/poplarpind/http1/conn.go
@@ -18,8 +18,9 @@
 	source      *limitedReader // of reader
 	reader      *bufio.Reader
 	calls       int
-	idleSince   time.Time // when it became idle
-	usableUntil time.Time // shortly before the target closes it for being idle; zero if unknown
+	previous    http.Header // of the last response; nil for none
+	idleSince   time.Time   // when it became idle
+	usableUntil time.Time   // shortly before the target closes it for being idle; zero if unknown
 
 	mu         sync.Mutex
 	current    *Exchange
@@ -66,13 +67,17 @@
 	}
 	conn.mu.Unlock()
 	if readerDone {
-		exchange.end(nil, nil, &Error{"send", NotSent, "the connection was already closed"})
+		exchange.end(nil, &Error{"send", NotSent, "the connection was already closed"})
 		return
 	}
 	if !exchange.attach(conn) {
 		conn.close()
 		return
 	}
+	if exchange.expired(time.Now()) {
+		conn.notSent()
+		return
+	}
 	bytes := exchange.call.Encode()
 	if len(bytes) > maxInlineBytes {
 		go conn.write(bytes)
@@ -84,6 +89,15 @@
 	conn.write(bytes)
 }
 
+// notSent ends the current call without sending it, since its time has passed; the process may have been paused. The connection is
+// closed; read then reports that nothing was sent.
+func (conn *conn) notSent() {
+	conn.mu.Lock()
+	conn.unsent = true
+	conn.mu.Unlock()
+	conn.close()
+}
+
 func (conn *conn) write(bytes []byte) {
 	conn.writeMu.Lock()
 	defer conn.writeMu.Unlock()
@@ -157,7 +171,8 @@
 	conn.idleSince = time.Now()
 	conn.usableUntil = time.Time{}
 	conn.mu.Unlock()
-	reusable, keepAlive := exchange.end(response, body, nil)
+	reusable, keepAlive := exchange.end(&Response{Response: response, Body: body, Previous: conn.previous}, nil)
+	conn.previous = response.Header
 	if !reusable || !clean || response.Close {
 		return false
 	}
@@ -183,7 +198,7 @@
 	}
 	conn.mu.Unlock()
 	if exchange != nil {
-		exchange.end(nil, nil, err)
+		exchange.end(nil, err)
 	}
 }
 
--- a/poplarpind/http1/endless_test.go
+++ b/poplarpind/http1/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net/http"
 	"testing"
 	"time"
 
@@ -100,8 +99,8 @@
 	result := make(chan callResult, 1)
 	made := http1.Call{Target: "s", Address: address, Method: "GET",
 		Encode: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n") },
-		Done: func(_ *http.Response, body []byte, err error) (bool, time.Duration) {
-			result <- callResult{string(body), err}
+		Done: func(response *http1.Response, err error) (bool, time.Duration) {
+			result <- newResult(response, err)
 			return err == nil, 0
 		}}
 	change(&made)
@@ -128,3 +127,24 @@
 		t.Fatal("the connection was not closed")
 	}
 }
+
+// FuzzResponse feeds the reader of responses with arbitrary bytes: each call must end, and no larger body may come back than was sent.
+func FuzzResponse(f *testing.F) {
+	f.Add([]byte(okResponse))
+	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\n" + okResponse))
+	for _, response := range platformtest.EndlessResponses() {
+		f.Add([]byte(response.Start + response.Repeat))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		address, _ := serve(t, func(_, request int) []byte {
+			if request > 1 {
+				return nil
+			}
+			return data
+		})
+		_, result := start(t, newPool(), address, func(call *http1.Call) {
+			call.Encode = func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n") }
+		})
+		assert.Assert(t, len((<-result).body) <= len(data))
+	})
+}
--- a/poplarpind/http1/pool.go
+++ b/poplarpind/http1/pool.go
@@ -73,7 +73,14 @@
 	Priority    int           // of the request, 0 is the highest; the memory for responses goes to the highest
 	// Done is called once with the response or with an Error. It returns whether the connection may be reused and how long the
 	// target keeps it open while idle, 0 if unknown. It is not called after Abort.
-	Done func(response *http.Response, body []byte, err error) (reusable bool, keepAlive time.Duration)
+	Done func(response *Response, err error) (reusable bool, keepAlive time.Duration)
+}
+
+// Response is a target's complete response.
+type Response struct {
+	*http.Response
+	Body     []byte
+	Previous http.Header // of the response before it on the same connection; nil for the first one
 }
 
 // Pool holds the connections of one VM to all targets.
@@ -217,14 +224,14 @@
 			pool.recordRejection(exchange.call.Target)
 		}
 		pool.countClosed(exchange.call.Target)
-		exchange.end(nil, nil, &Error{"dial", kind, err.Error()})
+		exchange.end(nil, &Error{"dial", kind, err.Error()})
 		return
 	}
 	conn := pool.add(exchange.call.Target, netConn)
 	if exchange.isAbandoned() {
 		conn.close()
 		pool.remove(conn)
-		exchange.end(nil, nil, &Error{"dial", Abandoned, "the call is no longer needed"})
+		exchange.end(nil, &Error{"dial", Abandoned, "the call is no longer needed"})
 		return
 	}
 	conn.begin(exchange)
@@ -364,7 +371,7 @@
 }
 
 // end passes the result to Done, unless the call has already ended or was aborted.
-func (exchange *Exchange) end(response *http.Response, body []byte, err error) (bool, time.Duration) {
+func (exchange *Exchange) end(response *Response, err error) (bool, time.Duration) {
 	exchange.mu.Lock()
 	ended := exchange.ended
 	exchange.ended = true
@@ -372,7 +379,12 @@
 	if ended {
 		return false, 0
 	}
-	return exchange.call.Done(response, body, err)
+	return exchange.call.Done(response, err)
+}
+
+// expired reports whether the call's time has passed.
+func (exchange *Exchange) expired(now time.Time) bool {
+	return !exchange.call.Deadline.IsZero() && now.After(exchange.call.Deadline)
 }
 
 // attach sets the connection of the exchange and reports whether the call is still needed.
--- a/poplarpind/http1/pool_test.go
+++ b/poplarpind/http1/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -56,14 +57,21 @@
 	err  error
 }
 
+func newResult(response *http1.Response, err error) callResult {
+	if err != nil {
+		return callResult{err: err}
+	}
+	return callResult{body: string(response.Body)}
+}
+
 // call makes one call and waits for its result.
 func call(t *testing.T, pool *http1.Pool, address string, fresh bool) callResult {
 	t.Helper()
 	result := make(chan callResult, 1)
 	_, err := pool.Start(http1.Call{Target: "s", Address: address, Method: "GET", FreshConn: fresh,
 		Encode: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n") },
-		Done: func(_ *http.Response, body []byte, err error) (bool, time.Duration) {
-			result <- callResult{string(body), err}
+		Done: func(response *http1.Response, err error) (bool, time.Duration) {
+			result <- newResult(response, err)
 			return err == nil, 0
 		}})
 	assert.NilError(t, err)
@@ -94,6 +102,24 @@
 		}
 		assert.Equal(t, connections.Load(), int64(1))
 	})
+	t.Run("a response comes with the header of the one before it on the connection", func(t *testing.T) {
+		address, _ := serve(t, func(_, request int) []byte {
+			return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nX-Number: %d\r\nContent-Length: 0\r\n\r\n", request)
+		})
+		pool, previous := newPool(), make(chan http.Header, 1)
+		for _, want := range []string{"", "1", "2"} {
+			_, result := start(t, pool, address, func(call *http1.Call) {
+				done := call.Done
+				call.Done = func(response *http1.Response, err error) (bool, time.Duration) {
+					previous <- response.Previous
+					return done(response, err)
+				}
+			})
+			assert.Equal(t, (<-previous).Get("X-Number"), want)
+			<-result
+			waitIdle(t, pool)
+		}
+	})
 	t.Run("interim responses are skipped", func(t *testing.T) {
 		address, _ := serve(t, func(int, int) []byte { return []byte("HTTP/1.1 103 Early Hints\r\n\r\n" + okResponse) })
 		assert.Equal(t, call(t, newPool(), address, false).body, "ok")
@@ -108,8 +134,8 @@
 		result := make(chan callResult, 1)
 		_, err := newPool().Start(http1.Call{Target: "s", Address: address, Method: "GET",
 			Encode: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n") },
-			Done: func(_ *http.Response, body []byte, err error) (bool, time.Duration) {
-				result <- callResult{string(body), err}
+			Done: func(response *http1.Response, err error) (bool, time.Duration) {
+				result <- newResult(response, err)
 				return false, 0
 			}})
 		assert.NilError(t, err)
@@ -125,10 +151,57 @@
 		result := make(chan error, 1)
 		_, err := newPool().Start(http1.Call{Target: "s", Address: address, Method: "GET",
 			Encode: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n") },
-			Done:   func(_ *http.Response, _ []byte, err error) (bool, time.Duration) { result <- err; return false, 0 }})
+			Done:   func(_ *http1.Response, err error) (bool, time.Duration) { result <- err; return false, 0 }})
 		assert.NilError(t, err)
 		assertKind(t, <-result, http1.Lost)
 	})
+	for name, response := range map[string]string{
+		"a chunked response without its last chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		"a chunked response without its trailers":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+		"a response that ends in its head":          "HTTP/1.1 200 OK\r\nContent-Le",
+	} {
+		t.Run(name+" is no success", func(t *testing.T) {
+			address, _ := serve(t, func(_, request int) []byte {
+				if request == 2 {
+					return nil
+				}
+				return []byte(response)
+			})
+			_, result := start(t, newPool(), address, func(call *http1.Call) {
+				call.Encode = func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n") }
+			})
+			assert.Assert(t, (<-result).err != nil)
+		})
+	}
+	t.Run("a response without length that ends by a reset is reported as lost", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer listener.Close()
+		_, result := start(t, newPool(), listener.Addr().String(), func(*http1.Call) {})
+		conn, err := listener.Accept()
+		assert.NilError(t, err)
+		_, err = http.ReadRequest(bufio.NewReader(conn))
+		assert.NilError(t, err)
+		_, err = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\nok"))
+		assert.NilError(t, err)
+		time.Sleep(50 * time.Millisecond) // so that the bytes are read before the reset discards them
+		assert.NilError(t, conn.(*net.TCPConn).SetLinger(0))
+		assert.NilError(t, conn.Close())
+		assertKind(t, (<-result).err, http1.Lost)
+	})
+	t.Run("a call past its time is not sent", func(t *testing.T) {
+		var requests atomic.Int64
+		address, _ := serve(t, func(int, int) []byte { requests.Add(1); return []byte(okResponse) })
+		pool := newPool()
+		for range 2 { // on a new connection, then on one that is kept
+			_, result := start(t, pool, address, func(call *http1.Call) { call.Deadline = time.Now().Add(-time.Second) })
+			assertKind(t, (<-result).err, http1.NotSent)
+			assert.Equal(t, requests.Swap(0), int64(0))
+			assert.Equal(t, call(t, pool, address, false).body, "ok")
+			waitIdle(t, pool)
+			requests.Store(0)
+		}
+	})
 	t.Run("malformed response", func(t *testing.T) {
 		address, _ := serve(t, func(int, int) []byte { return []byte("what is this\r\n\r\n") })
 		assertKind(t, call(t, newPool(), address, false).err, http1.Malformed)
@@ -151,7 +224,7 @@
 	t.Run("a call beyond the connection limit fails at once", func(t *testing.T) {
 		address, _ := serve(t, func(int, int) []byte { select {} })
 		pool := newPoolOf(1)
-		done := func(*http.Response, []byte, error) (bool, time.Duration) { return false, 0 }
+		done := func(*http1.Response, error) (bool, time.Duration) { return false, 0 }
 		first, err := pool.Start(http1.Call{Target: "s", Address: address, Method: "GET", Encode: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n") }, Done: done})
 		assert.NilError(t, err)
 		_, err = pool.Start(http1.Call{Target: "s", Address: address, Method: "GET", Encode: func() []byte { return nil }, Done: done})
@@ -183,7 +256,7 @@
 	}()
 	exchange, err := newPool().Start(http1.Call{Target: "s", Address: listener.Addr().String(), Method: "GET",
 		Encode: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n") },
-		Done:   func(*http.Response, []byte, error) (bool, time.Duration) { return false, 0 }})
+		Done:   func(*http1.Response, error) (bool, time.Duration) { return false, 0 }})
 	assert.NilError(t, err)
 	<-received
 	exchange.Abort()
@@ -197,7 +270,7 @@
 	result := make(chan error, 1)
 	exchange, err := newPool().Start(http1.Call{Target: "s", Address: address, Method: "GET",
 		Encode: func() []byte { encoded.Add(1); return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n") },
-		Done:   func(_ *http.Response, _ []byte, err error) (bool, time.Duration) { result <- err; return false, 0 }})
+		Done:   func(_ *http1.Response, err error) (bool, time.Duration) { result <- err; return false, 0 }})
 	assert.NilError(t, err)
 	exchange.Abandon()
 	if err := <-result; err != nil { // nil if the call was sent before Abandon
