A VM without a configuration reads the store after 100 ms, not 600 ms

Change: before its first update a VM gives its source 100 ms, checked each 50 ms; a relay that refuses counts as down for a time; callers of a VM without a configuration come back after 200 ms.

Measured: follow.TestStart (failed before).

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -11,6 +11,9 @@
 const (
 	sourceTimeout     = 1200 * time.Millisecond // three heartbeats without a message from a source that has the store
 	firstMessageGrace = 500 * time.Millisecond  // for the first message of a new source, before the store is watched as well
+	// For the first message of all: until then a VM refuses requests. A source that runs answers within some round trips, and each VM that
+	// reads the store itself costs it two calls.
+	startGrace = 100 * time.Millisecond
 	// With one tick more this is two thirds of the 3 s in which a change must be in force.
 	noUpdateTimeout   = 1600 * time.Millisecond // without any update before the store is watched, even with a new source
 	minAvoid          = 4 * time.Second         // before a failed source is tried again; doubled each time up to maxAvoid
@@ -44,6 +47,7 @@
 	sourceSince       time.Time // when the source was selected
 	lastMessage       time.Time // last message of a source that has the store; zero for none
 	lastUpdate        time.Time // when such a message last arrived or this VM last watched the store
+	updated           bool      // a message of a source that has the store has arrived, or the store has answered
 	avoidedUntil      map[string]time.Time
 	avoidSpans        map[string]time.Duration // by source, how long it was avoided last
 	storeFailingSince time.Time                // zero while store calls succeed
@@ -89,7 +93,7 @@
 		return
 	}
 	if storeReachable {
-		follower.lastMessage, follower.lastUpdate = now, now
+		follower.lastMessage, follower.lastUpdate, follower.updated = now, now, true
 		delete(follower.avoidSpans, source)
 	} else if !follower.lastMessage.IsZero() || now.Sub(follower.sourceSince) > sourceTimeout {
 		// A new source may still be taking over the watch of the store. If this VM cannot reach the store either, a source of lower rank or
@@ -111,6 +115,7 @@
 
 // StoreResult records whether a store call succeeded.
 func (follower *Follower) StoreResult(now time.Time, storeReachable bool) {
+	follower.updated = follower.updated || storeReachable
 	switch {
 	case storeReachable && !follower.storeFailingSince.IsZero(): // sources without the store may reach it again too
 		follower.storeFailingSince = time.Time{}
@@ -161,8 +166,12 @@
 	}
 	// The store is watched if there is no higher-ranked source or if no message of the source arrives; a VM that watches continues until
 	// one arrives.
+	grace := firstMessageGrace
+	if !follower.updated {
+		grace = startGrace
+	}
 	sourceSilent := follower.lastMessage.IsZero() && (follower.plan.WatchStore ||
-		now.Sub(follower.sourceSince) > firstMessageGrace || now.Sub(follower.lastUpdate) > noUpdateTimeout)
+		now.Sub(follower.sourceSince) > grace || now.Sub(follower.lastUpdate) > noUpdateTimeout)
 	follower.plan.WatchStore = sourceSilent || !slices.Contains(follower.higherRanked, follower.plan.Source)
 	if follower.plan.WatchStore {
 		follower.lastUpdate = now
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -180,3 +180,43 @@
 		}
 	}
 }
+
+// TestStart guards against a VM that refuses all requests after a start of all VMs, because the VM that it expects updates from starts
+// later than itself: the load is that of the whole failure domain, whose clients come back at once.
+func TestStart(t *testing.T) {
+	const startStep, within = 50 * time.Millisecond, 200 * time.Millisecond
+	t.Run("a VM without any update reads the store soon", func(t *testing.T) {
+		for name, follower := range newFollowers() {
+			now := start
+			for ; !follower.Tick(now).WatchStore; now = now.Add(startStep) {
+				assert.Assert(t, now.Sub(start) < within, "%s has no configuration after %v", name, now.Sub(start))
+			}
+		}
+	})
+	t.Run("a VM whose source answers at once does not read the store", func(t *testing.T) {
+		for name, follower := range newFollowers() {
+			now := start
+			plan := follower.Tick(now)
+			if plan.WatchStore {
+				continue
+			}
+			for range 20 {
+				follower.HeardFrom(now.Add(10*time.Millisecond), plan.Source, true)
+				now = now.Add(startStep)
+				assert.Assert(t, !follower.Tick(now).WatchStore, "%s reads the store", name)
+			}
+		}
+	})
+	t.Run("a VM that has had updates waits longer for a new source", func(t *testing.T) {
+		for _, follower := range newFollowers() {
+			plan := follower.Tick(start)
+			if plan.WatchStore {
+				continue
+			}
+			follower.HeardFrom(start, plan.Source, true)
+			follower.LinkLost(start, plan.Source)
+			next := follower.Tick(start)
+			assert.Equal(t, follower.Tick(start.Add(within)), next)
+		}
+	})
+}
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -212,8 +212,12 @@
 	}
 }
 
-// Refused records that the endpoint rejected the call for lack of capacity.
+// Refused records that the endpoint rejected the call: a target for lack of capacity, a relay since it does not have the configuration.
 func (attempt *Attempt) Refused(now time.Time) {
+	if attempt.endpoint.Peer {
+		attempt.Unreachable(now)
+		return
+	}
 	if attempt.end() {
 		attempt.fleet.reachabilityOf(attempt.endpoint.FailureDomain).answered()
 		attempt.endpoint.lastAnswer = now
@@ -225,9 +229,6 @@
 // observeRefusal lets a target's refusal count as an answer that took refusalRatio times as long as usual, here and, by an observation, on
 // the other VMs: a refused call costs a second one, and a target that refuses part of its calls goes on doing so for a time.
 func (attempt *Attempt) observeRefusal(now time.Time) {
-	if attempt.endpoint.Peer {
-		return
-	}
 	attempt.fleet.recordObservation(attempt.endpoint, refusalRatio)
 	attempt.endpoint.updateSlowness(now, max(refusalRatio, attempt.endpoint.decayedSlowness(now)))
 }
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	noConfigurationRetry     = 500 * time.Millisecond // retry delay for clients of a VM without a configuration
+	noConfigurationRetry     = 200 * time.Millisecond // retry delay for clients of a VM without a configuration, which it reads within that time
 	nonIdempotentDialTimeout = 250 * time.Millisecond // short, so that the request can still run on another target
 )
 
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -15,6 +15,7 @@
 
 const (
 	syncInterval      = 200 * time.Millisecond  // between two choices of the source of store updates
+	startSyncInterval = 50 * time.Millisecond   // the same until a configuration and the targets are known
 	firstPeersTimeout = 800 * time.Millisecond  // for the list of entry VMs at startup
 	subscribeInterval = time.Second             // between two subscribe messages to the same source
 	subscriptionTTL   = 2500 * time.Millisecond // for which a subscribe message keeps the subscription alive
@@ -47,7 +48,7 @@
 	case <-gateway.peersRead:
 	case <-time.After(firstPeersTimeout):
 	}
-	for ; ctx.Err() == nil; sleep(ctx, syncInterval) {
+	for ; ctx.Err() == nil; sleep(ctx, gateway.syncPause()) {
 		now := time.Now()
 		gateway.mu.Lock()
 		if gateway.noteEra(now) {
@@ -79,6 +80,14 @@
 	}
 }
 
+// syncPause returns the time to the next choice of a source.
+func (gateway *Gateway) syncPause() time.Duration {
+	if gateway.bootstrapped() {
+		return syncInterval
+	}
+	return startSyncInterval
+}
+
 // startWatches starts the watches of the store and returns the function that ends them.
 func (gateway *Gateway) startWatches(ctx context.Context) context.CancelFunc {
 	watchCtx, cancel := context.WithCancel(ctx)
