A failure domain that is cut off is recognized by probes after 120 ms

Cause: a VM took a failure domain for cut off after 400 ms without an answer and looked at that each 250 ms; calls of requests that were refused, and so never sent, counted as unanswered and let a VM take its own failure domain for cut off too.

Change: after 120 ms without any answer two endpoints are connected to; if both fail the failure domain is cut off, and isolation is checked at once. Calls that were not sent are taken back.

Measured: place.TestFailureDomains (failed before).

--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -254,8 +254,7 @@
 	if !run.canSucceed() {
 		for _, call := range run.calls {
 			call.ended = true
-			call.attempt.Discard()
-			call.discardTargetAttempts()
+			call.withdrawAttempts()
 		}
 		reason := "too few parts have a server"
 		if run.spec.Regions.Restricted() {
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -197,6 +197,14 @@
 	}
 }
 
+// withdrawAttempts ends the attempts of a call that was not sent.
+func (call *call) withdrawAttempts() {
+	call.attempt.Withdraw()
+	for _, attempt := range call.targetAttempts {
+		attempt.Withdraw()
+	}
+}
+
 // copy returns an ended call that represents the results of one report.
 func (call *call) copy(index int) *call {
 	answered := *call
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -286,6 +286,13 @@
 // Discard ends the attempt without a conclusion about the endpoint: the call was not sent, or its outcome will not become known.
 func (attempt *Attempt) Discard() { attempt.end() }
 
+// Withdraw records that the call was not sent, so that it shows nothing about its failure domain either.
+func (attempt *Attempt) Withdraw() {
+	if attempt.end() {
+		attempt.fleet.reachabilityOf(attempt.endpoint.FailureDomain).withdrawn()
+	}
+}
+
 // Cancelled records that the call was cancelled. The time until then is a lower bound of its latency and counts as its latency if it
 // exceeds twice the expected one.
 func (attempt *Attempt) Cancelled(now time.Time) {
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -9,6 +9,8 @@
 
 const (
 	cutOffAfter        = 400 * time.Millisecond // without any answer before a failure domain is cut off; pauses of one target are shorter
+	suspectAfter       = 120 * time.Millisecond // without any answer before a failure domain is probed
+	suspectProbes      = 2                      // endpoints probed at a time; that many failed probes show a failure domain to be cut off
 	callCPUTime        = 120 * time.Microsecond // time of one core for one call to a target; see docs/CAPACITY.md
 	offloadCoresFactor = 2.0                    // multiple of this VM's cores from which relaying through a peer is worth the extra hop
 	similarCostFactor  = 1.7                    // cost ratio within which failure domains are equally good
@@ -19,6 +21,8 @@
 type reachability struct {
 	unansweredSince time.Time // time of the first call since its last answer; zero for none
 	unansweredCalls int       // calls since its last answer
+	failedProbes    int       // since its last answer
+	probedAt        time.Time // of the last probes while it was suspected; zero for none
 }
 
 // reachabilityOf returns the reachability of a failure domain, which starts as reachable.
@@ -42,20 +46,35 @@
 // answered records an answer or a connection from the failure domain.
 func (reachability *reachability) answered() {
 	reachability.unansweredSince, reachability.unansweredCalls = time.Time{}, 0
+	reachability.failedProbes, reachability.probedAt = 0, time.Time{}
 }
 
-// cutOff reports whether the failure domain has left at least cutOffMinCalls calls unanswered for at least cutOffAfter.
+// withdrawn takes back a call that was not sent.
+func (reachability *reachability) withdrawn() {
+	if reachability.unansweredCalls--; reachability.unansweredCalls <= 0 {
+		reachability.answered()
+	}
+}
+
+// cutOff reports whether the failure domain has left at least cutOffMinCalls calls unanswered, for at least cutOffAfter or so that probes
+// have failed meanwhile.
 func (reachability *reachability) cutOff(now time.Time) bool {
-	return reachability.unansweredCalls >= cutOffMinCalls && now.Sub(reachability.unansweredSince) >= cutOffAfter
+	return reachability.unanswered(now, cutOffAfter) || reachability.unanswered(now, suspectAfter) && reachability.failedProbes >= suspectProbes
+}
+
+// unanswered reports whether the failure domain has left at least cutOffMinCalls calls unanswered for a time.
+func (reachability *reachability) unanswered(now time.Time, span time.Duration) bool {
+	return reachability.unansweredCalls >= cutOffMinCalls && now.Sub(reachability.unansweredSince) >= span
 }
 
 // FailureDomainReached records that a connection to a failure domain was established.
 func (fleet *Fleet) FailureDomainReached(name string) { fleet.reachabilityOf(name).answered() }
 
-// Probe names an endpoint to connect to in a failure domain that seems cut off.
+// Probe names an endpoint to connect to in a failure domain that seems or may be cut off.
 type Probe struct {
-	FailureDomain string
-	Address       string
+	FailureDomain   string
+	Address         string
+	unansweredSince time.Time
 }
 
 // Probes returns a random ready endpoint of each failure domain that seems cut off. Such a domain gets no calls, so that
@@ -63,25 +82,60 @@
 func (fleet *Fleet) Probes(now time.Time) []Probe {
 	var probes []Probe
 	for _, name := range slices.Sorted(maps.Keys(fleet.failureDomains)) {
-		reachability := fleet.failureDomains[name]
-		if !reachability.cutOff(now) {
-			continue
+		if reachability := fleet.failureDomains[name]; reachability.cutOff(now) {
+			probes = append(probes, fleet.probesOf(name, reachability, 1)...)
 		}
-		var addresses []string
-		for _, id := range slices.Sorted(maps.Keys(fleet.endpoints)) {
-			if endpoint := fleet.endpoints[id]; endpoint.FailureDomain == name && endpoint.State == Ready && !fleet.isEvacuated(endpoint) {
-				addresses = append(addresses, endpoint.Address)
-			}
-		}
-		if len(addresses) == 0 {
-			reachability.answered() // no ready endpoint is left to probe
-			continue
+	}
+	return probes
+}
+
+// SuspectProbes returns random ready endpoints of each failure domain that has not answered for suspectAfter, once in each suspectAfter.
+// While one answers slowly, they connect; while it is cut off, they show that sooner than further calls that fail.
+func (fleet *Fleet) SuspectProbes(now time.Time) []Probe {
+	var probes []Probe
+	for name, reachability := range fleet.failureDomains {
+		if reachability.unanswered(now, suspectAfter) && !reachability.cutOff(now) && now.Sub(reachability.probedAt) >= suspectAfter {
+			reachability.probedAt = now
+			probes = append(probes, fleet.probesOf(name, reachability, suspectProbes)...)
 		}
-		probes = append(probes, Probe{FailureDomain: name, Address: addresses[fleet.random.IntN(len(addresses))]})
 	}
 	return probes
 }
 
+// probesOf returns probes of up to count random endpoints of a failure domain. One without ready endpoints counts as answering.
+func (fleet *Fleet) probesOf(name string, reachability *reachability, count int) []Probe {
+	var probes []Probe
+	for _, id := range slices.Sorted(maps.Keys(fleet.endpoints)) {
+		if endpoint := fleet.endpoints[id]; endpoint.FailureDomain == name && endpoint.State == Ready && !fleet.isEvacuated(endpoint) {
+			probes = append(probes, Probe{FailureDomain: name, Address: endpoint.Address, unansweredSince: reachability.unansweredSince})
+		}
+	}
+	if len(probes) == 0 {
+		reachability.answered()
+		return nil
+	}
+	fleet.random.Shuffle(len(probes), func(i, j int) { probes[i], probes[j] = probes[j], probes[i] })
+	return probes[:min(count, len(probes))]
+}
+
+// ProbeFailed records that an endpoint could not be connected to, unless its failure domain has answered since the probe was made.
+func (fleet *Fleet) ProbeFailed(probe Probe) {
+	if reachability := fleet.reachabilityOf(probe.FailureDomain); reachability.unansweredSince.Equal(probe.unansweredSince) {
+		reachability.failedProbes++
+	}
+}
+
+// CutOffDomains returns the number of failure domains that seem cut off.
+func (fleet *Fleet) CutOffDomains(now time.Time) int {
+	count := 0
+	for _, reachability := range fleet.failureDomains {
+		if reachability.cutOff(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // Isolated reports whether every other failure domain with ready endpoints seems cut off, and there is at least one.
 func (fleet *Fleet) Isolated(now time.Time) bool {
 	cutOff := false
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -176,6 +176,14 @@
 	return now
 }
 
+// burst plays calls to a failure domain that has not answered them yet and returns the time at which it is suspect.
+func burst(fleet *place.Fleet, failureDomain string) time.Time {
+	for i := range 10 {
+		fleet.StartAttempt(start, fmt.Sprintf("%s%d", failureDomain, i%2), route)
+	}
+	return start.Add(150 * time.Millisecond)
+}
+
 func TestFailureDomains(t *testing.T) {
 	all := []place.Endpoint{target("a0", "a"), target("b0", "b"), target("b1", "b"), target("c0", "c"), target("c1", "c")}
 	t.Run("this VM is isolated if no other failure domain answers", func(t *testing.T) {
@@ -195,6 +203,36 @@
 		fleet.FailureDomainReached("b")
 		assert.Assert(t, !fleet.Isolated(now))
 	})
+	t.Run("a failure domain whose probes fail is cut off before calls show it", func(t *testing.T) {
+		fleet := newFleet(all...)
+		now := burst(fleet, "b")
+		assertChosen(t, fleet, now, "a0")
+		probes := fleet.SuspectProbes(now)
+		assert.Equal(t, len(probes), 2)
+		assert.Equal(t, len(fleet.SuspectProbes(now)), 0, "probes are not repeated at once")
+		fleet.ProbeFailed(probes[0])
+		assert.Equal(t, len(fleet.Probes(now)), 0, "one endpoint may be down")
+		fleet.ProbeFailed(probes[1])
+		assert.Equal(t, len(fleet.Probes(now)), 1)
+	})
+	t.Run("a failure domain that answers meanwhile is not cut off", func(t *testing.T) {
+		fleet := newFleet(all...)
+		now := burst(fleet, "b")
+		probes := fleet.SuspectProbes(now)
+		fleet.StartAttempt(now, "b0", route).Answered(now)
+		for _, probe := range probes {
+			fleet.ProbeFailed(probe)
+		}
+		assert.Equal(t, len(fleet.Probes(now.Add(time.Second))), 0)
+	})
+	t.Run("calls that are not sent do not make a failure domain suspect", func(t *testing.T) {
+		fleet := newFleet(all...)
+		for range 20 {
+			fleet.StartAttempt(start, "b0", route).Withdraw()
+		}
+		assert.Equal(t, len(fleet.SuspectProbes(start.Add(time.Second))), 0)
+		assert.Equal(t, len(fleet.Probes(start.Add(time.Second))), 0)
+	})
 	t.Run("coverage counts only callable targets", func(t *testing.T) {
 		fleet := newFleet(all...)
 		now := silence(fleet, "b", "c")
--- a/poplarpind/gateway/probe.go
+++ b/poplarpind/gateway/probe.go
@@ -13,19 +13,43 @@
 )
 
 const (
-	probeInterval  = 250 * time.Millisecond // between two probes of failure domains that seem cut off
-	probeTimeout   = 200 * time.Millisecond // for connecting to one of their endpoints
-	requestsDecay  = 0.95                   // applied to the request counts at each probe: half after 3.4 s
-	minRequests    = 0.1                    // a route below this counts as unused
-	minServedShare = 0.5                    // of the recent requests; a VM that can serve these stays in rotation though all other failure domains seem cut off
+	probeInterval = 250 * time.Millisecond // between two probes of failure domains that seem cut off
+	probeTimeout  = 200 * time.Millisecond // for connecting to one of their endpoints
+	// Failure domains that do not answer are looked for that often, and their endpoints have suspectTimeout for connecting: several round
+	// trips between regions.
+	suspectInterval = 50 * time.Millisecond
+	suspectTimeout  = 120 * time.Millisecond
+	requestsDecay   = 0.95 // applied to the request counts at each probe: half after 3.4 s
+	minRequests     = 0.1  // a route below this counts as unused
+	minServedShare  = 0.5  // of the recent requests; a VM that can serve these stays in rotation though all other failure domains seem cut off
 )
 
 // probe checks failure domains that seem cut off, and takes this VM out of the load balancer's rotation while it is isolated:
 // while every other failure domain seems cut off and the targets within reach cannot serve most of the recent requests.
 func (gateway *Gateway) probe(ctx context.Context) {
+	go every.Run(ctx, suspectInterval, gateway.probeSuspects)
 	every.Run(ctx, probeInterval, gateway.probeOnce)
 }
 
+// probeSuspects probes failure domains that have not answered for a short time.
+func (gateway *Gateway) probeSuspects() {
+	now := time.Now()
+	gateway.mu.Lock()
+	probes := gateway.fleet.SuspectProbes(now)
+	gateway.mu.Unlock()
+	for _, probe := range probes {
+		go func() {
+			if gateway.tryConnect(probe, suspectTimeout) {
+				return
+			}
+			gateway.mu.Lock()
+			gateway.fleet.ProbeFailed(probe)
+			gateway.mu.Unlock()
+			gateway.checkIsolation()
+		}()
+	}
+}
+
 // probeOnce runs one round of probe.
 func (gateway *Gateway) probeOnce() {
 	now := time.Now()
@@ -33,14 +57,22 @@
 	gateway.decayRouteRequests()
 	gateway.budgets.SetVMs(now, len(gateway.peers)+1) // this VM's share of the slack grows some time after startup
 	probes := gateway.fleet.Probes(now)
-	isolated := gateway.fleet.Isolated(now) && !gateway.canServeMost(now)
+	gateway.mu.Unlock()
+	gateway.checkIsolation()
+	for _, probe := range probes {
+		go gateway.tryConnect(probe, probeTimeout)
+	}
+}
+
+// checkIsolation updates whether this VM is isolated.
+func (gateway *Gateway) checkIsolation() {
+	now := time.Now()
+	gateway.mu.Lock()
+	isolated, cutOff := gateway.fleet.Isolated(now) && !gateway.canServeMost(now), gateway.fleet.CutOffDomains(now)
 	gateway.mu.Unlock()
 	if gateway.isolated.Swap(isolated) != isolated {
 		gateway.isolatedChanged.Store(&now)
-		gateway.log.Warn("isolation changed", zap.Bool("isolated", isolated), zap.Int("cutOffDomains", len(probes)))
-	}
-	for _, probe := range probes {
-		go gateway.tryConnect(probe)
+		gateway.log.Warn("isolation changed", zap.Bool("isolated", isolated), zap.Int("cutOffDomains", cutOff))
 	}
 }
 
@@ -53,17 +85,19 @@
 	return max(balancerRemovalTime-time.Since(*changedAt), minDelay)
 }
 
-// tryConnect connects to an endpoint of a failure domain that seems cut off; if it succeeds, the failure domain counts as reachable.
-func (gateway *Gateway) tryConnect(probe place.Probe) {
-	conn, err := net.DialTimeout("tcp", probe.Address, probeTimeout)
+// tryConnect connects to an endpoint of a failure domain that seems cut off and reports whether it succeeded; the failure domain then
+// counts as reachable.
+func (gateway *Gateway) tryConnect(probe place.Probe, timeout time.Duration) bool {
+	conn, err := net.DialTimeout("tcp", probe.Address, timeout)
 	if err != nil {
-		return // tried again at the next probe
+		return false // tried again at the next probe
 	}
 	_ = conn.Close() // nothing was sent on it
 	gateway.mu.Lock()
 	gateway.fleet.FailureDomainReached(probe.FailureDomain)
 	gateway.mu.Unlock()
 	gateway.log.Info("failure domain reached", zap.String("domain", probe.FailureDomain), zap.String("address", probe.Address))
+	return true
 }
 
 // canServeMost reports whether targets that can be called can serve at least minServedShare of the recent requests, also if there
