A silent target whose call is past its time counts as lost, not as reached

Cause: connections whose call is past its time are closed since the bounds on responses; their calls ended as invalid answers, which show that a target can be reached.

Change: such a call is invalid only if a part of its response has arrived, else lost.

Measured: http1.TestSilentTarget (failed before).

--- a/poplarpind/http1/conn.go
+++ b/poplarpind/http1/conn.go
@@ -32,6 +32,7 @@
 	closed     bool   // close has been called
 	readerDone bool   // read has failed, so that no further call can begin
 	endReason  string // why the pool has ended the current call; empty if it has not
+	responding bool   // a part of the response to the current call has arrived
 }
 
 func newConn(pool *Pool, target string, netConn net.Conn) *conn {
@@ -62,7 +63,7 @@
 	conn.mu.Lock()
 	readerDone := conn.readerDone
 	if !readerDone {
-		conn.current, conn.written, conn.unsent, conn.inline = exchange, false, false, false
+		conn.current, conn.written, conn.unsent, conn.inline, conn.responding = exchange, false, false, false, false
 		conn.calls++
 	}
 	conn.mu.Unlock()
@@ -120,7 +121,7 @@
 			conn.fail(&Error{"read", Lost, err.Error()})
 			return
 		}
-		exchange := conn.currentExchange()
+		exchange := conn.beginResponse()
 		if exchange == nil {
 			connsUnexpected.Add(1)
 			conn.fail(&Error{"read", Malformed, "data without a call in flight"})
@@ -140,6 +141,14 @@
 	}
 }
 
+// beginResponse records that a response arrives and returns the call in flight, nil for none.
+func (conn *conn) beginResponse() *Exchange {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.responding = true
+	return conn.current
+}
+
 func (conn *conn) currentExchange() *Exchange {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
@@ -193,8 +202,10 @@
 	conn.current, conn.readerDone = nil, true
 	if conn.unsent {
 		err.Kind = NotSent
-	} else if conn.endReason != "" {
+	} else if conn.endReason != "" && conn.responding {
 		err = invalid("response", conn.endReason)
+	} else if conn.endReason != "" { // silence does not show that the target can be reached
+		err = &Error{"response", Lost, conn.endReason}
 	}
 	conn.mu.Unlock()
 	if exchange != nil {
@@ -202,7 +213,7 @@
 	}
 }
 
-// end closes the connection to end the current call for a reason; read then reports the call as invalid.
+// end closes the connection to end the current call for a reason; read then reports the response as invalid, or as lost if none has begun.
 func (conn *conn) end(reason string) {
 	conn.mu.Lock()
 	conn.endReason = reason
--- a/poplarpind/http1/endless_test.go
+++ b/poplarpind/http1/endless_test.go
@@ -60,6 +60,16 @@
 	}
 }
 
+// TestSilentTarget guards against a silent target that counts as reachable: the call ends soon after its time, as lost and not as answered
+// with an invalid response, since a VM that is cut off from other failure domains would take them for reached.
+func TestSilentTarget(t *testing.T) {
+	pool := newPool()
+	go pool.Run(t.Context())
+	address, _ := serve(t, func(int, int) []byte { select {} })
+	_, result := start(t, pool, address, func(call *http1.Call) { call.Deadline = time.Now().Add(100 * time.Millisecond) })
+	assertKind(t, (<-result).err, http1.Lost)
+}
+
 // TestMemoryBudget guards against a VM that runs out of memory because of many responses that are each within their limit: the large
 // ones are ended, and the others are answered.
 func TestMemoryBudget(t *testing.T) {
