--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -6,11 +6,10 @@
 const Window = 10 * time.Second
 
 const (
-	windowSpan    = Window
-	bucketSpan    = 100 * time.Millisecond
-	bucketCount   = int(windowSpan / bucketSpan)
-	reserveTokens = 2.0 // kept for calls without which a request fails
-	burstBuckets  = 10  // a burst of extra calls is limited to the tokens that the calls of this many buckets add
+	windowSpan   = Window
+	bucketSpan   = 100 * time.Millisecond
+	bucketCount  = int(windowSpan / bucketSpan)
+	burstBuckets = 10 // a burst of extra calls is limited to the tokens that the calls of this many buckets add
 )
 
 type bucket struct {
@@ -47,27 +46,15 @@
 	budget.refill(now)
 	budget.bucketAt(now).calls += calls
 	recent, _ := budget.sum(now, burstBuckets)
-	budget.tokens = min(budget.burst(recent), budget.tokens+budget.fraction*float64(calls))
+	burst := max(1, budget.slack, budget.fraction*float64(recent))
+	budget.tokens = min(burst, budget.tokens+budget.fraction*float64(calls))
 }
 
 // Spend takes tokens for extra calls and reports whether the budget allows them. If not, it takes none.
-func (budget *Budget) Spend(now time.Time, extra int) bool { return budget.spend(now, extra, 0) }
-
-// SpendSpare is Spend for extra calls without which a request succeeds too. It leaves reserveTokens for the others, unless the budget
-// never holds that many more than one call needs.
-func (budget *Budget) SpendSpare(now time.Time, extra int) bool {
-	reserve := 0.0
-	if recent, _ := budget.sum(now, burstBuckets); budget.burst(recent) > 2*reserveTokens {
-		reserve = reserveTokens
-	}
-	return budget.spend(now, extra, reserve)
-}
-
-// spend takes tokens for extra calls if the budget then still holds the reserve.
-func (budget *Budget) spend(now time.Time, extra int, reserve float64) bool {
+func (budget *Budget) Spend(now time.Time, extra int) bool {
 	budget.refill(now)
 	calls, spent := budget.sum(now, bucketCount)
-	if budget.tokens < float64(extra)+reserve || float64(spent+extra)+reserve > budget.fraction*float64(calls)+budget.slack {
+	if budget.tokens < float64(extra) || float64(spent+extra) > budget.fraction*float64(calls)+budget.slack {
 		return false
 	}
 	budget.tokens -= float64(extra)
@@ -75,11 +62,6 @@
 	return true
 }
 
-// burst returns the largest number of tokens that the budget holds, given the calls of the latest burstBuckets.
-func (budget *Budget) burst(recentCalls int) float64 {
-	return max(1, budget.slack, budget.fraction*float64(recentCalls))
-}
-
 // refill adds the slack of the time since the last call: each window grants the slack anew, also to a service with few calls.
 func (budget *Budget) refill(now time.Time) {
 	if elapsed := now.Sub(budget.refilled); !budget.refilled.IsZero() && elapsed > 0 {
--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -12,9 +12,8 @@
 	refusedRetryDelay  = 12 * time.Millisecond // before resending a part that no other target can take; doubles with each further call of the part
 	coverageTolerance  = 1e-9                  // for shares without an exact binary representation
 	minHedgeDelay      = 4 * time.Millisecond
-	slowCallFactor     = 3.0                   // multiple of the median that hardly a call to a healthy target exceeds
-	shortCallMedian    = 15 * time.Millisecond // below this median latency, letting a call complete costs the target less than a new connection
-	budgetRetryDelay   = 20 * time.Millisecond // between two attempts to get an extra call for a part without which a request fails
+	slowCallFactor     = 3.0                    // multiple of the median that hardly a call to a healthy target exceeds
+	shortCallMedian    = 15 * time.Millisecond  // below this median latency, letting a call complete costs the target less than a new connection
 	minCongestionParts = 4                      // with fewer parts, a slow half is no evidence of congestion
 	congestionDivisor  = 2                      // healthy targets answer half of the parts within objective/congestionDivisor
 	startupDivisor     = 4                      // a starting VM may use 1/startupDivisor of its share of the slack
@@ -158,7 +157,7 @@
 		part.suppressed = ""
 		if !ok || run.shared.Fleet.Stuck(now, target.ID) {
 			part.suppressed = NoAlternative
-		} else if !run.spend(now, part) {
+		} else if !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
 			part.suppressed = NoBudget
 		}
 		if part.suppressed != "" {
@@ -214,13 +213,9 @@
 		run.markExhausted(part)
 		return nil
 	}
-	if countsAsLoad(part.lastOutcome) && !run.spend(now, part) {
+	if countsAsLoad(part.lastOutcome) && !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
 		part.suppressed = NoBudget
-		if run.waitsForBudget(now) {
-			part.retryAt = now.Add(budgetRetryDelay)
-		} else {
-			run.markExhausted(part)
-		}
+		run.markExhausted(part)
 		return nil
 	}
 	send, ok := run.startCall(now, part, string(part.lastOutcome))
@@ -231,23 +226,6 @@
 	return []Action{send}
 }
 
-// spend takes an extra call for a part from the budget of its service and reports whether it may be made. While extra calls are scarce, as
-// when many targets refuse, some are kept for the parts without which a request fails.
-func (run *Run) spend(now time.Time, part *partState) bool {
-	budget := run.shared.Budgets.ForService(now, part.service)
-	if len(run.parts)-run.exhaustedParts > run.minParts() {
-		return budget.SpendSpare(now, 1)
-	}
-	return budget.Spend(now, 1)
-}
-
-// waitsForBudget reports whether a part without an extra call waits for one: if the request fails without this part alone, as long as its
-// client has time for a retry of its own.
-func (run *Run) waitsForBudget(now time.Time) bool {
-	othersWait := slices.ContainsFunc(run.parts, func(other partState) bool { return !other.retryAt.IsZero() })
-	return run.spec.Idempotent && !othersWait && len(run.parts)-run.exhaustedParts <= run.minParts() && now.Sub(run.started) < run.spec.Timeout/2
-}
-
 // countsAsLoad reports whether a call with this outcome put load on its service, so that a retry draws on the budget.
 func countsAsLoad(outcome Outcome) bool {
 	return outcome != NotSent && outcome != ConnectionLimit && outcome != NoCapacity
--- a/core/fleetload/fleet_load_test.go
+++ b/core/fleetload/fleet_load_test.go
@@ -78,14 +78,6 @@
 	until  time.Duration
 }
 
-// refusingSpan makes a share of the targets refuse a share of their calls for a time, although they have slots.
-type refusingSpan struct {
-	share   float64
-	refused float64
-	from    time.Duration
-	until   time.Duration
-}
-
 // fleetLoad describes a deployment and what happens on it.
 type fleetLoad struct {
 	vms           map[string][]float64 // cores of the VMs of each failure domain
@@ -94,7 +86,6 @@
 	slots         int
 	classes       []loadClass
 	slow          slowSpan
-	refusing      refusingSpan
 	pause         time.Duration // of each target, every pauseEvery
 	pauseEvery    time.Duration
 	slack         float64 // extra calls of a service in ten seconds, beyond a fraction of 0.2
@@ -127,7 +118,6 @@
 	queue       []*simCall
 	pausedUntil time.Time
 	slow        bool
-	refusing    bool
 }
 
 // simCall is a call on its way to a target or at it.
@@ -236,9 +226,6 @@
 		slow := int(run.random.Float64() / max(run.load.slow.share, 1e-9)) // index of the slow target; mostly beyond the last, for none
 		for i, domain := range run.load.targetDomains {
 			target := &simTarget{id: service + "-" + domain, domain: domain, slow: i == slow}
-			if run.load.refusing.share > 0 {
-				target.refusing = run.random.Float64() < run.load.refusing.share
-			}
 			run.targets[target.id] = target
 			for _, vm := range run.vms {
 				vm.fleet.Update(start, place.Endpoint{ID: target.id, Service: service, FailureDomain: domain, Slots: run.load.slots, State: place.Ready})
@@ -280,8 +267,6 @@
 func (run *fleetRun) receive(target *simTarget, call *simCall) {
 	run.calls++
 	switch {
-	case run.refuses(target):
-		call.ended(fanout.Refused)
 	case target.busy < run.load.slots:
 		run.serve(target, call)
 	case len(target.queue) < simQueue:
@@ -291,12 +276,6 @@
 	}
 }
 
-// refuses reports whether a target refuses a call although it could serve it.
-func (run *fleetRun) refuses(target *simTarget) bool {
-	since, span := run.now.Sub(start), run.load.refusing
-	return target.refusing && since >= span.from && since < span.until && run.random.Float64() < span.refused
-}
-
 func (run *fleetRun) serve(target *simTarget, call *simCall) {
 	target.busy++
 	from := run.now
