--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Tests that are red for a fault that is recorded in KNOWN-RED.txt, as one expression.
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd'|')
 
-.PHONY: build demo test setup rename-tools spin lint unit model mutants fuzz bench capacity clean
+.PHONY: build demo test setup rename-tools spin lint unit model mutants ablation fuzz bench capacity clean
 
 build:
 	@mkdir -p bin
@@ -18,7 +18,7 @@
 	@bin/testbed demo
 
 # All that CI runs.
-test: setup lint unit mutants model
+test: setup lint unit mutants ablation model
 	@echo "known red:"; cat KNOWN-RED.txt
 
 setup: spin
@@ -51,6 +51,10 @@
 mutants:
 	@model/mutants.sh
 
+# Checks that each patch that switches off a mechanism still applies; docs/POLICY.md says how to measure with them.
+ablation:
+	@model/ablation.sh check
+
 fuzz:
 	cd core && $(GO) test -fuzz FuzzParseNote -fuzztime 30s ./release
 	cd core && $(GO) test -fuzz FuzzMessage -fuzztime 30s ./member
