--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -67,3 +67,22 @@
 		assert.Assert(t, float64(spent) >= 0.8*(fraction*float64(calls)+slack*windows), "%d extra calls", spent)
 	})
 }
+
+// TestBurst guards against answers that lack the parts of targets that have just turned slow, although the calm time before has left the
+// extra calls of a whole window: a VM with a few requests a second must be able to use them when the targets need them.
+func TestBurst(t *testing.T) {
+	const fraction, slack, perSecond = 0.18, 2.0, 3
+	extraBudget := budget.New(fraction)
+	extraBudget.SetSlack(slack)
+	now := time.Unix(1000, 0)
+	for range 20 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		extraBudget.RecordCalls(now, 1)
+	}
+	spent := 0
+	for extraBudget.Spend(now, 1) {
+		spent++
+	}
+	calls, _ := extraBudget.WindowCounts(now)
+	assert.Equal(t, spent, int(fraction*float64(calls)+slack))
+}
