--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -200,7 +200,9 @@
 		gateway.callEnded(job, send, platform.Reply{Outcome: outcomeOf(err), Detail: err.Error()})
 		return false, 0
 	}
-	reply, reusable := platform.DecodeReply(job.request, response.Response, response.Body, response.Previous)
+	previous, _ := response.Previous.(platform.Origin) // none for the first response on the connection
+	response.Remembered = platform.OriginOf(response.Response)
+	reply, reusable := platform.DecodeReply(job.request, response.Response, response.Body, previous)
 	if reply.Outcome == fanout.Answered {
 		if _, gather := job.route.Destination.(route.Gather); gather && !reply.Success() {
 			reply.Outcome = fanout.Failed
--- a/poplarpind/http1/conn.go
+++ b/poplarpind/http1/conn.go
@@ -18,9 +18,9 @@
 	source      *limitedReader // of reader
 	reader      *bufio.Reader
 	calls       int
-	previous    http.Header // of the last response; nil for none
-	idleSince   time.Time   // when it became idle
-	usableUntil time.Time   // shortly before the target closes it for being idle; zero if unknown
+	previous    any       // what Done remembers of the last response
+	idleSince   time.Time // when it became idle
+	usableUntil time.Time // shortly before the target closes it for being idle; zero if unknown
 
 	mu         sync.Mutex
 	current    *Exchange
@@ -149,12 +149,6 @@
 	return conn.current
 }
 
-func (conn *conn) currentExchange() *Exchange {
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
-	return conn.current
-}
-
 // isWritten reports whether the current call has been written completely. The response to a short call can arrive before its
 // writer has recorded that, so isWritten waits for the writer of a short call.
 func (conn *conn) isWritten() bool {
@@ -180,8 +174,9 @@
 	conn.idleSince = time.Now()
 	conn.usableUntil = time.Time{}
 	conn.mu.Unlock()
-	reusable, keepAlive := exchange.end(&Response{Response: response, Body: body, Previous: conn.previous}, nil)
-	conn.previous = response.Header
+	complete := &Response{Response: response, Body: body, Previous: conn.previous}
+	reusable, keepAlive := exchange.end(complete, nil)
+	conn.previous = complete.Remembered
 	if !reusable || !clean || response.Close {
 		return false
 	}
@@ -213,18 +208,28 @@
 	}
 }
 
-// end closes the connection to end the current call for a reason; read then reports the response as invalid, or as lost if none has begun.
-func (conn *conn) end(reason string) {
+// end closes the connection to end a call for a reason, unless the call has ended meanwhile; read then reports the response as invalid, or
+// as lost if none has begun.
+func (conn *conn) end(exchange *Exchange, reason string) {
 	conn.mu.Lock()
-	conn.endReason = reason
+	current := conn.current == exchange && !conn.closed
+	if current {
+		conn.endReason, conn.closed = reason, true // so that the connection is not used for another call
+	}
 	conn.mu.Unlock()
-	conn.close()
+	if current {
+		conn.close()
+	}
 }
 
-// overdue reports whether the current call has not ended although its time has passed.
-func (conn *conn) overdue(now time.Time) bool {
-	exchange := conn.currentExchange()
-	return exchange != nil && !exchange.call.Deadline.IsZero() && now.After(exchange.call.Deadline.Add(overdueGrace))
+// overdue returns the current call if it has not ended although its time has passed, else nil.
+func (conn *conn) overdue(now time.Time) *Exchange {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.current == nil || !conn.current.expired(now.Add(-overdueGrace)) {
+		return nil
+	}
+	return conn.current
 }
 
 // close closes the connection; read then cleans up. The connection is reset: data still in the send buffer, for instance after a
--- a/poplarpind/http1/pool.go
+++ b/poplarpind/http1/pool.go
@@ -80,7 +80,9 @@
 type Response struct {
 	*http.Response
 	Body     []byte
-	Previous http.Header // of the response before it on the same connection; nil for the first one
+	Previous any // what Done has set as Remembered for the response before it on the same connection; nil for none
+	// Remembered is set by Done. It stays in memory while the connection is idle.
+	Remembered any
 }
 
 // Pool holds the connections of one VM to all targets.
@@ -133,18 +135,18 @@
 			delete(pool.targets, id)
 		}
 	}
-	var overdue []*conn
+	overdue := map[*conn]*Exchange{}
 	for conn := range pool.conns {
-		if conn.overdue(now) {
-			overdue = append(overdue, conn)
+		if exchange := conn.overdue(now); exchange != nil {
+			overdue[conn] = exchange
 		}
 	}
 	pool.mu.Unlock()
 	for _, conn := range expired {
 		conn.close()
 	}
-	for _, conn := range overdue {
-		conn.end(responseTooOld)
+	for conn, exchange := range overdue {
+		conn.end(exchange, responseTooOld)
 	}
 }
 
@@ -333,7 +335,7 @@
 	exchange.mu.Lock()
 	conn := exchange.conn
 	exchange.mu.Unlock()
-	conn.end(memoryUsedUp)
+	conn.end(exchange, memoryUsedUp)
 }
 
 // Abort ends a call by closing its connection, so that the target stops working on it.
