Looks at silent failure domains only while calls are unanswered; only restarted VMs read the store early

Change: a VM looks for silent failure domains only after calls that could make one suspect; a VM whose entry was not in the list of entry VMs waits for its source as before, since no client knows it yet.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -11,9 +11,9 @@
 const (
 	sourceTimeout     = 1200 * time.Millisecond // three heartbeats without a message from a source that has the store
 	firstMessageGrace = 500 * time.Millisecond  // for the first message of a new source, before the store is watched as well
-	// For the first message of all: until then a VM refuses requests. A source that runs answers within some round trips, and each VM that
-	// reads the store itself costs it two calls.
-	startGrace = 100 * time.Millisecond
+	// For the first message after a restart: until then the VM refuses the requests of clients that know it. A source that runs answers
+	// within some round trips, and each VM that reads the store itself costs it two calls.
+	restartGrace = 100 * time.Millisecond
 	// With one tick more this is two thirds of the 3 s in which a change must be in force.
 	noUpdateTimeout   = 1600 * time.Millisecond // without any update before the store is watched, even with a new source
 	minAvoid          = 4 * time.Second         // before a failed source is tried again; doubled each time up to maxAvoid
@@ -47,7 +47,7 @@
 	sourceSince       time.Time // when the source was selected
 	lastMessage       time.Time // last message of a source that has the store; zero for none
 	lastUpdate        time.Time // when such a message last arrived or this VM last watched the store
-	updated           bool      // a message of a source that has the store has arrived, or the store has answered
+	awaitsFirst       bool      // the VM was restarted, and neither a source that has the store nor the store has answered since
 	avoidedUntil      map[string]time.Time
 	avoidSpans        map[string]time.Duration // by source, how long it was avoided last
 	storeFailingSince time.Time                // zero while store calls succeed
@@ -58,6 +58,9 @@
 	return &Follower{self: self, avoidedUntil: map[string]time.Time{}, avoidSpans: map[string]time.Duration{}}
 }
 
+// Restarted records, before the first Tick, that this VM has run before: clients know it, and other VMs may have started with it.
+func (follower *Follower) Restarted() { follower.awaitsFirst = true }
+
 // compareRank orders VMs by precedence for watching the store: more cores first, since the others rely on that VM, then by hash.
 func compareRank(a, b Peer) int {
 	if order := cmp.Compare(b.Cores, a.Cores); order != 0 {
@@ -93,7 +96,7 @@
 		return
 	}
 	if storeReachable {
-		follower.lastMessage, follower.lastUpdate, follower.updated = now, now, true
+		follower.lastMessage, follower.lastUpdate, follower.awaitsFirst = now, now, false
 		delete(follower.avoidSpans, source)
 	} else if !follower.lastMessage.IsZero() || now.Sub(follower.sourceSince) > sourceTimeout {
 		// A new source may still be taking over the watch of the store. If this VM cannot reach the store either, a source of lower rank or
@@ -115,7 +118,7 @@
 
 // StoreResult records whether a store call succeeded.
 func (follower *Follower) StoreResult(now time.Time, storeReachable bool) {
-	follower.updated = follower.updated || storeReachable
+	follower.awaitsFirst = follower.awaitsFirst && !storeReachable
 	switch {
 	case storeReachable && !follower.storeFailingSince.IsZero(): // sources without the store may reach it again too
 		follower.storeFailingSince = time.Time{}
@@ -167,8 +170,8 @@
 	// The store is watched if there is no higher-ranked source or if no message of the source arrives; a VM that watches continues until
 	// one arrives.
 	grace := firstMessageGrace
-	if !follower.updated {
-		grace = startGrace
+	if follower.awaitsFirst {
+		grace = restartGrace
 	}
 	sourceSilent := follower.lastMessage.IsZero() && (follower.plan.WatchStore ||
 		now.Sub(follower.sourceSince) > grace || now.Sub(follower.lastUpdate) > noUpdateTimeout)
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -89,6 +89,16 @@
 	return probes
 }
 
+// AwaitsAnswers reports whether a failure domain that is not cut off has left enough calls unanswered to become suspect.
+func (fleet *Fleet) AwaitsAnswers(now time.Time) bool {
+	for _, reachability := range fleet.failureDomains {
+		if reachability.unanswered(now, 0) && !reachability.cutOff(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // SuspectProbes returns random ready endpoints of each failure domain that has not answered for suspectAfter, once in each suspectAfter.
 // While one answers slowly, they connect; while it is cut off, they show that sooner than further calls that fail.
 func (fleet *Fleet) SuspectProbes(now time.Time) []Probe {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -205,7 +205,9 @@
 	})
 	t.Run("a failure domain whose probes fail is cut off before calls show it", func(t *testing.T) {
 		fleet := newFleet(all...)
+		assert.Assert(t, !fleet.AwaitsAnswers(start))
 		now := burst(fleet, "b")
+		assert.Assert(t, fleet.AwaitsAnswers(now))
 		assertChosen(t, fleet, now, "a0")
 		probes := fleet.SuspectProbes(now)
 		assert.Equal(t, len(probes), 2)
@@ -214,6 +216,7 @@
 		assert.Equal(t, len(fleet.Probes(now)), 0, "one endpoint may be down")
 		fleet.ProbeFailed(probes[1])
 		assert.Equal(t, len(fleet.Probes(now)), 1)
+		assert.Assert(t, !fleet.AwaitsAnswers(now), "probes of the failure domains that are cut off go on")
 	})
 	t.Run("a failure domain that answers meanwhile is not cut off", func(t *testing.T) {
 		fleet := newFleet(all...)
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -68,6 +68,7 @@
 	lastQueryID         int64                     // of the queries that this VM sends to relays
 	relayedCalls        map[string]relayedCall    // outgoing: calls of this VM that peers relay, by query ID
 	relayJobs           map[string]*job           // incoming: requests that this VM relays for peers, by peer and query ID
+	suspectsWatched     bool                      // a look at failure domains with unanswered calls is due
 	targetsKnown        bool                      // a complete list of targets was received
 	limiters            map[string]*admit.Limiter // limits on concurrent requests, by first shard; routes that share it share a limiter
 	responseDelay       time.Duration             // largest recent delay of responses past their planned time, decaying
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -60,6 +60,7 @@
 	now := time.Now()
 	actions := event(now)
 	gateway.signalObservations()
+	gateway.watchSuspects()
 	job.schedule(now)
 	gateway.mu.Unlock()
 	for _, action := range actions {
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -31,6 +31,11 @@
 		wait := gateway.peersReadInterval(reads)
 		_, eraChanges := gateway.era.Changes()
 		registered, err := gateway.readPeers(ctx, store, true)
+		if err == nil && !registered && !firstReadDone {
+			gateway.mu.Lock()
+			gateway.follower.Restarted() // its entry was there before
+			gateway.mu.Unlock()
+		}
 		if err == nil && registered && !firstReadDone { // VMs that started at the same time register soon
 			sleep(ctx, registrationWait)
 			_, err = gateway.readPeers(ctx, store, false)
--- a/poplarpind/gateway/probe.go
+++ b/poplarpind/gateway/probe.go
@@ -13,41 +13,51 @@
 )
 
 const (
-	probeInterval = 250 * time.Millisecond // between two probes of failure domains that seem cut off
-	probeTimeout  = 200 * time.Millisecond // for connecting to one of their endpoints
-	// Failure domains that do not answer are looked for that often, and their endpoints have suspectTimeout for connecting: several round
-	// trips between regions.
-	suspectInterval = 50 * time.Millisecond
-	suspectTimeout  = 120 * time.Millisecond
-	requestsDecay   = 0.95 // applied to the request counts at each probe: half after 3.4 s
-	minRequests     = 0.1  // a route below this counts as unused
-	minServedShare  = 0.5  // of the recent requests; a VM that can serve these stays in rotation though all other failure domains seem cut off
+	probeInterval   = 250 * time.Millisecond // between two probes of failure domains that seem cut off
+	probeTimeout    = 200 * time.Millisecond // for connecting to one of their endpoints
+	suspectInterval = 50 * time.Millisecond  // between two looks at failure domains with unanswered calls; an idle VM does not wake up for it
+	suspectTimeout  = 120 * time.Millisecond // for connecting to an endpoint that does not answer: several round trips between regions
+	requestsDecay   = 0.95                   // applied to the request counts at each probe: half after 3.4 s
+	minRequests     = 0.1                    // a route below this counts as unused
+	minServedShare  = 0.5                    // of the recent requests; a VM that can serve these stays in rotation though all other failure domains seem cut off
 )
 
 // probe checks failure domains that seem cut off, and takes this VM out of the load balancer's rotation while it is isolated:
 // while every other failure domain seems cut off and the targets within reach cannot serve most of the recent requests.
 func (gateway *Gateway) probe(ctx context.Context) {
-	go every.Run(ctx, suspectInterval, gateway.probeSuspects)
 	every.Run(ctx, probeInterval, gateway.probeOnce)
 }
 
+// watchSuspects looks at the failure domains with unanswered calls until there are none; the caller holds mu.
+func (gateway *Gateway) watchSuspects() {
+	if gateway.suspectsWatched || !gateway.fleet.AwaitsAnswers(time.Now()) {
+		return
+	}
+	gateway.suspectsWatched = true
+	time.AfterFunc(suspectInterval, gateway.probeSuspects)
+}
+
 // probeSuspects probes failure domains that have not answered for a short time.
 func (gateway *Gateway) probeSuspects() {
-	now := time.Now()
 	gateway.mu.Lock()
-	probes := gateway.fleet.SuspectProbes(now)
+	probes := gateway.fleet.SuspectProbes(time.Now())
+	gateway.suspectsWatched = false
+	gateway.watchSuspects()
 	gateway.mu.Unlock()
 	for _, probe := range probes {
-		go func() {
-			if gateway.tryConnect(probe, suspectTimeout) {
-				return
-			}
-			gateway.mu.Lock()
-			gateway.fleet.ProbeFailed(probe)
-			gateway.mu.Unlock()
-			gateway.checkIsolation()
-		}()
+		go gateway.probeSuspect(probe)
+	}
+}
+
+// probeSuspect connects to an endpoint of a failure domain that does not answer and records if that fails.
+func (gateway *Gateway) probeSuspect(probe place.Probe) {
+	if gateway.tryConnect(probe, suspectTimeout) {
+		return
 	}
+	gateway.mu.Lock()
+	gateway.fleet.ProbeFailed(probe)
+	gateway.mu.Unlock()
+	gateway.checkIsolation()
 }
 
 // probeOnce runs one round of probe.
