--- a/model/ablation.sh
+++ b/model/ablation.sh
@@ -45,7 +45,7 @@
 ablation relays core/fanout/relay.go 's/if !run.spec.Gather \{\n\t\treturn nil, relayed/if true {\n\t\treturn nil, relayed/'
 ablation several-relays core/fanout/relay.go 's/needed = min\(place.VMsForCalls\([^\n]*/needed = 1/'
 ablation offload-to-larger-vms core/place/domain.go 's/if fleet.cores <= 0 \|\| time.Duration\(float64\(calls\)/if true || time.Duration(float64(calls)/'
-ablation early-report-of-relays core/fanout/relay_run.go 's/if relayRun.ended \|\| relayRun.reportedEarly \|\| now.Before\(relayRun.Next\(\)\) \{/if true {/'
+ablation early-report-of-relays core/fanout/relay_run.go 's/earlyReportAt: now.Add\(reportAfter\)/earlyReportAt: now.Add(reportAfter + time.Hour)/'
 ablation hedges-within-processor core/fanout/calls.go 's/if slow.viaRelay && !run.hasCPUForHedges\(now, slow\) \{/if false {/'
 ablation observations core/place/observation.go 's/if endpoint.Peer \|\| ratio < slowRatio/if true || ratio < slowRatio/'
 ablation observations-passed-on poplarpind/gateway/share.go 's/forward := subscribed &&/forward := false \&\& subscribed \&\&/'
