Only bursts of up to eight extra calls may use a whole window

Change: up to eight calls a burst may use what the window allows, larger ones are limited as before. The load that the longer burst is for, VMs with a request a second, stays below eight.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -6,9 +6,13 @@
 const Window = 10 * time.Second
 
 const (
-	windowSpan  = Window
-	bucketSpan  = 100 * time.Millisecond
-	bucketCount = int(windowSpan / bucketSpan)
+	windowSpan   = Window
+	bucketSpan   = 100 * time.Millisecond
+	bucketCount  = int(windowSpan / bucketSpan)
+	burstBuckets = 10 // a burst of extra calls is limited to the tokens that the calls of this many buckets add
+	// A burst up to this many calls may use all that the window allows: a VM with a request a second would otherwise hold two or three, and
+	// miss the others when targets turn slow. Larger bursts slow down the targets that are sound.
+	smallBurst = 8.0
 )
 
 type bucket struct {
@@ -40,13 +44,14 @@
 	budget.slack = calls
 }
 
-// RecordCalls records first calls, which add tokens up to what a window allows: targets that turn slow after a calm time get the extra
-// calls of the window at once.
+// RecordCalls records first calls, which add tokens up to the burst limit.
 func (budget *Budget) RecordCalls(now time.Time, calls int) {
 	budget.refill(now)
 	budget.bucketAt(now).calls += calls
-	recent, _ := budget.sum(now, bucketCount)
-	budget.tokens = min(max(1, budget.slack+budget.fraction*float64(recent)), budget.tokens+budget.fraction*float64(calls))
+	recent, _ := budget.sum(now, burstBuckets)
+	window, _ := budget.sum(now, bucketCount)
+	burst := max(1, budget.slack, budget.fraction*float64(recent), min(smallBurst, budget.slack+budget.fraction*float64(window)))
+	budget.tokens = min(burst, budget.tokens+budget.fraction*float64(calls))
 }
 
 // Spend takes tokens for extra calls and reports whether the budget allows them. If not, it takes none.
