--- a/poplarpind/endless_test.go
+++ b/poplarpind/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"net"
@@ -64,7 +63,7 @@
 			}
 		}
 	}
-	store.Put("config", "main", gatherConfig(names))
+	store.Put("config", "main", platformtest.GatherConfig(names))
 	process := startProcess(t, binary, store)
 	var requests sync.WaitGroup
 	for end := time.Now().Add(*loadTime); time.Now().Before(end); time.Sleep(requestPause) {
@@ -84,18 +83,6 @@
 	assert.Assert(t, peak < memoryMB)
 }
 
-func gatherConfig(services []string) map[string]any {
-	config := platformtest.Config(1)
-	var settings []map[string]any
-	for _, service := range services {
-		settings = append(settings, map[string]any{"name": service, "max_conns": 50})
-	}
-	config["services"] = settings
-	config["routes"] = []map[string]any{{"name": "g", "host": "h.example", "path_prefix": "/g/", "kind": "idempotent", "timeout_ms": 5000,
-		"target_latency_ms": 4000, "gather": services, "attempts": 3, "top_k": 20, "min_coverage": 0.9}}
-	return config
-}
-
 // process is a running entry VM.
 type process struct {
 	command *exec.Cmd
@@ -106,15 +93,8 @@
 func startProcess(t *testing.T, binary string, store *platformtest.Store) *process {
 	t.Helper()
 	ports := freePorts(t, 4)
-	settings := map[string]any{}
-	assert.NilError(t, json.Unmarshal([]byte(platformtest.Settings(store.Address(), "127.0.0.1:1")), &settings))
 	address := func(i int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(ports[i])) }
-	settings["listen_addrs"] = map[string]any{"front": address(0), "ready": address(1), "control": address(2)}
-	settings["internal_port_range"] = []int{ports[3], ports[3]}
-	settings["limits"] = map[string]any{"memory_mb": memoryMB}
-	settings["bounds"] = map[string]any{"retry_budget_ratio": 0.2, "retry_budget_slack": 50}
-	data, err := json.Marshal(settings)
-	assert.NilError(t, err)
+	data := platformtest.ProcessSettings(t, store, platformtest.Addresses{Clients: address(0), Ready: address(1), Peers: address(2), InternalPort: ports[3]}, memoryMB)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(path, data, 0o600))
 	command := exec.Command(binary)
