Requests that waited past their time while the process stood still are refused

Change: core/pause notices late ticks; for 0.1 s after a pause, a request that is not idempotent and whose time is not longer than the pause is refused as not run, with 0.1 s as time to come back.

Ticks are those of the choice of a source, so that a VM wakes up no more often.

--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"poplarpin.dev/core/admit"
 	"poplarpin.dev/core/fanout"
 	"poplarpin.dev/core/follow"
+	"poplarpin.dev/core/pause"
 	"poplarpin.dev/core/place"
 	"poplarpin.dev/core/route"
 	"poplarpin.dev/core/rpc"
@@ -45,6 +46,7 @@
 	isolatedChanged     atomic.Pointer[time.Time] // nil until the first change
 	activeRequests      atomic.Int64              // client requests in flight
 	quotas              *quotas
+	pauses              *pause.Detector
 
 	peersRead           chan struct{} // closed after the first attempt to read the list of entry VMs
 	observationsReady   chan struct{} // signals that observations are ready to be sent
@@ -104,6 +106,7 @@
 	gateway.fleet.SetMaxDrainDelay(bounds.MaxDrainDelay)
 	gateway.fleet.LimitCold(settings.VM, place.ColdBounds{Overshoot: bounds.ColdOvershoot, Slack: bounds.ColdSlack})
 	gateway.quotas = newQuotas(gateway)
+	gateway.pauses = pause.New(syncInterval)
 	gateway.pool = http1.New(gateway.maxConnections, responseBudget(settings.MemoryBytes))
 	gateway.mesh = peer.New(rpc.Hello{VM: settings.VM, Incarnation: time.Now().UnixMicro()}, gateway, nil)
 	gateway.currentStoreAddress.Store(&settings.StoreAddress)
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -17,6 +17,8 @@
 
 const (
 	noConfigurationRetry     = 200 * time.Millisecond // retry delay for clients of a VM without a configuration, which it reads within that time
+	pausedRetry              = 100 * time.Millisecond // retry delay for clients whose request may have waited while the process stood still
+	pausedReason             = "the request may have waited past its time"
 	nonIdempotentDialTimeout = 250 * time.Millisecond // short, so that the request can still run on another target
 )
 
@@ -43,6 +45,12 @@
 			zap.String("host", truncate(request.Host)), zap.String("path", truncate(request.Path)))
 		return platform.NoRoute{}
 	}
+	if waited := gateway.pauses.Waited(time.Now()); mayBeLate(request, matched, waited) {
+		requestCounts.Add("waited", 1)
+		gateway.log.Info("request refused", zap.String("request", truncate(request.ID)), zap.String("route", matched.Name),
+			zap.String("reason", pausedReason), zap.Duration("paused", waited), zap.Duration("clientTimeout", request.Timeout))
+		return platform.Refusal{RetryAfter: pausedRetry, Reason: pausedReason}
+	}
 	account, rejection := gateway.authenticate(request, matched, table)
 	if rejection != nil {
 		return rejection
@@ -76,6 +84,12 @@
 	}
 }
 
+// mayBeLate reports whether a client may have given up a request that is not idempotent, and sent it to another VM as a new one, while it
+// waited for this process to run again.
+func mayBeLate(request *platform.Request, matched *route.Route, waited time.Duration) bool {
+	return !matched.Idempotent && request.Timeout > 0 && waited >= request.Timeout
+}
+
 // newJob returns a job for a client request; its timeout is the shorter one of the route's and the client's, or defaultTimeout if
 // neither sets one.
 func (gateway *Gateway) newJob(request *platform.Request, matched *route.Route, account *route.Account, path fanout.ClientPath, version int64) *job {
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -50,6 +50,7 @@
 	}
 	for ; ctx.Err() == nil; sleep(ctx, gateway.syncPause()) {
 		now := time.Now()
+		gateway.pauses.Tick(now)
 		gateway.mu.Lock()
 		if gateway.noteEra(now) {
 			subscribedAt = time.Time{} // the source may send a full update of the new era
