Comments say which response buffers the memory budget leaves out

Cause: read once more, a comment and docs/CAPACITY.md said that all responses up to 4 KB are left out; of those without a stated length it is the first 0.5 KB.

Change: wording only.

--- a/poplarpind/http1/response.go
+++ b/poplarpind/http1/response.go
@@ -14,7 +14,7 @@
 	maxHeadBytes     = 16 << 10 // of a response and its interim responses: status lines and header fields
 	maxBodyBytes     = 16 << 20 // of a response whose call sets no limit
 	initialBodyBytes = 512      // first size of the buffer for a body of unknown length
-	unbudgetedBytes  = 4 << 10  // of a body that do not count in the memory budget, so that short responses need none
+	unbudgetedBytes  = 4 << 10  // first size of the buffer for a longer body of known length; first buffers do not count in the memory budget
 )
 
 // invalidResponses counts the calls that ended because of the response, by reason.
