The log of a probe says whether it reached a VM or a target

Cause: "failure domain reached" named only an address, so that a probe which reached a VM read as the recovery of the failure domain's targets. Change: the field probedVM. Measured: nothing; no decision depends on it.

--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -74,6 +74,7 @@
 type Probe struct {
 	FailureDomain   string
 	Address         string
+	VM              bool // the endpoint is an entry VM, not a target
 	unansweredSince time.Time
 }
 
@@ -117,7 +118,7 @@
 	var probes []Probe
 	for _, id := range slices.Sorted(maps.Keys(fleet.endpoints)) {
 		if endpoint := fleet.endpoints[id]; endpoint.FailureDomain == name && endpoint.State == Ready && !fleet.isEvacuated(endpoint) {
-			probes = append(probes, Probe{FailureDomain: name, Address: endpoint.Address, unansweredSince: reachability.unansweredSince})
+			probes = append(probes, Probe{FailureDomain: name, Address: endpoint.Address, VM: endpoint.Peer, unansweredSince: reachability.unansweredSince})
 		}
 	}
 	if len(probes) == 0 {
--- a/poplarpind/gateway/probe.go
+++ b/poplarpind/gateway/probe.go
@@ -106,7 +106,7 @@
 	gateway.mu.Lock()
 	gateway.fleet.FailureDomainReached(probe.FailureDomain)
 	gateway.mu.Unlock()
-	gateway.log.Info("failure domain reached", zap.String("domain", probe.FailureDomain), zap.String("address", probe.Address))
+	gateway.log.Info("failure domain reached", zap.String("domain", probe.FailureDomain), zap.Bool("probedVM", probe.VM), zap.String("address", probe.Address))
 	return true
 }
 
