Failing test: a VM that has lost its own links to the targets does not serve

The test cuts one VM's links to all targets (platformtest.Link: silent, reset, or refused for new connections); on this code each of the three cases fails.

--- /dev/null
+++ b/poplarpind/gateway/stranded_test.go
@@ -0,0 +1,96 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"poplarpin.dev/platform/platformtest"
+)
+
+// strandedDeployment is a VM with links to all targets that can be cut, beside VMs that reach them.
+type strandedDeployment struct {
+	store    *platformtest.Store
+	targets  map[string]*platformtest.Target
+	links    []*platformtest.Link
+	stranded *vm
+	others   []*vm
+}
+
+// newStrandedDeployment starts a VM of the failure domain of the targets, whose links can be cut, and VMs of another one. Alone in its
+// failure domain, the first VM learns the targets' addresses from the store only, which names its links.
+func newStrandedDeployment(t *testing.T) *strandedDeployment {
+	deployment := &strandedDeployment{}
+	deployment.store, deployment.targets = newDeployment(t)
+	for _, target := range deployment.targets {
+		deployment.links = append(deployment.links, platformtest.NewLink(t, target))
+	}
+	settings := newSettings(t, "vm-a1", "a", deployment.store)
+	settings.StoreAddress = deployment.store.Behind(t, deployment.links...)
+	deployment.stranded = startVMWith(t, settings, zap.NewNop())
+	deployment.others = []*vm{startVM(t, "vm-b1", "b", deployment.store), startVM(t, "vm-b2", "b", deployment.store)}
+	for _, vm := range append(deployment.others, deployment.stranded) {
+		waitFor(t, "ready", vm.gateway.Ready)
+	}
+	for _, peer := range []string{"vm-b1", "vm-b2"} {
+		waitFor(t, "the list of VMs", func() bool { return deployment.stranded.gateway.Dump().Endpoint(peer).State == "ready" })
+	}
+	assertServes(t, deployment.stranded, "/g/x", "/o/x")
+	return deployment
+}
+
+func (deployment *strandedDeployment) eachLink(change func(link *platformtest.Link)) {
+	for _, link := range deployment.links {
+		change(link)
+	}
+}
+
+// assertServes waits until a VM serves requests to each path one after another without a failure.
+func assertServes(t *testing.T, vm *vm, paths ...string) {
+	t.Helper()
+	for _, path := range paths {
+		waitFor(t, "ten answers in a row to "+path, func() bool {
+			for range 10 {
+				if status := vm.doWithin(t, path); status != 200 {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+// doWithin sends a request whose client waits for half a second, and returns the status of the answer.
+func (vm *vm) doWithin(t *testing.T, path string) int {
+	request := platformtest.NewRequest(t, http.MethodPost, vm.clients.URL+path, []byte("b"))
+	platformtest.SetTimeout(request, 500*time.Millisecond)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// TestStrandedVM guards against a VM that refuses or holds its callers' requests while only its own links to the targets are cut.
+func TestStrandedVM(t *testing.T) {
+	cuts := map[string]func(*platformtest.Link){
+		"connections hang":                 (*platformtest.Link).Hang,
+		"connections are reset":            (*platformtest.Link).Reset,
+		"only new connections are refused": (*platformtest.Link).Refuse,
+	}
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			deployment := newStrandedDeployment(t)
+			deployment.eachLink(cut)
+			for _, target := range deployment.targets {
+				target.SetHandler(platformtest.LastReply) // no open connection outlives its next answer
+			}
+			assertServes(t, deployment.stranded, "/g/x", "/o/x")
+			assert.Assert(t, deployment.stranded.gateway.Ready())
+			deployment.eachLink((*platformtest.Link).Restore)
+			assertServes(t, deployment.stranded, "/g/x", "/o/x")
+		})
+	}
+}
