--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -24,38 +24,36 @@
 
 // startCall sends a part to the best target other than that of the last call and those that may have processed the part or could not be
 // reached. A target that refused an earlier call or had no connection to spare may be called again. If no target is left and no call of
-// the part is in flight, any target may be called again after an outcome that may be transient.
-func (run *Run) startCall(now time.Time, part *partState, reason string) (Action, bool) {
-	var tried []string
-	for _, earlier := range part.calls {
-		if earlier.viaRelay {
-			continue
-		}
-		if !earlier.ended || earlier.outcome != Refused && earlier.outcome != NoCapacity {
-			tried = append(tried, earlier.endpoint.ID)
-		}
-	}
-	if len(part.calls) > 0 {
-		last := part.calls[len(part.calls)-1]
-		tried = append(tried, run.possibleTargets(last, part)...)
-	}
-	target, ok := run.chooseTarget(now, part.service, tried)
-	if !ok && part.inFlight == 0 && len(part.calls) > 0 && retryableOnSameTarget(part.lastOutcome) {
-		target, ok = run.chooseTarget(now, part.service, nil)
-	}
+// the part is in flight, any target may be called again after an outcome that may be transient. A call that another VM makes is no action yet.
+func (run *Run) startCall(now time.Time, part *partState, reason string) ([]Action, bool) {
+	chosen, ok := run.chooseUntried(now, part)
 	if !ok {
 		return nil, false
 	}
-	call := &call{index: len(run.calls), parts: onePart(part), endpoint: target, started: now,
-		attempt: run.shared.Fleet.StartAttempt(now, target.ID, run.spec.Route)}
+	if part.tries > 0 {
+		run.extraCalls++
+	}
+	if chosen.path == place.Relayed {
+		run.forward(now, part, chosen)
+		return nil, true
+	}
+	call := &call{index: len(run.calls), parts: onePart(part), endpoint: chosen.target, started: now,
+		attempt: run.shared.Fleet.StartAttempt(now, chosen.target.ID, run.spec.Route)}
 	run.calls = append(run.calls, call)
 	part.calls = append(part.calls, call)
 	part.inFlight++
 	part.tries++
-	if part.tries > 1 {
-		run.extraCalls++
+	return []Action{Send{Call: call.index, Target: chosen.target, Reason: reason}}, true
+}
+
+// chooseUntried returns the target of the next call of a part.
+func (run *Run) chooseUntried(now time.Time, part *partState) (chosen, bool) {
+	direct, forwarded := run.tried(part)
+	chosen, ok := run.choose(now, part, direct, forwarded)
+	if !ok && part.inFlight == 0 && len(part.calls) > 0 && retryableOnSameTarget(part.lastOutcome) {
+		return run.choose(now, part, nil, nil)
 	}
-	return Send{Call: call.index, Target: target, Reason: reason}, true
+	return chosen, ok
 }
 
 // chooseTarget returns the best target of a service in the regions that may get the request, except the excluded ones.
@@ -149,13 +147,14 @@
 		if !run.canHedgePart(part) {
 			continue
 		}
-		target, ok := run.chooseTarget(now, part.service, run.possibleTargets(slow, part))
-		if run.postponeHedge(now, slow, target.ID) {
+		excluded := run.possibleTargets(slow, part)
+		alternative, ok := run.choose(now, part, excluded, excluded)
+		if run.postponeHedge(now, slow, alternative.target.ID) {
 			slow.hedged = false
 			continue
 		}
 		part.suppressed = ""
-		if !ok || run.shared.Fleet.Stuck(now, target.ID) {
+		if !ok || run.shared.Fleet.StuckOn(now, alternative.target.ID, alternative.path) {
 			part.suppressed = NoAlternative
 		} else if !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
 			part.suppressed = NoBudget
@@ -164,9 +163,8 @@
 			run.suppressedHedges++
 			continue
 		}
-		if send, ok := run.startCall(now, part, "hedge"); ok {
-			actions = append(actions, send)
-		}
+		sends, _ := run.startCall(now, part, "hedge")
+		actions = append(actions, sends...)
 	}
 	return actions
 }
@@ -198,8 +196,8 @@
 
 // possibleTargets returns the target of a call, or for a relayed call all targets that the relay may have called for the part.
 func (run *Run) possibleTargets(call *call, part *partState) []string {
-	if !call.viaRelay {
-		return []string{call.endpoint.ID}
+	if !call.viaRelay || call.forwarded != nil {
+		return []string{call.targetOf(part)}
 	}
 	return run.shared.Fleet.EndpointIDs(part.service, call.endpoint.FailureDomain)
 }
@@ -218,17 +216,16 @@
 		run.markExhausted(part)
 		return nil
 	}
-	send, ok := run.startCall(now, part, string(part.lastOutcome))
+	sends, ok := run.startCall(now, part, string(part.lastOutcome))
 	if !ok {
 		run.markExhausted(part)
-		return nil
 	}
-	return []Action{send}
+	return sends
 }
 
 // countsAsLoad reports whether a call with this outcome put load on its service, so that a retry draws on the budget.
 func countsAsLoad(outcome Outcome) bool {
-	return outcome != NotSent && outcome != ConnectionLimit && outcome != NoCapacity
+	return !outcome.concernsPath()
 }
 
 // mayRetry reports whether a part may be sent again.
@@ -272,7 +269,7 @@
 func (run *Run) cancelCall(now time.Time, call *call) Action {
 	if call.viaRelay {
 		call.cancelAttempts(now)
-		return Cancel{Call: call.index, CloseConnection: true}
+		return Cancel{Call: call.index, CloseConnection: run.spec.Idempotent}
 	}
 	short := run.shared.Fleet.Baseline(run.spec.Route).Median() < shortCallMedian
 	if short || call.attempt.OnlyInFlight() || !run.spec.Idempotent || run.targetLost && run.answeredParts == 0 {
--- a/core/fanout/canary.go
+++ b/core/fanout/canary.go
@@ -47,13 +47,13 @@
 	if len(part.calls) > 0 {
 		return run.retryPart(now, part, part.lastOutcome)
 	}
-	send, ok := run.startCall(now, part, "first")
+	sends, ok := run.startCall(now, part, "first")
 	if !ok {
 		run.markExhausted(part)
 		return nil
 	}
 	run.directParts++
-	return []Action{send}
+	return sends
 }
 
 // giveUpHeld marks the canary and the held parts as exhausted: another target has crashed, or at least broken off the connection.
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -33,6 +33,11 @@
 	return false
 }
 
+// concernsPath reports whether a call with this outcome has not reached the target, so that it may reach it on another path.
+func (outcome Outcome) concernsPath() bool {
+	return outcome == NotSent || outcome == ConnectionLimit || outcome == NoCapacity
+}
+
 // Action is a step that a Run or RelayRun asks its caller to carry out.
 type Action interface{ action() }
 
@@ -44,17 +49,20 @@
 }
 
 // Relay asks a peer, of another failure domain unless calls are offloaded to a larger VM of the same one, to call the targets of its
-// failure domain for several parts. Results come back through RelayReport and RelayFailed.
+// failure domain for several parts; or any peer to call targets that this VM does not reach. Results come back through RelayReport and
+// RelayFailed.
 type Relay struct {
 	Call  int
 	VM    place.Endpoint
 	Parts []int // indices into Spec.Parts
+	// Targets are those that the relay must call, of whatever failure domain, one for each part; empty if the relay chooses.
+	Targets []string
 	// ReportAfter is how long the relay waits for all parts before it reports the ones it has: as long as a direct call waits for a hedge.
 	ReportAfter time.Duration
 }
 
-// Cancel says that a call's result is no longer needed. CloseConnection closes its connection so that the target stops processing;
-// otherwise the response is read and discarded.
+// Cancel says that a call's result is no longer needed. CloseConnection closes its connection, or tells its relay to, so that the target stops
+// processing; otherwise the response is read and discarded.
 type Cancel struct {
 	Call            int
 	CloseConnection bool
@@ -139,6 +147,8 @@
 	parts          []*partState // one part, or several for a relayed call
 	viaRelay       bool
 	targetAttempts map[int]*place.Attempt // relayed calls only, by part: the attempt at the target that the relay must have called, see startRelay
+	forwarded      map[int]*forwarded     // relayed calls whose targets this VM chose, by part; nil for others
+	near           string                 // failure domain of the targets in forwarded
 	endpoint       place.Endpoint         // the target, or the entry VM that relays
 	attempt        *place.Attempt
 	started        time.Time
@@ -158,6 +168,7 @@
 	answerBy            time.Time // when a partial answer is sent; zero without an objective
 	parts               []partState
 	calls               []*call
+	unsent              []*call // forwarded calls of this step
 	answeredParts       int
 	exhaustedParts      int
 	directParts         int       // parts that were not relayed at the start
@@ -187,7 +198,9 @@
 }
 
 // Start returns the first calls, or a refusal if too few parts have a target.
-func (run *Run) Start(now time.Time) []Action {
+func (run *Run) Start(now time.Time) []Action { return run.takeForwards(now, run.start(now)) }
+
+func (run *Run) start(now time.Time) []Action {
 	for i := range run.parts {
 		run.shared.Budgets.ForService(now, run.parts[i].service).RecordCalls(now, 1)
 	}
@@ -224,11 +237,11 @@
 			continue
 		}
 		run.directParts++
-		if send, ok := run.startCall(now, part, "first"); ok {
-			actions = append(actions, send)
-		} else {
+		sends, ok := run.startCall(now, part, "first")
+		if !ok {
 			run.markExhausted(part)
 		}
+		actions = append(actions, sends...)
 	}
 	return actions
 }
@@ -256,7 +269,9 @@
 }
 
 // Tick sends hedges and retries that are due, and finishes the run at the deadline or when a partial answer is due.
-func (run *Run) Tick(now time.Time) []Action {
+func (run *Run) Tick(now time.Time) []Action { return run.takeForwards(now, run.tick(now)) }
+
+func (run *Run) tick(now time.Time) []Action {
 	if run.finished {
 		return nil
 	}
@@ -346,7 +361,7 @@
 
 // mayHaveRun reports whether a target may have processed the request, or may still do so.
 func (run *Run) mayHaveRun() bool {
-	return slices.ContainsFunc(run.calls, func(call *call) bool { return !call.ended || call.outcome.possiblyRan() })
+	return slices.ContainsFunc(run.parts, func(part partState) bool { return part.inFlight > 0 || part.possibleRuns > 0 })
 }
 
 // Finished reports whether the run has ended.
--- a/core/fanout/fanout_test.go
+++ b/core/fanout/fanout_test.go
@@ -67,8 +67,9 @@
 	run          *fanout.Run
 	now          time.Time
 	sends        map[int]fanout.Send
-	relays       map[int][]int // by call, the parts in flight at the relay
-	parts        map[int][]int // by call or merged report, the parts that it answered
+	relays       map[int][]int          // by call, the parts in flight at the relay
+	forwarded    map[int]map[int]string // by call and part, the targets that the relay must call
+	parts        map[int][]int          // by call or merged report, the parts that it answered
 	openCalls    []int
 	mayHaveRunOn map[string][]string // by service, the targets that may have processed the request
 	arrivals     map[string]int      // by service
@@ -77,7 +78,7 @@
 
 func newSimulation(t *rapid.T, spec fanout.Spec, shared fanout.SharedState) *simulation {
 	return &simulation{t: t, spec: spec, run: fanout.New(spec, shared, start), now: start, sends: map[int]fanout.Send{},
-		relays: map[int][]int{}, parts: map[int][]int{}, mayHaveRunOn: map[string][]string{}, arrivals: map[string]int{}}
+		relays: map[int][]int{}, forwarded: map[int]map[int]string{}, parts: map[int][]int{}, mayHaveRunOn: map[string][]string{}, arrivals: map[string]int{}}
 }
 
 func (simulation *simulation) apply(actions []fanout.Action) {
@@ -89,7 +90,11 @@
 			simulation.parts[action.Call] = []int{slices.Index(simulation.spec.Parts, action.Target.Service)}
 			simulation.openCalls = append(simulation.openCalls, action.Call)
 		case fanout.Relay:
-			simulation.relays[action.Call] = slices.Clone(action.Parts)
+			assert.Assert(simulation.t, len(simulation.responses) == 0, "relayed after the response")
+			simulation.relays[action.Call], simulation.forwarded[action.Call] = slices.Clone(action.Parts), map[int]string{}
+			for i, target := range action.Targets {
+				simulation.forwarded[action.Call][action.Parts[i]] = target
+			}
 			simulation.openCalls = append(simulation.openCalls, action.Call)
 		case fanout.Cancel:
 			simulation.close(action.Call)
@@ -104,20 +109,55 @@
 	simulation.openCalls = slices.DeleteFunc(simulation.openCalls, func(other int) bool { return other == call })
 }
 
-// mayHaveRun records that the target of a call may have processed the request.
+// mayHaveRun records that the target of a call, or those of the parts in flight at a relay, may have processed the request.
 func (simulation *simulation) mayHaveRun(call int) {
-	send, ok := simulation.sends[call]
-	if !ok {
-		return
+	if send, ok := simulation.sends[call]; ok {
+		simulation.mayHaveRunAt(send.Target.Service, send.Target.ID)
+	}
+	for _, part := range simulation.relays[call] {
+		simulation.partMayHaveRun(call, part)
 	}
-	if targets := simulation.mayHaveRunOn[send.Target.Service]; !slices.Contains(targets, send.Target.ID) {
-		simulation.mayHaveRunOn[send.Target.Service] = append(targets, send.Target.ID)
+}
+
+// partMayHaveRun is mayHaveRun for one part of a relayed call, if the relay was told its target.
+func (simulation *simulation) partMayHaveRun(call, part int) {
+	if target, ok := simulation.forwarded[call][part]; ok {
+		simulation.mayHaveRunAt(simulation.spec.Parts[part], target)
+	}
+}
+
+func (simulation *simulation) mayHaveRunAt(service, target string) {
+	if targets := simulation.mayHaveRunOn[service]; !slices.Contains(targets, target) {
+		simulation.mayHaveRunOn[service] = append(targets, target)
 	}
 }
 
 var outcomes = []fanout.Outcome{fanout.Answered, fanout.Answered, fanout.Answered, fanout.Failed, fanout.Refused, fanout.Displaced,
 	fanout.NotSent, fanout.ConnectionLimit, fanout.NoCapacity, fanout.Lost, fanout.InvalidResponse}
 
+// strandRandomly lets this VM lose its own links to the targets of some failure domains, with and without a second VM in its own.
+func strandRandomly(t *rapid.T, fleet *place.Fleet, services []string) {
+	if rapid.Bool().Draw(t, "neighbour") {
+		fleet.Update(start, place.Endpoint{ID: "vm-a", Service: fanout.RelayService("a"), FailureDomain: "a", Slots: 16, State: place.Ready, Peer: true})
+	}
+	for _, domain := range []string{"a", "b", "c"} {
+		if rapid.Bool().Draw(t, "cut off from "+domain) {
+			strand(fleet, domain, services)
+		}
+	}
+}
+
+// strand lets the targets of a failure domain leave calls of this VM unanswered until they count as cut off.
+func strand(fleet *place.Fleet, domain string, services []string) {
+	for range 10 {
+		for _, service := range services {
+			if id := service + "-" + domain; fleet.Has(id) {
+				fleet.StartAttempt(start.Add(-time.Second), id, "r").Discard()
+			}
+		}
+	}
+}
+
 // endOneCall ends a random open call with a random outcome.
 func (simulation *simulation) endOneCall() {
 	call := rapid.SampledFrom(simulation.openCalls).Draw(simulation.t, "call")
@@ -127,18 +167,29 @@
 	}
 	outcome := rapid.SampledFrom(outcomes).Draw(simulation.t, "outcome")
 	simulation.close(call)
-	switch outcome {
-	case fanout.Answered, fanout.Failed, fanout.Lost, fanout.InvalidResponse:
+	if ran(outcome) {
 		simulation.mayHaveRun(call)
 	}
 	simulation.apply(simulation.run.Result(simulation.now, call, outcome))
 }
 
+// ran reports whether a call with this outcome may have been processed.
+func ran(outcome fanout.Outcome) bool {
+	switch outcome {
+	case fanout.Answered, fanout.Failed, fanout.Lost, fanout.InvalidResponse:
+		return true
+	}
+	return false
+}
+
 // reportFromRelay makes a relay answer some of its parts and miss others, or fails the relayed call.
 func (simulation *simulation) reportFromRelay(call int) {
 	if rapid.IntRange(0, 9).Draw(simulation.t, "vanish") == 0 {
 		simulation.close(call)
 		outcome := rapid.SampledFrom([]fanout.Outcome{fanout.Lost, fanout.Refused, fanout.NotSent}).Draw(simulation.t, "loss")
+		if outcome == fanout.Lost {
+			simulation.mayHaveRun(call)
+		}
 		simulation.apply(simulation.run.RelayFailed(simulation.now, call, outcome))
 		return
 	}
@@ -147,10 +198,15 @@
 	for _, part := range simulation.relays[call] {
 		switch rapid.IntRange(0, 3).Draw(simulation.t, "part") {
 		case 0, 1:
+			simulation.partMayHaveRun(call, part)
 			report.Answered = append(report.Answered, part)
 			report.Latencies = append(report.Latencies, simulation.now.Sub(start))
 		case 2:
-			report.Missing = append(report.Missing, fanout.Missing{Part: part, Outcome: rapid.SampledFrom(outcomes[3:]).Draw(simulation.t, "miss")})
+			missing := fanout.Missing{Part: part, Outcome: rapid.SampledFrom(outcomes[3:]).Draw(simulation.t, "miss")}
+			if ran(missing.Outcome) {
+				simulation.partMayHaveRun(call, part)
+			}
+			report.Missing = append(report.Missing, missing)
 		default:
 			left = append(left, part)
 		}
@@ -228,6 +284,7 @@
 		shared.Fleet = newFleetWithReplicas(services, rapid.IntRange(1, 3).Draw(t, "replicas"))
 		spec := gatherSpec(services)
 		spec.Cautious = rapid.Bool().Draw(t, "cautious")
+		strandRandomly(t, shared.Fleet, services)
 		simulation := newSimulation(t, spec, shared)
 		simulation.runToEnd()
 		simulation.assertResponse()
@@ -242,7 +299,9 @@
 		services := serviceNames(1)
 		spec := fanout.Spec{Route: "r", Parts: services, MaxAttempts: rapid.IntRange(1, 3).Draw(t, "attempts"),
 			Objective: objective, Timeout: timeout}
-		simulation := newSimulation(t, spec, newSharedState(services))
+		shared := newSharedState(services)
+		strandRandomly(t, shared.Fleet, services)
+		simulation := newSimulation(t, spec, shared)
 		simulation.runToEnd()
 		simulation.assertResponse()
 		assert.Assert(t, len(simulation.mayHaveRunOn[services[0]]) <= 1, "ran on %v", simulation.mayHaveRunOn)
--- /dev/null
+++ b/core/fanout/forward.go
@@ -0,0 +1,162 @@
+package fanout
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"poplarpin.dev/core/place"
+)
+
+// forwarded is a part of a relayed call whose target this VM chose. Another VM makes the call, since this one does not reach the target.
+type forwarded struct {
+	target  place.Endpoint
+	outcome Outcome // empty while the part is in flight
+}
+
+// chosen is a target and, if another VM must make the call, that VM.
+type chosen struct {
+	target place.Endpoint
+	relay  place.Endpoint
+	path   place.Path
+}
+
+// choose returns the target for the next call of a part: the best one that this VM reaches itself, else one that another VM reaches. A
+// target to which this VM's own calls fail is chosen only if no other VM can be asked.
+func (run *Run) choose(now time.Time, part *partState, exclude, excludeForwarded []string) (chosen, bool) {
+	direct, ok := run.chooseTarget(now, part.service, exclude)
+	if ok && !run.shared.Fleet.Down(now, direct.ID) {
+		return chosen{target: direct}, true
+	}
+	if forward, found := run.chooseForwarded(now, part, excludeForwarded); found {
+		return forward, true
+	}
+	return chosen{target: direct}, ok
+}
+
+// chooseForwarded returns a target of a part and the VM that should call it.
+func (run *Run) chooseForwarded(now time.Time, part *partState, exclude []string) (chosen, bool) {
+	fleet := run.shared.Fleet
+	target, ok := fleet.ChooseRelayed(now, part.service, run.spec.Route, exclude, run.outOfReach(part.service))
+	if !ok {
+		return chosen{}, false
+	}
+	asked := part.relays()
+	for _, unsent := range run.unsent {
+		if unsent.near == target.FailureDomain && len(unsent.parts) < run.maxForwardedParts(unsent.endpoint) && !slices.Contains(asked, unsent.endpoint.ID) {
+			return chosen{target, unsent.endpoint, place.Relayed}, true
+		}
+	}
+	relay, ok := fleet.ChooseRelay(now, relayPrefix+run.spec.Route, target.FailureDomain, asked, run.spec.Regions.Allows)
+	return chosen{target, relay, place.Relayed}, ok
+}
+
+// maxForwardedParts returns how many calls for this request a VM may be asked for in one message.
+func (run *Run) maxForwardedParts(vm place.Endpoint) int {
+	if run.spec.Objective <= 0 {
+		return math.MaxInt
+	}
+	return max(place.CallsWithin(run.spec.Objective/callTimeDivisor, vm.Cores), minRelayedParts)
+}
+
+// relays returns the VMs that were asked to call targets for a part.
+func (part *partState) relays() []string {
+	var names []string
+	for _, call := range part.calls {
+		if call.viaRelay {
+			names = append(names, call.endpoint.ID)
+		}
+	}
+	return names
+}
+
+// forward adds a part to the message that asks a VM to call a target. It is sent at the end of the step, see takeForwards.
+func (run *Run) forward(now time.Time, part *partState, chosen chosen) {
+	i := slices.IndexFunc(run.unsent, func(unsent *call) bool {
+		return unsent.endpoint.ID == chosen.relay.ID && unsent.near == chosen.target.FailureDomain
+	})
+	if i < 0 {
+		i = len(run.unsent)
+		call := run.newRelayedCall(now, chosen.relay)
+		call.near, call.forwarded = chosen.target.FailureDomain, map[int]*forwarded{}
+		run.unsent = append(run.unsent, call)
+	}
+	call := run.unsent[i]
+	call.forwarded[part.index] = &forwarded{target: chosen.target}
+	call.targetAttempts[part.index] = run.shared.Fleet.StartRelayedAttempt(now, chosen.target.ID, run.spec.Route, chosen.relay.FailureDomain)
+	run.addPart(call, part)
+}
+
+// takeForwards adds the messages to other VMs that a step has filled to its actions.
+func (run *Run) takeForwards(now time.Time, actions []Action) []Action {
+	unsent := run.unsent
+	run.unsent = nil
+	for _, call := range unsent {
+		if run.finished || call.ended {
+			continue
+		}
+		relay := Relay{Call: call.index, VM: call.endpoint, ReportAfter: run.reportAfter(now)}
+		for _, part := range call.parts {
+			relay.Parts = append(relay.Parts, part.index)
+			relay.Targets = append(relay.Targets, call.forwarded[part.index].target.ID)
+		}
+		actions = append(actions, relay)
+	}
+	return actions
+}
+
+// partOutcome returns the outcome of a call for a part, and reports whether it has ended.
+func (call *call) partOutcome(part *partState) (Outcome, bool) {
+	if forwarded := call.forwarded[part.index]; forwarded != nil {
+		return forwarded.outcome, forwarded.outcome != ""
+	}
+	return call.outcome, call.ended
+}
+
+// endForwarded records the outcome of a part whose call was forwarded.
+func (call *call) endForwarded(part int, outcome Outcome) {
+	if forwarded := call.forwarded[part]; forwarded != nil && forwarded.outcome == "" {
+		forwarded.outcome = outcome
+	}
+}
+
+// tried returns the targets that the next call of a part must not go to, for calls of this VM and for forwarded ones: those that may have
+// processed the part, have it in flight or could not be reached on that path. A target that refused the part may be called again, except by
+// the call after the refusal.
+func (run *Run) tried(part *partState) (direct, forwarded []string) {
+	for i, earlier := range part.calls {
+		last := i == len(part.calls)-1
+		if earlier.viaRelay && earlier.forwarded == nil {
+			if last { // the relay has chosen the target
+				targets := run.possibleTargets(earlier, part)
+				direct, forwarded = append(direct, targets...), append(forwarded, targets...)
+			}
+			continue
+		}
+		target := earlier.targetOf(part)
+		outcome, ended := earlier.partOutcome(part)
+		switch {
+		case !ended || outcome.possiblyRan():
+			direct, forwarded = append(direct, target), append(forwarded, target)
+		case outcome == Refused:
+			if last {
+				direct, forwarded = append(direct, target), append(forwarded, target)
+			}
+		case earlier.viaRelay:
+			if outcome != NoCapacity {
+				forwarded = append(forwarded, target)
+			}
+		case outcome != NoCapacity || last:
+			direct = append(direct, target)
+		}
+	}
+	return direct, forwarded
+}
+
+// targetOf returns the target of a call for a part, which must not be one that a relay chose.
+func (call *call) targetOf(part *partState) string {
+	if forwarded := call.forwarded[part.index]; forwarded != nil {
+		return forwarded.target.ID
+	}
+	return call.endpoint.ID
+}
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -109,26 +109,47 @@
 // startRelay sends parts to a relay. The relay chooses the targets, so a part counts as an attempt at a target only where the relay's
 // failure domain has a single one for it.
 func (run *Run) startRelay(now time.Time, vm place.Endpoint, indices []int) Action {
-	run.shared.Fleet.SetObjective(relayPrefix+run.spec.Route, run.spec.Objective)
-	call := &call{index: len(run.calls), viaRelay: true, endpoint: vm, started: now,
-		targetAttempts: map[int]*place.Attempt{}, attempt: run.shared.Fleet.StartAttempt(now, vm.ID, relayPrefix+run.spec.Route)}
-	run.calls = append(run.calls, call)
+	call := run.newRelayedCall(now, vm)
 	for _, i := range indices {
 		part := &run.parts[i]
-		call.parts = append(call.parts, part)
-		part.calls = append(part.calls, call)
-		part.inFlight++
-		part.tries++
-		if target, ok := run.shared.Fleet.OnlyCallable(now, part.service, vm.FailureDomain); ok {
-			call.targetAttempts[i] = run.shared.Fleet.StartRelayedAttempt(now, target, run.spec.Route)
+		run.addPart(call, part)
+		if target, ok := run.shared.Fleet.OnlyUsable(now, part.service, vm.FailureDomain); ok {
+			call.targetAttempts[i] = run.shared.Fleet.StartRelayedAttempt(now, target, run.spec.Route, vm.FailureDomain)
 		}
 	}
+	return Relay{Call: call.index, VM: vm, Parts: indices, ReportAfter: run.reportAfter(now)}
+}
+
+// newRelayedCall adds a call without parts to a relay.
+func (run *Run) newRelayedCall(now time.Time, vm place.Endpoint) *call {
+	run.shared.Fleet.SetObjective(relayPrefix+run.spec.Route, run.spec.Objective)
+	call := &call{index: len(run.calls), viaRelay: true, endpoint: vm, started: now,
+		targetAttempts: map[int]*place.Attempt{}, attempt: run.shared.Fleet.StartAttempt(now, vm.ID, relayPrefix+run.spec.Route)}
+	run.calls = append(run.calls, call)
+	return call
+}
+
+// addPart adds a part to a relayed call.
+func (run *Run) addPart(call *call, part *partState) {
+	call.parts = append(call.parts, part)
+	part.calls = append(part.calls, call)
+	part.inFlight++
+	part.tries++
+}
+
+// reportAfter returns how long a relay that is asked now waits for all parts before it reports the ones it has.
+func (run *Run) reportAfter(now time.Time) time.Duration {
 	baseline := run.shared.Fleet.Baseline(run.spec.Route)
-	return Relay{Call: call.index, VM: vm, Parts: indices, ReportAfter: run.hedgeTime(baseline, slowCallDelay(baseline), now).Sub(now)}
+	return run.hedgeTime(baseline, slowCallDelay(baseline), now).Sub(now)
 }
 
 // RelayReport records a report of a relay. If it answers parts, merged is the index by which Deliver refers to its results, else -1.
 func (run *Run) RelayReport(now time.Time, index int, report Report) (merged int, actions []Action) {
+	merged, actions = run.relayReport(now, index, report)
+	return merged, run.takeForwards(now, actions)
+}
+
+func (run *Run) relayReport(now time.Time, index int, report Report) (merged int, actions []Action) {
 	if index < 0 || index >= len(run.calls) || !run.calls[index].viaRelay {
 		return -1, nil
 	}
@@ -136,19 +157,18 @@
 	if call.ended {
 		return -1, nil
 	}
-	call.attempt.Answered(now) // only the first report counts as the latency of the relay
-	for i, part := range report.Answered {
-		if attempt := call.targetAttempts[part]; attempt != nil && i < len(report.Latencies) {
-			attempt.AnsweredAfter(now, report.Latencies[i])
-		}
+	call.recordReport(now, report)
+	if run.finished {
+		call.ended = call.ended || report.Final
+		return -1, nil
 	}
 	merged = run.recordMerged(now, call, report.Answered, &actions)
 	for _, missing := range report.Missing {
-		if attempt := call.targetAttempts[missing.Part]; attempt != nil {
-			recordOutcome(now, attempt, missing.Outcome)
-		}
 		if part := call.removePart(missing.Part); part != nil {
 			run.targetLost = run.targetLost || missing.Outcome == Lost
+			if missing.Outcome == Failed {
+				part.failedCall = call
+			}
 			actions = append(actions, run.retryMissing(now, part, missing.Outcome)...)
 		}
 	}
@@ -164,12 +184,40 @@
 	return merged, append(actions, run.finishIfDone(now)...)
 }
 
+// recordReport updates what the fleet knows of a relay and of the targets that it called.
+func (call *call) recordReport(now time.Time, report Report) {
+	if call.forwarded != nil && report.Final && len(call.forwarded) == len(report.Missing) && !slices.ContainsFunc(report.Missing, made) {
+		call.attempt.InvalidAnswer(now) // the relay reaches none of the targets
+	}
+	call.attempt.Answered(now) // only the first report counts as the latency of the relay
+	for i, part := range report.Answered {
+		call.endForwarded(part, Answered)
+		if attempt := call.targetAttempts[part]; attempt != nil && i < len(report.Latencies) {
+			attempt.AnsweredAfter(now, report.Latencies[i])
+		}
+	}
+	for _, missing := range report.Missing {
+		call.endForwarded(missing.Part, missing.Outcome)
+		attempt := call.targetAttempts[missing.Part]
+		switch {
+		case attempt == nil:
+		case call.forwarded != nil && missing.Outcome == NoCapacity:
+			attempt.Declined(now)
+		default:
+			recordOutcome(now, attempt, missing.Outcome)
+		}
+	}
+}
+
+// made reports whether a relay has tried to call a target for a missing part.
+func made(missing Missing) bool { return missing.Outcome != NoCapacity }
+
 // recordMerged records the parts that one report answers and returns the index of a call that represents their merged results, or -1 if
-// there are none or the report is unusable. The results replace direct answers to the same parts, since results that the relay has merged
-// can't be separated.
+// there are none or the report is unusable. The results replace answers to single parts, since results that the relay has merged can't be
+// separated.
 func (run *Run) recordMerged(now time.Time, call *call, answered []int, actions *[]Action) int {
 	for _, i := range answered {
-		if i < 0 || i >= len(run.parts) || !call.includes(&run.parts[i]) || run.parts[i].answeredBy != nil && run.parts[i].answeredBy.viaRelay {
+		if i < 0 || i >= len(run.parts) || !call.includes(&run.parts[i]) || run.parts[i].answeredBy.isMerged() {
 			return -1 // a part of another call or a duplicate makes the whole report unusable
 		}
 	}
@@ -191,6 +239,9 @@
 	return merged.index
 }
 
+// isMerged reports whether a call represents the merged results of several parts.
+func (call *call) isMerged() bool { return call != nil && call.viaRelay && len(call.parts) > 1 }
+
 // includes reports whether a call was made for a part, even if the part was removed from it since.
 func (call *call) includes(part *partState) bool { return slices.Contains(part.calls, call) }
 
@@ -246,6 +297,7 @@
 	call.discardTargetAttempts()
 	var actions []Action
 	for _, part := range slices.Clone(call.parts) {
+		call.endForwarded(part.index, outcome)
 		actions = append(actions, run.retryMissing(now, part, outcome)...)
 	}
 	call.parts = nil
@@ -254,6 +306,10 @@
 
 // RelayFailed records that a relayed call failed, so that no further reports follow.
 func (run *Run) RelayFailed(now time.Time, index int, outcome Outcome) []Action {
+	return run.takeForwards(now, run.relayFailed(now, index, outcome))
+}
+
+func (run *Run) relayFailed(now time.Time, index int, outcome Outcome) []Action {
 	if index < 0 || index >= len(run.calls) || !run.calls[index].viaRelay {
 		return nil
 	}
--- a/core/fanout/relay_run.go
+++ b/core/fanout/relay_run.go
@@ -1,13 +1,14 @@
 package fanout
 
 import (
+	"slices"
 	"time"
 
 	"poplarpin.dev/core/place"
 )
 
-// RelayRun is the relay's side of a relayed request. It calls targets of its own failure domain once per part. It reports answers
-// together once all calls have ended or Relay.ReportAfter has passed, and later answers one by one; a part without an answer is reported
+// RelayRun is the relay's side of a relayed request. It calls a target once per part: one of its own failure domain, or the one that the
+// requesting VM names. It never asks a further VM. It reports answers together once all calls have ended or Relay.ReportAfter has passed, and later answers one by one; a part without an answer is reported
 // at once, with the answers so far. It neither hedges nor retries: the requesting VM decides that.
 type RelayRun struct {
 	route         string
@@ -22,6 +23,7 @@
 
 type relayPart struct {
 	service  string
+	named    string // target that the requesting VM has chosen; empty for none
 	attempt  *place.Attempt
 	outcome  Outcome // empty while the call is in flight
 	latency  time.Duration
@@ -39,29 +41,46 @@
 	Answered  []int
 	Latencies []time.Duration // by index in Answered, from the start of the relay run to the answer of the target
 	Missing   []Missing
+	Refused   bool // this VM reaches none of the targets; nothing was sent
 	Early     bool // sent after Relay.ReportAfter; the parts not reported so far take longer
 	Final     bool // no further report follows
 }
 
 func (Report) action() {}
 
-// NewRelayRun returns a relay run for the services of some parts that reports early after reportAfter.
-func NewRelayRun(route string, services []string, reportAfter time.Duration, fleet *place.Fleet, now time.Time) *RelayRun {
-	relayRun := &RelayRun{route: route, fleet: fleet, started: now, earlyReportAt: now.Add(reportAfter),
-		parts: make([]relayPart, len(services))}
-	for i, service := range services {
+// RelaySpec describes a relayed request.
+type RelaySpec struct {
+	Route       string
+	Services    []string      // of the parts
+	Targets     []string      // that must be called, one for each part; empty if the relay chooses
+	ReportAfter time.Duration // until the early report
+}
+
+// NewRelayRun returns a relay run that has not started.
+func NewRelayRun(spec RelaySpec, fleet *place.Fleet, now time.Time) *RelayRun {
+	relayRun := &RelayRun{route: spec.Route, fleet: fleet, started: now, earlyReportAt: now.Add(spec.ReportAfter),
+		parts: make([]relayPart, len(spec.Services))}
+	for i, service := range spec.Services {
 		relayRun.parts[i].service = service
+		if len(spec.Targets) > 0 {
+			relayRun.parts[i].named = spec.Targets[i]
+		}
 	}
 	return relayRun
 }
 
-// Start calls a target for each part that has one in this failure domain. Call indices are part indices.
+// Start calls a target for each part that has one which this VM may call, or refuses the request if it reaches none of them. Call indices
+// are part indices.
 func (relayRun *RelayRun) Start(now time.Time) []Action {
+	if !relayRun.reachesTargets(now) {
+		relayRun.ended = true
+		return []Action{Report{Refused: true, Final: true}}
+	}
 	var actions []Action
 	for i := range relayRun.parts {
 		part := &relayRun.parts[i]
-		target, ok := relayRun.fleet.ChooseLocal(now, part.service, relayRun.route)
-		if !ok || relayRun.fleet.Stuck(now, target.ID) {
+		target, ok := relayRun.choose(now, part)
+		if !ok {
 			part.outcome = NoCapacity // the requesting VM can call other targets
 			continue
 		}
@@ -76,6 +95,30 @@
 	return actions
 }
 
+// choose returns the target of a part, and reports whether this VM may call it.
+func (relayRun *RelayRun) choose(now time.Time, part *relayPart) (place.Endpoint, bool) {
+	if part.named != "" {
+		return relayRun.fleet.Callable(now, part.named, part.service)
+	}
+	target, ok := relayRun.fleet.ChooseLocal(now, part.service, relayRun.route)
+	return target, ok && !relayRun.fleet.Stuck(now, target.ID)
+}
+
+// reachesTargets reports whether this VM's own calls reach a target of some part. A few parts show nothing while the failure domain answers,
+// as their targets may be down.
+func (relayRun *RelayRun) reachesTargets(now time.Time) bool {
+	fleet := relayRun.fleet
+	if len(relayRun.parts) < minRelayedParts && !fleet.CutOff(now, fleet.FailureDomain()) {
+		return true
+	}
+	return slices.ContainsFunc(relayRun.parts, func(part relayPart) bool {
+		if part.named != "" {
+			return fleet.Reaches(now, part.named)
+		}
+		return slices.ContainsFunc(fleet.EndpointIDs(part.service, fleet.FailureDomain()), func(id string) bool { return fleet.Reaches(now, id) })
+	})
+}
+
 // Result records the outcome of a part's call.
 func (relayRun *RelayRun) Result(now time.Time, index int, outcome Outcome) []Action {
 	if index < 0 || index >= len(relayRun.parts) || relayRun.parts[index].outcome != "" {
--- a/core/fanout/relay_run_test.go
+++ b/core/fanout/relay_run_test.go
@@ -17,7 +17,7 @@
 func TestRelayRun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		services := serviceNames(rapid.IntRange(1, 9).Draw(t, "parts"))
-		relayRun := fanout.NewRelayRun("r", services, 20*time.Millisecond, newFleet(services), start)
+		relayRun := fanout.NewRelayRun(fanout.RelaySpec{Route: "r", Services: services, ReportAfter: 20 * time.Millisecond}, newFleet(services), start)
 		now, open, reported, final := start, []int{}, map[int]int{}, 0
 		apply := func(actions []fanout.Action) {
 			for _, action := range actions {
@@ -37,6 +37,8 @@
 					if action.Final {
 						final++
 					}
+				default:
+					t.Fatalf("a relay must not ask another VM: %T", action)
 				}
 			}
 		}
@@ -59,7 +61,7 @@
 // TestRelayRunReportsEarly guards against a slow target that delays the results of the other parts beyond the requested time.
 func TestRelayRunReportsEarly(t *testing.T) {
 	services := serviceNames(9)
-	relayRun := fanout.NewRelayRun("r", services, 20*time.Millisecond, newFleet(services), start)
+	relayRun := fanout.NewRelayRun(fanout.RelaySpec{Route: "r", Services: services, ReportAfter: 20 * time.Millisecond}, newFleet(services), start)
 	sends := relayRun.Start(start)
 	var open []int
 	for _, action := range sends {
@@ -105,7 +107,7 @@
 // TestRelayRunWithoutTargets guards against a report after the final one: a relay that has no target for any part reports so at once,
 // and must not send the early report too.
 func TestRelayRunWithoutTargets(t *testing.T) {
-	relayRun := fanout.NewRelayRun("r", []string{"x1", "x2"}, 20*time.Millisecond, newFleet(serviceNames(2)), start)
+	relayRun := fanout.NewRelayRun(fanout.RelaySpec{Route: "r", Services: []string{"x1", "x2"}, ReportAfter: 20 * time.Millisecond}, newFleet(serviceNames(2)), start)
 	actions := relayRun.Start(start)
 	assert.Equal(t, len(actions), 1)
 	assert.Assert(t, actions[0].(fanout.Report).Final)
--- a/core/fanout/results.go
+++ b/core/fanout/results.go
@@ -9,6 +9,10 @@
 
 // Result records the outcome of a call and returns the resulting actions. Cancelled calls only update the fleet.
 func (run *Run) Result(now time.Time, index int, outcome Outcome) []Action {
+	return run.takeForwards(now, run.result(now, index, outcome))
+}
+
+func (run *Run) result(now time.Time, index int, outcome Outcome) []Action {
 	if index < 0 || index >= len(run.calls) {
 		return nil
 	}
@@ -87,7 +91,7 @@
 }
 
 // retry sends a part again if no other call of it is in flight: at once, or after a delay if the target had no capacity or could not
-// be reached and the part was already sent to every target that can be called.
+// be reached and the part was already sent to every target that can be called. A part is given up if no VM can be asked to call a target.
 func (run *Run) retry(now time.Time, part *partState, outcome Outcome) []Action {
 	if part.inFlight > 0 {
 		return nil
@@ -105,7 +109,12 @@
 		return nil
 	}
 	if outcome == Refused || outcome == NoCapacity || outcome == NotSent || outcome == ConnectionLimit {
-		if _, ok := run.chooseTarget(now, part.service, part.targetIDs()); !ok {
+		direct, forwarded := part.targetIDs()
+		if _, ok := run.choose(now, part, direct, forwarded); !ok {
+			if _, ok := run.choose(now, part, nil, nil); !ok {
+				run.markExhausted(part)
+				return nil
+			}
 			part.retryAt = now.Add(refusedRetryDelay << (part.tries - 1))
 			if part.retryAt.After(run.deadline) || run.pausedBeyond(now, part, part.retryAt) {
 				part.retryAt = time.Time{}
@@ -117,13 +126,19 @@
 	return run.sendRetry(now, part)
 }
 
-// targetIDs returns the ids of the targets that a part was sent to.
-func (part *partState) targetIDs() []string {
-	ids := make([]string, len(part.calls))
-	for i, call := range part.calls {
-		ids[i] = call.endpoint.ID
+// targetIDs returns the ids of the targets that the next call of a part should not go to at once, for calls of this VM and for forwarded ones.
+func (part *partState) targetIDs() (direct, forwarded []string) {
+	for _, call := range part.calls {
+		target := call.targetOf(part)
+		if call.forwarded == nil {
+			direct = append(direct, target)
+		}
+		outcome, _ := call.partOutcome(part)
+		if call.forwarded != nil && outcome != NoCapacity || call.forwarded == nil && !outcome.concernsPath() {
+			forwarded = append(forwarded, target)
+		}
 	}
-	return ids
+	return direct, forwarded
 }
 
 // finishIfDone ends the run if it is complete, a partial answer is due or the remaining parts cannot make it succeed.
--- a/core/fleetload/fleet_load_test.go
+++ b/core/fleetload/fleet_load_test.go
@@ -403,7 +403,7 @@
 		services[i] = serviceNames(run.load.shards)[part]
 	}
 	run.message(vm, relayVM, func() {
-		relayRun := fanout.NewRelayRun(request.class.name, services, relay.ReportAfter, relayVM.fleet, run.now)
+		relayRun := fanout.NewRelayRun(fanout.RelaySpec{Route: request.class.name, Services: services, Targets: relay.Targets, ReportAfter: relay.ReportAfter}, relayVM.fleet, run.now)
 		request.relayRuns[relay.Call] = relayRun
 		var apply func(actions []fanout.Action)
 		apply = func(actions []fanout.Action) {
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -28,6 +28,8 @@
 type Attempt struct {
 	fleet    *Fleet
 	endpoint *trackedEndpoint
+	path     Path
+	group    *reachability // whose reachability the call shows: that of the endpoint, or of the relay
 	baseline *Baseline
 	started  time.Time
 	expected time.Duration
@@ -43,18 +45,34 @@
 // ChooseInReach is Choose for a request that may not use the endpoints in outOfReach. A leaving target is chosen only if there is no other
 // in reach, even if that one is excluded.
 func (fleet *Fleet) ChooseInReach(now time.Time, service, route string, exclude, outOfReach []string) (Endpoint, bool) {
-	baseline := fleet.Baseline(route)
+	return fleet.choose(now, fleet.services[service], fleet.ownCosts(route), func(endpoint *trackedEndpoint) bool {
+		return fleet.directlyCallable(now, endpoint) && !slices.Contains(exclude, endpoint.ID) && !slices.Contains(outOfReach, endpoint.ID) &&
+			!(endpoint.leaves() && fleet.hasStaying(now, service, outOfReach))
+	})
+}
+
+// costs says how the cost of calls to endpoints is estimated.
+type costs struct {
+	baseline      *Baseline
+	path          Path
+	failureDomain string // in which endpoints cost least
+}
+
+// ownCosts returns the costs of this VM's own calls on a route.
+func (fleet *Fleet) ownCosts(route string) costs {
+	return costs{fleet.Baseline(route), Direct, fleet.failureDomain}
+}
+
+// choose returns the permitted endpoint with the lowest cost, and reports whether there is one. Ties are broken at random.
+func (fleet *Fleet) choose(now time.Time, endpoints []*trackedEndpoint, costs costs, permits func(*trackedEndpoint) bool) (Endpoint, bool) {
 	var best *trackedEndpoint
 	var bestCost time.Duration
 	ties := 0
-	for _, endpoint := range fleet.services[service] {
-		if !fleet.directlyCallable(now, endpoint) || slices.Contains(exclude, endpoint.ID) || slices.Contains(outOfReach, endpoint.ID) {
+	for _, endpoint := range endpoints {
+		if !permits(endpoint) {
 			continue
 		}
-		if endpoint.leaves() && fleet.hasStaying(now, service, outOfReach) {
-			continue
-		}
-		cost := fleet.cost(now, endpoint, baseline)
+		cost := costs.of(now, endpoint)
 		switch {
 		case best == nil || cost < bestCost:
 			best, bestCost, ties = endpoint, cost, 1
@@ -71,21 +89,21 @@
 	return best.Endpoint, true
 }
 
-// cost estimates the latency of one more call at an endpoint and adds penalties for signs of failure. Penalties only rank endpoints, so
+// of estimates the latency of one more call at an endpoint and adds penalties for signs of failure. Penalties only rank endpoints, so
 // that a failing one is still called if there is no other.
-func (fleet *Fleet) cost(now time.Time, endpoint *trackedEndpoint, baseline *Baseline) time.Duration {
+func (costs costs) of(now time.Time, endpoint *trackedEndpoint) time.Duration {
 	slots := float64(max(endpoint.Slots, 1))
 	queue := endpoint.reportedQueue(now, float64(len(endpoint.attempts))/slots)
 	factor := endpoint.reportedSlowness(now, endpoint.expectedSlowness(now)) * (1 + queue)
-	if endpoint.FailureDomain != fleet.failureDomain {
+	if endpoint.FailureDomain != costs.failureDomain {
 		factor *= remoteFactor
 	}
 	if endpoint.Peer && endpoint.Cores > 0 {
 		factor /= min(endpoint.Cores, 1) // an entry VM with a fraction of a core is slower in proportion
 	}
-	cost := time.Duration(float64(baseline.Median()) * factor)
-	if overdue := endpoint.overdue(now); overdue > 0 {
-		cost += 2*baseline.Median() + overdue
+	cost := time.Duration(float64(costs.baseline.Median()) * factor)
+	if overdue := endpoint.overdue(now, costs.path); overdue > 0 {
+		cost += 2*costs.baseline.Median() + overdue
 	}
 	if !endpoint.missingSince.IsZero() {
 		cost += missingPenalty
@@ -93,7 +111,7 @@
 	if now.Before(endpoint.deprioritizedUntil) {
 		cost += deprioritizedPenalty
 	}
-	if now.Before(endpoint.downUntil) {
+	if endpoint.down(now, costs.path) {
 		cost += downPenalty
 	}
 	if endpoint.leaves() {
@@ -124,12 +142,15 @@
 	return slowness
 }
 
-// overdue returns the longest time by which a call in flight exceeds the delay that shows a stuck endpoint.
-func (endpoint *trackedEndpoint) overdue(now time.Time) time.Duration {
+// overdue returns the longest time by which a call in flight on a path exceeds the delay that shows a stuck endpoint.
+func (endpoint *trackedEndpoint) overdue(now time.Time, path Path) time.Duration {
 	worst := time.Duration(0)
 	for _, attempt := range endpoint.attempts {
+		if attempt.path != path {
+			continue
+		}
 		limit := max(time.Duration(stuckFactor*float64(attempt.expected)), minStuckDelay)
-		if attempt.started.Before(endpoint.lastAnswer) {
+		if attempt.started.Before(endpoint.paths[path].lastAnswer) {
 			limit *= 2 // it has answered or refused a call since: this call is slow, the endpoint is not stuck
 		}
 		worst = max(worst, now.Sub(attempt.started)-limit)
@@ -137,10 +158,13 @@
 	return worst
 }
 
-// Stuck reports whether an endpoint has stopped answering, is down or is not known.
-func (fleet *Fleet) Stuck(now time.Time, id string) bool {
+// Stuck reports whether an endpoint has stopped answering this VM, is down or is not known.
+func (fleet *Fleet) Stuck(now time.Time, id string) bool { return fleet.StuckOn(now, id, Direct) }
+
+// StuckOn is Stuck for calls on a path.
+func (fleet *Fleet) StuckOn(now time.Time, id string, path Path) bool {
 	endpoint, ok := fleet.endpoints[id]
-	return !ok || endpoint.overdue(now) > 0 || now.Before(endpoint.downUntil)
+	return !ok || endpoint.overdue(now, path) > 0 || endpoint.down(now, path)
 }
 
 // StartAttempt records that a call was sent to an endpoint.
@@ -149,12 +173,22 @@
 		fleet.recordColdCall(now, endpoint)
 		fleet.recordLimitedCall(now, endpoint)
 	}
-	return fleet.StartRelayedAttempt(now, id, route)
+	attempt := fleet.newAttempt(now, id, route, Direct)
+	attempt.group = fleet.reachabilityOf(attempt.endpoint.group())
+	attempt.group.sent(now)
+	return attempt
 }
 
-// StartRelayedAttempt is StartAttempt for a call that a relay is assumed to have sent.
-func (fleet *Fleet) StartRelayedAttempt(now time.Time, id, route string) *Attempt {
-	attempt := &Attempt{fleet: fleet, baseline: fleet.Baseline(route), started: now}
+// StartRelayedAttempt is StartAttempt for a call that a relay of a failure domain is assumed to have sent.
+func (fleet *Fleet) StartRelayedAttempt(now time.Time, id, route, relayDomain string) *Attempt {
+	attempt := fleet.newAttempt(now, id, route, Relayed)
+	attempt.group = fleet.reachabilityOf(endpointGroup{relayDomain, true})
+	attempt.group.sent(now)
+	return attempt
+}
+
+func (fleet *Fleet) newAttempt(now time.Time, id, route string, path Path) *Attempt {
+	attempt := &Attempt{fleet: fleet, path: path, baseline: fleet.Baseline(route), started: now}
 	endpoint, ok := fleet.endpoints[id]
 	if !ok {
 		endpoint = &trackedEndpoint{Endpoint: Endpoint{ID: id}, slowness: 1, reported: &reportedState{}} // the endpoint was removed after it was chosen
@@ -162,7 +196,6 @@
 	attempt.endpoint = endpoint
 	attempt.expected = time.Duration(float64(attempt.baseline.Median()) * endpoint.expectedSlowness(now))
 	endpoint.attempts = append(endpoint.attempts, attempt)
-	fleet.reachabilityOf(endpoint.FailureDomain).sent(now)
 	return attempt
 }
 
@@ -185,9 +218,8 @@
 		return
 	}
 	endpoint := attempt.endpoint
-	attempt.fleet.reachabilityOf(endpoint.FailureDomain).answered()
-	endpoint.lastAnswer = now
-	endpoint.downUntil, endpoint.downTime, endpoint.failures = time.Time{}, 0, 0
+	attempt.group.answered()
+	endpoint.paths[attempt.path].answered(now)
 	attempt.observe(now, latency)
 	attempt.baseline.record(latency)
 }
@@ -219,10 +251,10 @@
 		return
 	}
 	endpoint := attempt.endpoint
-	attempt.fleet.reachabilityOf(endpoint.FailureDomain).answered()
-	endpoint.lastAnswer = now
+	attempt.group.answered()
+	endpoint.paths[attempt.path].lastAnswer = now
 	if endpoint.Peer {
-		endpoint.markDown(now)
+		endpoint.paths[Direct].markDown(now)
 		return
 	}
 	endpoint.deprioritizedUntil = now.Add(deprioritizeFor)
@@ -239,7 +271,7 @@
 // Displaced records that another endpoint answers at the address.
 func (attempt *Attempt) Displaced() {
 	if attempt.end() {
-		attempt.fleet.reachabilityOf(attempt.endpoint.FailureDomain).answered()
+		attempt.group.answered()
 		attempt.endpoint.displaced = true
 	}
 }
@@ -247,42 +279,51 @@
 // Unreachable records that the endpoint could not be reached.
 func (attempt *Attempt) Unreachable(now time.Time) {
 	if attempt.end() {
-		attempt.endpoint.markDown(now)
+		for _, state := range attempt.failedPaths() {
+			state.markDown(now)
+		}
+	}
+}
+
+// Declined records that the relay did not make the call.
+func (attempt *Attempt) Declined(now time.Time) {
+	if attempt.end() {
+		attempt.endpoint.paths[Relayed].recordFailure(now)
 	}
 }
 
 // ConnectionBroken records that the connection broke or was not accepted. A healthy endpoint causes this too if it has reached its
 // connection limit or loses some answers, so only several in a row indicate that it is down.
 func (attempt *Attempt) ConnectionBroken(now time.Time) {
-	if !attempt.end() {
-		return
+	if attempt.end() {
+		attempt.recordFailure(now)
 	}
-	attempt.endpoint.recordFailure(now)
 }
 
 // recordFailure deprioritizes the endpoint and penalizes it after several failures without an answer in between.
-func (endpoint *trackedEndpoint) recordFailure(now time.Time) {
-	endpoint.deprioritizedUntil = now.Add(deprioritizeFor)
-	if endpoint.failures++; endpoint.failures >= failuresLimit {
-		endpoint.markDown(now)
+func (attempt *Attempt) recordFailure(now time.Time) {
+	attempt.endpoint.deprioritizedUntil = now.Add(deprioritizeFor)
+	for _, state := range attempt.failedPaths() {
+		state.recordFailure(now)
 	}
 }
 
-// markDown penalizes the endpoint for a time that doubles with each consecutive failure, up to maxDownTime.
-func (endpoint *trackedEndpoint) markDown(now time.Time) {
-	if now.Before(endpoint.downUntil) {
-		return
+// failedPaths returns the paths on which a failed call shows that the endpoint may be down. A failure at a relay, which can be the only one
+// that calls the endpoint, shows it for both; a failure of this VM's own call may be due to its own connection.
+func (attempt *Attempt) failedPaths() []*pathState {
+	paths := &attempt.endpoint.paths
+	if attempt.path == Relayed {
+		return []*pathState{&paths[Direct], &paths[Relayed]}
 	}
-	endpoint.downTime = min(max(minDownTime, 2*endpoint.downTime), maxDownTime)
-	endpoint.downUntil = now.Add(endpoint.downTime)
+	return []*pathState{&paths[Direct]}
 }
 
 // InvalidAnswer records that the answer was unusable. The endpoint is reachable, but several in a row indicate that it answers nothing
 // else, such as bytes without end.
 func (attempt *Attempt) InvalidAnswer(now time.Time) {
 	if attempt.end() {
-		attempt.fleet.reachabilityOf(attempt.endpoint.FailureDomain).answered()
-		attempt.endpoint.recordFailure(now)
+		attempt.group.answered()
+		attempt.recordFailure(now)
 	}
 }
 
@@ -292,7 +333,7 @@
 // Withdraw records that the call was not sent, so that it shows nothing about its failure domain either.
 func (attempt *Attempt) Withdraw() {
 	if attempt.end() {
-		attempt.fleet.reachabilityOf(attempt.endpoint.FailureDomain).withdrawn()
+		attempt.group.withdrawn()
 	}
 }
 
@@ -318,7 +359,8 @@
 	FailureDomain string     `json:"zone"`
 	Slowness      float64    `json:"slowness"`
 	InFlight      int        `json:"inFlight"`
-	Down          bool       `json:"down"`
+	Down          bool       `json:"down"`        // for this VM's own calls
+	RelayedDown   bool       `json:"relayedDown"` // for calls of other VMs
 	Missing       bool       `json:"missing"`
 	Leaving       bool       `json:"leaving"`
 	PausedUntil   *time.Time `json:"pausedUntil,omitempty"` // nil if it is not paused
@@ -332,7 +374,7 @@
 	views := make([]EndpointView, 0, len(fleet.endpoints))
 	for _, endpoint := range fleet.endpoints {
 		view := EndpointView{ID: endpoint.ID, Service: endpoint.Service, State: endpoint.State, FailureDomain: endpoint.FailureDomain,
-			Slowness: endpoint.slowness, InFlight: len(endpoint.attempts), Down: now.Before(endpoint.downUntil), Missing: !endpoint.missingSince.IsZero(),
+			Slowness: endpoint.slowness, InFlight: len(endpoint.attempts), Down: endpoint.down(now, Direct), RelayedDown: endpoint.down(now, Relayed), Missing: !endpoint.missingSince.IsZero(),
 			Leaving: endpoint.leaves(), Cold: fleet.coldLeft(now, endpoint) > 0}
 		if until := endpoint.reported.pausedUntil; now.Before(until) {
 			view.PausedUntil = &until
--- a/core/place/cold.go
+++ b/core/place/cold.go
@@ -176,7 +176,7 @@
 	var names []string
 	for _, vm := range fleet.vmsOf(now, failureDomain) {
 		if !slices.ContainsFunc(fleet.services[service], func(endpoint *trackedEndpoint) bool {
-			return endpoint.FailureDomain == failureDomain && fleet.callable(now, endpoint) && fleet.hasShare(now, endpoint, vm)
+			return endpoint.FailureDomain == failureDomain && fleet.usable(now, endpoint) && fleet.hasShare(now, endpoint, vm)
 		}) {
 			names = append(names, vm)
 		}
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -17,25 +18,42 @@
 	cutOffMinCalls     = 6                      // unanswered calls before a failure domain is cut off
 )
 
-// reachability tracks whether a failure domain answers.
+// endpointGroup is what this VM reaches on one path: the targets of a failure domain, or its entry VMs.
+type endpointGroup struct {
+	failureDomain string
+	vms           bool
+}
+
+// other returns the other group of the failure domain.
+func (group endpointGroup) other() endpointGroup {
+	return endpointGroup{group.failureDomain, !group.vms}
+}
+
+// group returns the group of an endpoint.
+func (endpoint Endpoint) group() endpointGroup {
+	return endpointGroup{endpoint.FailureDomain, endpoint.Peer}
+}
+
+// reachability tracks whether a group answers.
 type reachability struct {
 	unansweredSince time.Time // time of the first call since its last answer; zero for none
 	unansweredCalls int       // calls since its last answer
+	answers         int       // answers and connections so far
 	failedProbes    int       // since its last answer
 	probedAt        time.Time // of the last probes while it was suspected; zero for none
 }
 
-// reachabilityOf returns the reachability of a failure domain, which starts as reachable.
-func (fleet *Fleet) reachabilityOf(name string) *reachability {
-	found, ok := fleet.failureDomains[name]
+// reachabilityOf returns the reachability of a group, which starts as reachable.
+func (fleet *Fleet) reachabilityOf(group endpointGroup) *reachability {
+	found, ok := fleet.groups[group]
 	if !ok {
 		found = &reachability{}
-		fleet.failureDomains[name] = found
+		fleet.groups[group] = found
 	}
 	return found
 }
 
-// sent records a call to the failure domain.
+// sent records a call to the group.
 func (reachability *reachability) sent(now time.Time) {
 	if reachability.unansweredSince.IsZero() {
 		reachability.unansweredSince = now
@@ -43,10 +61,11 @@
 	reachability.unansweredCalls++
 }
 
-// answered records an answer or a connection from the failure domain.
+// answered records an answer or a connection from the group.
 func (reachability *reachability) answered() {
 	reachability.unansweredSince, reachability.unansweredCalls = time.Time{}, 0
 	reachability.failedProbes, reachability.probedAt = 0, time.Time{}
+	reachability.answers++
 }
 
 // withdrawn takes back a call that was not sent.
@@ -56,43 +75,55 @@
 	}
 }
 
-// cutOff reports whether the failure domain has left at least cutOffMinCalls calls unanswered, for at least cutOffAfter or so that probes
-// have failed meanwhile.
+// cutOff reports whether the group has left at least cutOffMinCalls calls unanswered for at least cutOffAfter, or probes have failed since its
+// last answer.
 func (reachability *reachability) cutOff(now time.Time) bool {
-	return reachability.unanswered(now, cutOffAfter) || reachability.unanswered(now, suspectAfter) && reachability.failedProbes >= suspectProbes
+	return reachability.unanswered(now, cutOffAfter) || reachability.failedProbes >= suspectProbes
 }
 
-// unanswered reports whether the failure domain has left at least cutOffMinCalls calls unanswered for a time.
+// unanswered reports whether the group has left at least cutOffMinCalls calls unanswered for a time.
 func (reachability *reachability) unanswered(now time.Time, span time.Duration) bool {
 	return reachability.unansweredCalls >= cutOffMinCalls && now.Sub(reachability.unansweredSince) >= span
 }
 
-// FailureDomainReached records that a connection to a failure domain was established.
-func (fleet *Fleet) FailureDomainReached(name string) { fleet.reachabilityOf(name).answered() }
+// Reached records that a connection to a probed endpoint was established.
+func (fleet *Fleet) Reached(probe Probe) { fleet.reachabilityOf(probe.group).answered() }
 
-// Probe names an endpoint to connect to in a failure domain that seems or may be cut off.
+// Probe names an endpoint to connect to in a group that seems or may be cut off.
 type Probe struct {
-	FailureDomain   string
-	Address         string
-	VM              bool // the endpoint is an entry VM, not a target
-	unansweredSince time.Time
+	FailureDomain string
+	Address       string
+	group         endpointGroup
+	answers       int // of the group before the probe
 }
 
-// Probes returns a random ready endpoint of each failure domain that seems cut off. Such a domain gets no calls, so that
-// a probe must show whether it answers again.
+// VM reports whether the endpoint is an entry VM, not a target.
+func (probe Probe) VM() bool { return probe.group.vms }
+
+// Probes returns a random ready endpoint of each group that seems cut off. Such a group gets no calls, so that a probe must show whether it
+// answers again.
 func (fleet *Fleet) Probes(now time.Time) []Probe {
 	var probes []Probe
-	for _, name := range slices.Sorted(maps.Keys(fleet.failureDomains)) {
-		if reachability := fleet.failureDomains[name]; reachability.cutOff(now) {
-			probes = append(probes, fleet.probesOf(name, reachability, 1)...)
+	for _, group := range fleet.sortedGroups() {
+		if fleet.groups[group].cutOff(now) {
+			probes = append(probes, fleet.probesOf(group, 1)...)
 		}
 	}
 	return probes
 }
 
-// AwaitsAnswers reports whether a failure domain that is not cut off has left enough calls unanswered to become suspect.
+func (fleet *Fleet) sortedGroups() []endpointGroup {
+	return slices.SortedFunc(maps.Keys(fleet.groups), func(a, b endpointGroup) int {
+		if !a.vms && b.vms {
+			return cmp.Or(cmp.Compare(a.failureDomain, b.failureDomain), -1)
+		}
+		return cmp.Or(cmp.Compare(a.failureDomain, b.failureDomain), 1)
+	})
+}
+
+// AwaitsAnswers reports whether a group that is not cut off has left enough calls unanswered to become suspect.
 func (fleet *Fleet) AwaitsAnswers(now time.Time) bool {
-	for _, reachability := range fleet.failureDomains {
+	for _, reachability := range fleet.groups {
 		if reachability.unanswered(now, 0) && !reachability.cutOff(now) {
 			return true
 		}
@@ -100,25 +131,33 @@
 	return false
 }
 
-// SuspectProbes returns random ready endpoints of each failure domain that has not answered for suspectAfter, once in each suspectAfter.
-// While one answers slowly, they connect; while it is cut off, they show that sooner than further calls that fail.
+// SuspectProbes returns random ready endpoints of each group that has not answered for suspectAfter, and of the other group of its failure
+// domain, once in each suspectAfter. While a group answers slowly, they connect; while it is cut off, they show that sooner than further
+// calls that fail.
 func (fleet *Fleet) SuspectProbes(now time.Time) []Probe {
 	var probes []Probe
-	for name, reachability := range fleet.failureDomains {
-		if reachability.unanswered(now, suspectAfter) && !reachability.cutOff(now) && now.Sub(reachability.probedAt) >= suspectAfter {
-			reachability.probedAt = now
-			probes = append(probes, fleet.probesOf(name, reachability, suspectProbes)...)
+	for _, suspect := range fleet.sortedGroups() {
+		reachability := fleet.groups[suspect]
+		if !reachability.unanswered(now, suspectAfter) || reachability.cutOff(now) || now.Sub(reachability.probedAt) < suspectAfter {
+			continue
+		}
+		reachability.probedAt = now
+		probes = append(probes, fleet.probesOf(suspect, suspectProbes)...)
+		if other := fleet.reachabilityOf(suspect.other()); !other.cutOff(now) {
+			probes = append(probes, fleet.probesOf(suspect.other(), suspectProbes)...)
 		}
 	}
 	return probes
 }
 
-// probesOf returns probes of up to count random endpoints of a failure domain. One without ready endpoints counts as answering.
-func (fleet *Fleet) probesOf(name string, reachability *reachability, count int) []Probe {
+// probesOf returns probes of random endpoints of a group, several of the same one if it has fewer than count. A group without ready endpoints
+// counts as answering.
+func (fleet *Fleet) probesOf(probed endpointGroup, count int) []Probe {
+	reachability := fleet.reachabilityOf(probed)
 	var probes []Probe
 	for _, id := range slices.Sorted(maps.Keys(fleet.endpoints)) {
-		if endpoint := fleet.endpoints[id]; endpoint.FailureDomain == name && endpoint.State == Ready && !fleet.isEvacuated(endpoint) {
-			probes = append(probes, Probe{FailureDomain: name, Address: endpoint.Address, VM: endpoint.Peer, unansweredSince: reachability.unansweredSince})
+		if endpoint := fleet.endpoints[id]; endpoint.group() == probed && endpoint.State == Ready && !fleet.isEvacuated(endpoint) {
+			probes = append(probes, Probe{FailureDomain: probed.failureDomain, Address: endpoint.Address, group: probed, answers: reachability.answers})
 		}
 	}
 	if len(probes) == 0 {
@@ -126,35 +165,41 @@
 		return nil
 	}
 	fleet.random.Shuffle(len(probes), func(i, j int) { probes[i], probes[j] = probes[j], probes[i] })
-	return probes[:min(count, len(probes))]
+	for i := 0; len(probes) < count; i++ {
+		probes = append(probes, probes[i])
+	}
+	return probes[:count]
 }
 
-// ProbeFailed records that an endpoint could not be connected to, unless its failure domain has answered since the probe was made.
+// ProbeFailed records that an endpoint could not be connected to, unless its group has answered since the probe was made.
 func (fleet *Fleet) ProbeFailed(probe Probe) {
-	if reachability := fleet.reachabilityOf(probe.FailureDomain); reachability.unansweredSince.Equal(probe.unansweredSince) {
+	if reachability := fleet.reachabilityOf(probe.group); reachability.answers == probe.answers {
 		reachability.failedProbes++
 	}
 }
 
-// CutOffDomains returns the number of failure domains that seem cut off.
-func (fleet *Fleet) CutOffDomains(now time.Time) int {
-	count := 0
-	for _, reachability := range fleet.failureDomains {
-		if reachability.cutOff(now) {
-			count++
+// CutOffDomains returns the number of failure domains whose targets seem cut off from this VM, and of those whose other VMs do.
+func (fleet *Fleet) CutOffDomains(now time.Time) (targets, vms int) {
+	for group, reachability := range fleet.groups {
+		switch {
+		case !reachability.cutOff(now):
+		case group.vms:
+			vms++
+		default:
+			targets++
 		}
 	}
-	return count
+	return targets, vms
 }
 
-// Isolated reports whether every other failure domain with ready endpoints seems cut off, and there is at least one.
+// Isolated reports whether the targets and the VMs of every other failure domain with ready endpoints seem cut off, and there is at least one.
 func (fleet *Fleet) Isolated(now time.Time) bool {
 	cutOff := false
 	for _, endpoint := range fleet.endpoints {
 		if endpoint.FailureDomain == fleet.failureDomain || endpoint.State != Ready || fleet.isEvacuated(endpoint) {
 			continue
 		}
-		if !fleet.reachabilityOf(endpoint.FailureDomain).cutOff(now) {
+		if !fleet.reachabilityOf(endpoint.group()).cutOff(now) {
 			return false
 		}
 		cutOff = true
@@ -173,10 +218,9 @@
 	return count > 0 && float64(count) >= minCoverage*float64(len(services))
 }
 
-// callable reports whether an endpoint may be called at all, however high its cost.
+// callable reports whether this VM may connect to an endpoint, however high its cost.
 func (fleet *Fleet) callable(now time.Time, endpoint *trackedEndpoint) bool {
-	return endpoint.State == Ready && !endpoint.displaced && !fleet.isEvacuated(endpoint) && !endpoint.graceExpired(now) &&
-		!fleet.reachabilityOf(endpoint.FailureDomain).cutOff(now) && !now.Before(endpoint.reported.pausedUntil) && !fleet.left(now, endpoint.reported)
+	return fleet.usable(now, endpoint) && !fleet.reachabilityOf(endpoint.group()).cutOff(now)
 }
 
 // directlyCallable reports whether this VM may call an endpoint itself, not only through a relay.
@@ -194,11 +238,14 @@
 }
 
 // CallsWithin returns how many calls this VM's processor can make within a time.
-func (fleet *Fleet) CallsWithin(limit time.Duration) int {
-	if fleet.cores <= 0 {
+func (fleet *Fleet) CallsWithin(limit time.Duration) int { return CallsWithin(limit, fleet.cores) }
+
+// CallsWithin returns how many calls a number of cores can make within a time; 0 cores stand for an unknown number.
+func CallsWithin(limit time.Duration, cores float64) int {
+	if cores <= 0 {
 		return math.MaxInt
 	}
-	return int(float64(limit) * fleet.cores / float64(callCPUTime))
+	return int(float64(limit) * cores / float64(callCPUTime))
 }
 
 // ShouldOffload reports whether the calls would occupy all cores of this VM for longer than limit while the relay service has a
@@ -208,7 +255,7 @@
 		return false
 	}
 	return slices.ContainsFunc(fleet.services[relayService], func(peer *trackedEndpoint) bool {
-		return peer.Cores >= offloadCoresFactor*fleet.cores && fleet.callable(now, peer) && !now.Before(peer.downUntil)
+		return peer.Cores >= offloadCoresFactor*fleet.cores && fleet.callable(now, peer) && !peer.down(now, Direct)
 	})
 }
 
@@ -220,14 +267,14 @@
 
 // BestAllowedFailureDomains is BestFailureDomains for a request that only some regions may get; the others do not count.
 func (fleet *Fleet) BestAllowedFailureDomains(now time.Time, service, route string, includeOwn bool, allows func(region string) bool) []string {
-	baseline := fleet.Baseline(route)
+	ownCosts := fleet.ownCosts(route)
 	best, bestCost := "", time.Duration(0)
 	costs := map[string]time.Duration{}
 	for _, endpoint := range fleet.services[service] {
-		if !fleet.directlyCallable(now, endpoint) || now.Before(endpoint.downUntil) || !allows(fleet.regions[endpoint.FailureDomain]) {
+		if !fleet.directlyCallable(now, endpoint) || endpoint.down(now, Direct) || !allows(fleet.regions[endpoint.FailureDomain]) {
 			continue
 		}
-		cost := fleet.cost(now, endpoint, baseline)
+		cost := ownCosts.of(now, endpoint)
 		if best == "" || cost < bestCost {
 			best, bestCost = endpoint.FailureDomain, cost
 		}
@@ -262,11 +309,11 @@
 	return ids
 }
 
-// OnlyCallable returns the id of the one endpoint of a service in a failure domain that can be called; it reports false if there are
+// OnlyUsable returns the id of the one endpoint of a service in a failure domain that a relay there can call; it reports false if there are
 // none or several.
-func (fleet *Fleet) OnlyCallable(now time.Time, service, failureDomain string) (id string, ok bool) {
+func (fleet *Fleet) OnlyUsable(now time.Time, service, failureDomain string) (id string, ok bool) {
 	for _, endpoint := range fleet.services[service] {
-		if endpoint.FailureDomain != failureDomain || !fleet.callable(now, endpoint) {
+		if endpoint.FailureDomain != failureDomain || !fleet.usable(now, endpoint) {
 			continue
 		}
 		if ok {
--- a/core/place/leaving.go
+++ b/core/place/leaving.go
@@ -186,7 +186,7 @@
 // hasStaying reports whether a service has an endpoint in reach that can be called, is not down and is not leaving.
 func (fleet *Fleet) hasStaying(now time.Time, service string, outOfReach []string) bool {
 	return slices.ContainsFunc(fleet.services[service], func(endpoint *trackedEndpoint) bool {
-		return !endpoint.leaves() && fleet.directlyCallable(now, endpoint) && !now.Before(endpoint.downUntil) &&
+		return !endpoint.leaves() && fleet.directlyCallable(now, endpoint) && !endpoint.down(now, Direct) &&
 			!slices.Contains(outOfReach, endpoint.ID)
 	})
 }
--- /dev/null
+++ b/core/place/path.go
@@ -0,0 +1,120 @@
+package place
+
+import (
+	"slices"
+	"time"
+)
+
+// Path is a way on which calls of this VM reach an endpoint. What one path shows says nothing about the other.
+type Path int
+
+// The paths to endpoints.
+const (
+	Direct  Path = iota // a connection of this VM
+	Relayed             // a connection of another VM, to a target
+)
+
+const maxRelayCandidates = 32 // VMs of one failure domain that are compared for one call
+
+// pathState is what the calls on one path have shown of an endpoint.
+type pathState struct {
+	downUntil  time.Time
+	downTime   time.Duration
+	failures   int       // broken connections and invalid answers since its last answer
+	lastAnswer time.Time // of the last answer or refusal, to whichever call
+}
+
+// markDown penalizes the path for a time that doubles with each consecutive failure, up to maxDownTime.
+func (state *pathState) markDown(now time.Time) {
+	if now.Before(state.downUntil) {
+		return
+	}
+	state.downTime = min(max(minDownTime, 2*state.downTime), maxDownTime)
+	state.downUntil = now.Add(state.downTime)
+}
+
+// recordFailure penalizes the path after several failures without an answer in between.
+func (state *pathState) recordFailure(now time.Time) {
+	if state.failures++; state.failures >= failuresLimit {
+		state.markDown(now)
+	}
+}
+
+// answered ends all penalties.
+func (state *pathState) answered(now time.Time) { *state = pathState{lastAnswer: now} }
+
+// down reports whether calls on a path to an endpoint fail.
+func (endpoint *trackedEndpoint) down(now time.Time, path Path) bool {
+	return now.Before(endpoint.paths[path].downUntil)
+}
+
+// Down reports whether this VM's own calls to an endpoint fail.
+func (fleet *Fleet) Down(now time.Time, id string) bool {
+	endpoint, ok := fleet.endpoints[id]
+	return !ok || endpoint.down(now, Direct)
+}
+
+// usable reports whether an endpoint may get calls, on whichever path.
+func (fleet *Fleet) usable(now time.Time, endpoint *trackedEndpoint) bool {
+	return endpoint.State == Ready && !endpoint.displaced && !fleet.isEvacuated(endpoint) && !endpoint.graceExpired(now) &&
+		!now.Before(endpoint.reported.pausedUntil) && !fleet.left(now, endpoint.reported)
+}
+
+// ChooseRelayed returns the target of a service that another VM should call for this one, and reports whether there is one: of the targets
+// that this VM does not reach, the one with the lowest cost that is not excluded, out of reach or down for other VMs.
+func (fleet *Fleet) ChooseRelayed(now time.Time, service, route string, exclude, outOfReach []string) (Endpoint, bool) {
+	return fleet.choose(now, fleet.services[service], costs{fleet.Baseline(route), Relayed, fleet.failureDomain}, func(endpoint *trackedEndpoint) bool {
+		return fleet.usable(now, endpoint) && !fleet.reaches(now, endpoint) && !endpoint.down(now, Relayed) && !endpoint.leaves() &&
+			!slices.Contains(exclude, endpoint.ID) && !slices.Contains(outOfReach, endpoint.ID)
+	})
+}
+
+// Reaches reports whether this VM's own calls reach an endpoint.
+func (fleet *Fleet) Reaches(now time.Time, id string) bool {
+	endpoint, ok := fleet.endpoints[id]
+	return ok && fleet.reaches(now, endpoint)
+}
+
+// Callable returns the endpoint of a service with an id, and reports whether this VM may call it and reaches it.
+func (fleet *Fleet) Callable(now time.Time, id, service string) (Endpoint, bool) {
+	endpoint, ok := fleet.endpoints[id]
+	if !ok || endpoint.Service != service || !fleet.directlyCallable(now, endpoint) || endpoint.down(now, Direct) {
+		return Endpoint{}, false
+	}
+	return endpoint.Endpoint, true
+}
+
+func (fleet *Fleet) reaches(now time.Time, endpoint *trackedEndpoint) bool {
+	return !endpoint.down(now, Direct) && !fleet.reachabilityOf(endpoint.group()).cutOff(now)
+}
+
+// ChooseRelay returns the entry VM that should make a call to a target of a failure domain for this VM, and reports whether there is one: the
+// VM with the lowest cost that answers, is not excluded and is in a region that may get the request. VMs next to the target cost least, as
+// only they need no further hop between failure domains.
+func (fleet *Fleet) ChooseRelay(now time.Time, route, failureDomain string, exclude []string, allows func(region string) bool) (Endpoint, bool) {
+	var candidates []*trackedEndpoint
+	for service := range fleet.relayServices {
+		vms := fleet.services[service]
+		if len(vms) == 0 || !allows(fleet.regions[vms[0].FailureDomain]) {
+			continue
+		}
+		first, left := fleet.random.IntN(len(vms)), maxRelayCandidates
+		for i := range vms {
+			vm := vms[(first+i)%len(vms)]
+			if left == 0 {
+				break
+			}
+			if vm.down(now, Direct) || !fleet.callable(now, vm) || vm.overdue(now, Direct) > 0 || slices.Contains(exclude, vm.ID) {
+				continue
+			}
+			candidates = append(candidates, vm)
+			left--
+		}
+	}
+	return fleet.choose(now, candidates, costs{fleet.Baseline(route), Direct, failureDomain}, func(*trackedEndpoint) bool { return true })
+}
+
+// CutOff reports whether the targets of a failure domain do not answer this VM.
+func (fleet *Fleet) CutOff(now time.Time, failureDomain string) bool {
+	return fleet.reachabilityOf(endpointGroup{failureDomain, false}).cutOff(now)
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -43,38 +43,36 @@
 	slownessUpdated    time.Time      // when slowness was last updated
 	lastSlowCall       time.Time      // when slowness was last updated with a ratio of at least suspectSlowness
 	attempts           []*Attempt
-	downUntil          time.Time
-	downTime           time.Duration
-	failures           int // broken connections and invalid answers since its last answer
+	paths              [2]pathState
 	deprioritizedUntil time.Time
-	lastAnswer         time.Time // of the last answer or refusal, to whichever call
-	displaced          bool      // another endpoint answers at its address
+	displaced          bool // another endpoint answers at its address
 }
 
 // Fleet is one VM's view of all endpoints.
 type Fleet struct {
-	failureDomain  string
-	cores          float64 // processor cores of this VM; 0 if unknown
-	random         *rand.Rand
-	endpoints      map[string]*trackedEndpoint
-	services       map[string][]*trackedEndpoint
-	failureDomains map[string]*reachability
-	regions        map[string]string // by failure domain; nil if unknown
-	evacuated      map[string]bool   // by failure domain
-	baselines      map[string]*Baseline
-	observations   []Observation                  // not yet shared with other VMs
-	departed       map[incarnation]*reportedState // of targets whose entry was removed or replaced
-	maxDrainDelay  time.Duration                  // within which a leaving target must get no more requests
-	hints          []string                       // targets whose leaving or pause is not yet shared with other VMs
-	stateChanges   []StateChange                  // not yet taken
-	vms            vmList
-	cold           coldLimits
+	failureDomain string
+	cores         float64 // processor cores of this VM; 0 if unknown
+	random        *rand.Rand
+	endpoints     map[string]*trackedEndpoint
+	services      map[string][]*trackedEndpoint
+	relayServices map[string]bool // services of entry VMs
+	groups        map[endpointGroup]*reachability
+	regions       map[string]string // by failure domain; nil if unknown
+	evacuated     map[string]bool   // by failure domain
+	baselines     map[string]*Baseline
+	observations  []Observation                  // not yet shared with other VMs
+	departed      map[incarnation]*reportedState // of targets whose entry was removed or replaced
+	maxDrainDelay time.Duration                  // within which a leaving target must get no more requests
+	hints         []string                       // targets whose leaving or pause is not yet shared with other VMs
+	stateChanges  []StateChange                  // not yet taken
+	vms           vmList
+	cold          coldLimits
 }
 
 // New returns a fleet without endpoints for a VM with this failure domain and number of processor cores.
 func New(failureDomain string, cores float64, random *rand.Rand) *Fleet {
 	return &Fleet{failureDomain: failureDomain, cores: cores, random: random, endpoints: map[string]*trackedEndpoint{},
-		services: map[string][]*trackedEndpoint{}, failureDomains: map[string]*reachability{}, baselines: map[string]*Baseline{},
+		services: map[string][]*trackedEndpoint{}, relayServices: map[string]bool{}, groups: map[endpointGroup]*reachability{}, baselines: map[string]*Baseline{},
 		departed: map[incarnation]*reportedState{}, maxDrainDelay: defaultDrainDelay,
 		vms:  vmList{members: map[string]time.Time{}, ownRanks: map[rankKey]ownRank{}},
 		cold: coldLimits{bounds: ColdBounds{Overshoot: 1}, calls: map[string][]time.Time{}}}
@@ -93,6 +91,9 @@
 		found = &trackedEndpoint{slowness: 1, reported: fleet.takeState(endpoint)}
 		fleet.endpoints[endpoint.ID] = found
 		fleet.services[endpoint.Service] = append(fleet.services[endpoint.Service], found)
+		if endpoint.Peer {
+			fleet.relayServices[endpoint.Service] = true
+		}
 	}
 	changed := !ok || found.State != endpoint.State || !found.missingSince.IsZero()
 	found.Endpoint, found.missingSince = endpoint, time.Time{}
@@ -122,6 +123,7 @@
 	}
 	if len(fleet.services[removed.Service]) == 0 {
 		delete(fleet.services, removed.Service)
+		delete(fleet.relayServices, removed.Service)
 	}
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -200,7 +201,7 @@
 	t.Run("a connection ends the isolation", func(t *testing.T) {
 		fleet := newFleet(all...)
 		now := silence(fleet, "b", "c")
-		fleet.FailureDomainReached("b")
+		fleet.Reached(fleet.Probes(now)[0])
 		assert.Assert(t, !fleet.Isolated(now))
 	})
 	t.Run("a failure domain whose probes fail is cut off before calls show it", func(t *testing.T) {
@@ -228,6 +229,25 @@
 		}
 		assert.Equal(t, len(fleet.Probes(now.Add(time.Second))), 0)
 	})
+	t.Run("VMs and targets of a failure domain are reached on different paths", func(t *testing.T) {
+		vm := place.Endpoint{ID: "vm", Service: "vms", FailureDomain: "b", State: place.Ready, Peer: true}
+		fleet := newFleet(append(all, vm)...)
+		now := silence(fleet, "b")
+		fleet.StartAttempt(now, "vm", route).Answered(now)
+		assert.Assert(t, fleet.CutOff(now, "b"))
+		_, ok := fleet.Choose(now, "vms", route, nil)
+		assert.Assert(t, ok, "a VM of a failure domain whose targets are cut off")
+	})
+	t.Run("the other path to a suspect failure domain is probed too", func(t *testing.T) {
+		vm := place.Endpoint{ID: "vm", Service: "vms", FailureDomain: "b", State: place.Ready, Peer: true}
+		fleet := newFleet(append(all, vm)...)
+		now := burst(fleet, "b")
+		for _, probe := range fleet.SuspectProbes(now) {
+			fleet.ProbeFailed(probe)
+		}
+		_, ok := fleet.Choose(now, "vms", route, nil)
+		assert.Assert(t, !ok)
+	})
 	t.Run("calls that are not sent do not make a failure domain suspect", func(t *testing.T) {
 		fleet := newFleet(all...)
 		for range 20 {
@@ -251,6 +271,62 @@
 	})
 }
 
+// TestPaths guards against targets that count as down for all VMs because this one does not reach them, or the other way round.
+func TestPaths(t *testing.T) {
+	relayed := func(fleet *place.Fleet) bool {
+		_, ok := fleet.ChooseRelayed(start, "s", route, nil, nil)
+		return ok
+	}
+	t.Run("a target that this VM reaches needs no relay", func(t *testing.T) {
+		assert.Assert(t, !relayed(newFleet(target("a0", "a"))))
+	})
+	t.Run("one that it does not reach is called by others", func(t *testing.T) {
+		fleet := newFleet(target("a0", "a"))
+		fleet.StartAttempt(start, "a0", route).Unreachable(start)
+		assert.Assert(t, fleet.Down(start, "a0") && relayed(fleet))
+	})
+	t.Run("one that others do not reach either is not", func(t *testing.T) {
+		fleet := newFleet(target("a0", "a"))
+		fleet.StartRelayedAttempt(start, "a0", route, "a").Unreachable(start)
+		assert.Assert(t, fleet.Down(start, "a0") && !relayed(fleet))
+	})
+	t.Run("nor is one for which several relays have declined", func(t *testing.T) {
+		fleet := newFleet(target("a0", "a"))
+		fleet.StartAttempt(start, "a0", route).Unreachable(start)
+		for range 3 {
+			assert.Assert(t, relayed(fleet))
+			fleet.StartRelayedAttempt(start, "a0", route, "a").Declined(start)
+		}
+		assert.Assert(t, !relayed(fleet))
+	})
+	t.Run("an answer to another VM does not end this VM's own trouble", func(t *testing.T) {
+		fleet := newFleet(target("a0", "a"))
+		fleet.StartAttempt(start, "a0", route).Unreachable(start)
+		fleet.StartRelayedAttempt(start, "a0", route, "a").Answered(start)
+		assert.Assert(t, fleet.Down(start, "a0") && relayed(fleet))
+	})
+}
+
+// TestChooseRelay guards against relays that are down, excluded or outside the permitted regions, and against needless hops.
+func TestChooseRelay(t *testing.T) {
+	vm := func(id, domain string) place.Endpoint {
+		return place.Endpoint{ID: id, Service: "relay/" + domain, FailureDomain: domain, Slots: 16, State: place.Ready, Peer: true}
+	}
+	fleet := newFleet(vm("vm-a", "a"), vm("vm-b1", "b"), vm("vm-b2", "b"), vm("vm-c", "c"))
+	fleet.SetRegions(map[string]string{"a": "x", "b": "x", "c": "y"})
+	choose := func(domain string, exclude []string, regions string) string {
+		chosen, _ := fleet.ChooseRelay(start, "r", domain, exclude, func(region string) bool { return strings.Contains(regions, region) })
+		return chosen.ID
+	}
+	assert.Equal(t, choose("a", nil, "xy"), "vm-a")
+	assert.Equal(t, choose("c", nil, "xy"), "vm-c")
+	assert.Equal(t, choose("b", []string{"vm-b1"}, "xy"), "vm-b2")
+	assert.Equal(t, choose("c", []string{"vm-a", "vm-b1"}, "x"), "vm-b2")
+	fleet.StartAttempt(start, "vm-b2", "r").Refused(start)
+	assert.Equal(t, choose("b", nil, "x"), "vm-b1")
+	assert.Equal(t, choose("b", []string{"vm-a", "vm-b1"}, "x"), "")
+}
+
 func TestShouldOffload(t *testing.T) {
 	peer := func(id string, cores float64) place.Endpoint {
 		return place.Endpoint{ID: id, Service: "vms", FailureDomain: "a", Slots: 16, State: place.Ready, Cores: cores, Peer: true}
--- a/core/rpc/gather.go
+++ b/core/rpc/gather.go
@@ -1,6 +1,8 @@
 package rpc
 
 import (
+	"net/http"
+
 	"poplarpin.dev/core/config"
 	"poplarpin.dev/core/fanout"
 )
@@ -12,13 +14,16 @@
 	MethodGatherCancel = "gatherCancel" // notification: GatherCancel
 )
 
-// Gather asks an entry VM to call targets of its failure domain for some parts of a request.
+// Gather asks an entry VM to call targets of its failure domain, or the targets that it names, for some parts of a request. The receiver
+// calls them itself and asks no further VM.
 type Gather struct {
 	QueryID      string          `json:"query"`  // unique within the requesting VM's incarnation
 	ShardsDigest uint64          `json:"shards"` // digest of the route's shards, which the indices in Parts refer to
 	Route        string          `json:"route"`
-	Parts        []int           `json:"parts"` // indices into the route's shards
-	RequestID    string          `json:"id"`    // ID of the client's request
+	Parts        []int           `json:"parts"`             // indices into the route's shards; 0 for the only part of a route that does not gather
+	Targets      []string        `json:"targets,omitempty"` // ids of the targets to call, one for each part; empty if the receiver chooses
+	Once         bool            `json:"once,omitempty"`    // the request is not idempotent
+	RequestID    string          `json:"id"`                // ID of the client's request
 	Method       string          `json:"method"`
 	Head         []byte          `json:"head"` // request line and the headers common to all calls
 	Body         []byte          `json:"body,omitempty"`
@@ -34,9 +39,17 @@
 	Stamps          []string         `json:"stamps,omitempty"`  // the targets' signatures, one for each answered part
 	LatenciesMicros []int            `json:"took,omitempty"`    // latency of the target's answer, one for each answered part
 	Records         []byte           `json:"records,omitempty"`
-	Missing         []fanout.Missing `json:"missing,omitempty"` // parts that will not be answered
-	Overdue         bool             `json:"early,omitempty"`   // the parts in neither list take longer than ReportAfter
-	Final           bool             `json:"final,omitempty"`   // the last message on the query
+	Response        *Response        `json:"response,omitempty"` // of the target of a route that does not gather, instead of records
+	Missing         []fanout.Missing `json:"missing,omitempty"`  // parts that will not be answered
+	Overdue         bool             `json:"early,omitempty"`    // the parts in neither list take longer than ReportAfter
+	Final           bool             `json:"final,omitempty"`    // the last message on the query
+}
+
+// Response is the response of a target.
+type Response struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
 }
 
 // GatherCancel cancels a Gather whose result is no longer needed.
@@ -55,6 +68,9 @@
 	if len(gather.Parts) == 0 || len(gather.Parts) > MaxCalls {
 		return invalid("gather", "number of parts %d is out of range", len(gather.Parts))
 	}
+	if len(gather.Targets) > 0 && len(gather.Targets) != len(gather.Parts) {
+		return invalid("gather", "%d targets for %d parts", len(gather.Targets), len(gather.Parts))
+	}
 	return nil
 }
 
@@ -63,6 +79,9 @@
 	if gatherResult.QueryID == "" || len(gatherResult.Parts) != len(gatherResult.Stamps) || len(gatherResult.LatenciesMicros) != len(gatherResult.Parts) || len(gatherResult.Parts) > MaxCalls {
 		return invalid("gathered", "query %q has %d parts and %d stamps; each part needs a stamp and a latency", gatherResult.QueryID, len(gatherResult.Parts), len(gatherResult.Stamps))
 	}
+	if response := gatherResult.Response; response != nil && (response.Status < 200 || response.Status > 999) {
+		return invalid("gathered", "status %d is no final status", response.Status)
+	}
 	return nil
 }
 
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -44,6 +44,7 @@
 	currentSeeds        atomic.Pointer[[]string]
 	stopping            atomic.Bool
 	isolated            atomic.Bool               // cut off from targets that most recent requests need; other VMs may still reach them
+	cutOffTargets       atomic.Int64              // failure domains whose targets this VM does not reach
 	isolatedChanged     atomic.Pointer[time.Time] // nil until the first change
 	activeRequests      atomic.Int64              // client requests in flight
 	hasSuspects         atomic.Bool               // suspects is not empty
@@ -74,6 +75,7 @@
 	lastQueryID         int64                     // of the queries that this VM sends to relays
 	relayedCalls        map[string]relayedCall    // outgoing: calls of this VM that peers relay, by query ID
 	relayJobs           map[string]*job           // incoming: requests that this VM relays for peers, by peer and query ID
+	forwardLimit        *fanout.ForwardLimit      // on calls that this VM makes to targets that peers do not reach
 	suspectsWatched     bool                      // a look at failure domains with unanswered calls is due
 	targetsKnown        bool                      // a complete list of targets was received
 	limiters            map[string]*admit.Limiter // limits on concurrent requests, by first shard; routes that share it share a limiter
@@ -102,6 +104,7 @@
 		subscribers:       map[string]*subscriber{},
 		relayedCalls:      map[string]relayedCall{},
 		relayJobs:         map[string]*job{},
+		forwardLimit:      fanout.NewForwardLimit(settings.Cores),
 		limiters:          map[string]*admit.Limiter{},
 		retryPacers:       map[string]*admit.RetryPacer{},
 		routeRequests:     map[string]float64{},
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -182,7 +182,7 @@
 
 // cancelCall cancels a call whose result is no longer needed.
 func (job *job) cancelCall(cancel fanout.Cancel) {
-	if job.gateway.cancelRelay(job, cancel.Call) {
+	if job.gateway.cancelRelay(job, cancel) {
 		return
 	}
 	job.gateway.mu.Lock()
--- a/poplarpind/gateway/probe.go
+++ b/poplarpind/gateway/probe.go
@@ -78,11 +78,15 @@
 func (gateway *Gateway) checkIsolation() {
 	now := time.Now()
 	gateway.mu.Lock()
-	isolated, cutOff := gateway.fleet.Isolated(now) && !gateway.canServeMost(now), gateway.fleet.CutOffDomains(now)
+	isolated := gateway.fleet.Isolated(now) && !gateway.canServeMost(now)
+	targets, vms := gateway.fleet.CutOffDomains(now)
 	gateway.mu.Unlock()
+	if before := gateway.cutOffTargets.Swap(int64(targets)); before != int64(targets) {
+		gateway.log.Warn("reach of targets changed", zap.Int("domainsWithoutTargets", targets), zap.Int("domainsWithoutVMs", vms))
+	}
 	if gateway.isolated.Swap(isolated) != isolated {
 		gateway.isolatedChanged.Store(&now)
-		gateway.log.Warn("isolation changed", zap.Bool("isolated", isolated), zap.Int("cutOffDomains", cutOff))
+		gateway.log.Warn("isolation changed", zap.Bool("isolated", isolated), zap.Int("cutOffDomains", targets))
 	}
 }
 
@@ -95,8 +99,8 @@
 	return max(balancerRemovalTime-time.Since(*changedAt), minDelay)
 }
 
-// tryConnect connects to an endpoint of a failure domain that seems cut off and reports whether it succeeded; the failure domain then
-// counts as reachable.
+// tryConnect connects to a target or VM of a failure domain that seems cut off and reports whether it succeeded; the domain's targets, or its
+// VMs, then count as reachable.
 func (gateway *Gateway) tryConnect(probe place.Probe, timeout time.Duration) bool {
 	conn, err := net.DialTimeout("tcp", probe.Address, timeout)
 	if err != nil {
@@ -104,9 +108,9 @@
 	}
 	_ = conn.Close() // nothing was sent on it
 	gateway.mu.Lock()
-	gateway.fleet.FailureDomainReached(probe.FailureDomain)
+	gateway.fleet.Reached(probe)
 	gateway.mu.Unlock()
-	gateway.log.Info("failure domain reached", zap.String("domain", probe.FailureDomain), zap.Bool("probedVM", probe.VM), zap.String("address", probe.Address))
+	gateway.log.Info("failure domain reached", zap.String("domain", probe.FailureDomain), zap.Bool("probedVM", probe.VM()), zap.String("address", probe.Address))
 	return true
 }
 
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -13,6 +13,7 @@
 	"poplarpin.dev/core/fanout"
 	"poplarpin.dev/core/route"
 	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/platform"
 	"poplarpin.dev/poplarpind/peer"
 )
 
@@ -26,6 +27,11 @@
 // startRelay sends parts of a request to a peer, which calls targets of its failure domain for them.
 func (gateway *Gateway) startRelay(job *job, relay fanout.Relay) {
 	callCounts.Add("relayed", 1)
+	if len(relay.Targets) > 0 {
+		callCounts.Add("forwarded", 1)
+		gateway.log.Info("calls forwarded", zap.String("request", truncate(job.request.ID)), zap.String("relay", relay.VM.ID),
+			zap.Strings("targets", relay.Targets), zap.Duration("elapsed", time.Since(job.started)))
+	}
 	gateway.mu.Lock()
 	gateway.lastQueryID++
 	queryID := strconv.FormatInt(gateway.lastQueryID, 36)
@@ -33,7 +39,7 @@
 	job.relayQueries[relay.Call] = queryID
 	gateway.mu.Unlock()
 	message := rpc.Gather{
-		QueryID: queryID, Route: job.route.Name, ShardsDigest: job.route.Destination.(route.Gather).ShardsDigest, Parts: relay.Parts,
+		QueryID: queryID, Route: job.route.Name, ShardsDigest: shardsDigest(job.route), Parts: relay.Parts, Targets: relay.Targets, Once: !job.route.Idempotent,
 		RequestID: job.request.ID, Method: job.request.Method, Head: job.request.Head(), Body: job.request.Body,
 		Timeout:     config.Duration(max(time.Until(job.deadline), time.Millisecond)),
 		ReportAfter: config.Duration(relay.ReportAfter),
@@ -43,15 +49,22 @@
 	})
 }
 
-// cancelRelay cancels a call at the peer that relays it; it reports whether the call was relayed.
-func (gateway *Gateway) cancelRelay(job *job, index int) bool {
+// shardsDigest returns the digest of a route's shards, 0 for a route without any.
+func shardsDigest(matched *route.Route) uint64 {
+	gather, _ := matched.Destination.(route.Gather)
+	return gather.ShardsDigest
+}
+
+// cancelRelay cancels a call at the peer that relays it, or only forgets it if the call must be left to complete; it reports whether the
+// call was relayed.
+func (gateway *Gateway) cancelRelay(job *job, cancel fanout.Cancel) bool {
 	gateway.mu.Lock()
-	queryID, ok := job.relayQueries[index]
+	queryID, ok := job.relayQueries[cancel.Call]
 	call := gateway.relayedCalls[queryID]
 	delete(gateway.relayedCalls, queryID)
 	peer, known := gateway.fleet.Endpoint(call.relayVM)
 	gateway.mu.Unlock()
-	if ok && known {
+	if ok && known && cancel.CloseConnection {
 		gateway.mesh.Notify(call.relayVM, peer.Address, rpc.MethodGatherCancel, rpc.GatherCancel{QueryID: queryID}, func() {})
 	}
 	return ok
@@ -78,13 +91,25 @@
 	}
 	gateway.step(call.job, func(now time.Time) []fanout.Action {
 		merged, actions := call.job.clientRun.RelayReport(now, call.index, report)
-		if merged >= 0 {
-			call.job.relayResults[merged] = message
-		}
+		call.job.keepResult(call.index, merged, message)
 		return actions
 	})
 }
 
+// keepResult stores the results of a relayed call, under the index of its merged results if it has any; the caller holds the gateway's mu.
+func (job *job) keepResult(index, merged int, result rpc.GatherResult) {
+	if result.Response == nil {
+		if merged >= 0 {
+			job.relayResults[merged] = result
+		}
+		return
+	}
+	if merged >= 0 {
+		index = merged
+	}
+	job.replies[index] = platform.Reply{Status: result.Response.Status, Header: result.Response.Header, Body: result.Response.Body}
+}
+
 // endRelay ends a relayed call that will bring no more results.
 func (gateway *Gateway) endRelay(queryID, relayVM string, outcome fanout.Outcome) {
 	gateway.mu.Lock()
@@ -163,6 +188,7 @@
 // serveGather starts the calls to targets that a peer asks for, or refuses the request.
 func (gateway *Gateway) serveGather(from string, reply peer.Reply, gather rpc.Gather) {
 	refuse := func(reason string) {
+		callCounts.Add("relayRefused", 1)
 		gateway.log.Info("relay request refused", zap.String("request", truncate(gather.RequestID)), zap.String("peer", from), zap.String("reason", reason))
 		reply(rpc.MethodGatherResult, rpc.GatherResult{QueryID: gather.QueryID, Refused: true, Final: true})
 	}
@@ -172,14 +198,14 @@
 		return
 	}
 	matched := table.ByName(gather.Route)
-	destination, ok := matched.Destination.(route.Gather)
-	if !ok || destination.ShardsDigest != gather.ShardsDigest || slices.Max(gather.Parts) >= len(destination.Shards) || slices.Min(gather.Parts) < 0 {
-		refuse("the route's shards or the part indices do not match this VM's configuration")
+	services, ok := gateway.servicesOf(matched, gather)
+	if !ok || matched.Idempotent == gather.Once {
+		refuse("the route's shards, targets or kind, or the part indices do not match this VM's configuration")
 		return
 	}
-	services := make([]string, len(gather.Parts))
-	for i, part := range gather.Parts {
-		services[i] = destination.Shards[part]
+	if reason := gateway.forwardRefusal(gather); reason != "" {
+		refuse(reason)
+		return
 	}
 	job := gateway.newRelayJob(gather, table.Version, matched, services)
 	key := from + "/" + gather.QueryID
@@ -189,7 +215,11 @@
 			delete(gateway.relayJobs, key)
 			gateway.mu.Unlock()
 		}
-		reply(rpc.MethodGatherResult, gateway.gatherResult(job, gather, destination, report))
+		if report.Refused {
+			refuse("this VM does not reach the targets")
+			return
+		}
+		reply(rpc.MethodGatherResult, gateway.gatherResult(job, gather, report))
 		if report.Final {
 			job.releaseResponses()
 		}
@@ -200,6 +230,46 @@
 	gateway.step(job, func(now time.Time) []fanout.Action { return job.relayRun.Start(now) })
 }
 
+// servicesOf returns the services of the parts that a peer asks for, and reports whether this VM's configuration has them.
+func (gateway *Gateway) servicesOf(matched *route.Route, gather rpc.Gather) ([]string, bool) {
+	services := make([]string, len(gather.Parts))
+	if destination, ok := matched.Destination.(route.Gather); ok {
+		if destination.ShardsDigest != gather.ShardsDigest || slices.Max(gather.Parts) >= len(destination.Shards) || slices.Min(gather.Parts) < 0 {
+			return nil, false
+		}
+		for i, part := range gather.Parts {
+			services[i] = destination.Shards[part]
+		}
+		return services, true
+	}
+	if gather.ShardsDigest != 0 || len(gather.Targets) != 1 || gather.Parts[0] != 0 {
+		return nil, false
+	}
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	services[0] = gateway.fleet.ServiceOf(gather.Targets[0])
+	return services, slices.Contains(matched.Services(), services[0])
+}
+
+// forwardRefusal returns why this VM does not make the calls to targets that a peer has chosen, "" if it does.
+func (gateway *Gateway) forwardRefusal(gather rpc.Gather) string {
+	if len(gather.Targets) == 0 {
+		return ""
+	}
+	if waited := gateway.pauses.Waited(time.Now()); waited >= gather.Timeout.Std() {
+		return pausedReason
+	}
+	if gateway.stopping.Load() {
+		return "this VM is stopping"
+	}
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if !gateway.forwardLimit.Allow(time.Now(), len(gather.Targets)) {
+		return "this VM makes too many calls for others"
+	}
+	return ""
+}
+
 // serveGatherCancel ends the relay run that a peer cancels.
 func (gateway *Gateway) serveGatherCancel(from string, cancel rpc.GatherCancel) {
 	key := from + "/" + cancel.QueryID
@@ -214,9 +284,17 @@
 }
 
 // gatherResult returns the message that carries a report to the requesting peer.
-func (gateway *Gateway) gatherResult(job *job, gather rpc.Gather, destination route.Gather, report fanout.Report) rpc.GatherResult {
-	merged := gateway.merge(job, fanout.Deliver{Calls: report.Answered}, destination)
-	result := rpc.GatherResult{QueryID: gather.QueryID, Stamps: merged.Stamps, Records: merged.Body, Overdue: report.Early, Final: report.Final}
+func (gateway *Gateway) gatherResult(job *job, gather rpc.Gather, report fanout.Report) rpc.GatherResult {
+	result := rpc.GatherResult{QueryID: gather.QueryID, Overdue: report.Early, Final: report.Final}
+	if destination, ok := job.route.Destination.(route.Gather); ok {
+		merged := gateway.merge(job, fanout.Deliver{Calls: report.Answered}, destination)
+		result.Stamps, result.Records = merged.Stamps, merged.Body
+	} else if response := job.reply(0); response.Status > 0 {
+		result.Response = &rpc.Response{Status: response.Status, Header: response.Header, Body: response.Body}
+		if len(report.Answered) > 0 {
+			result.Stamps = []string{response.Stamp}
+		}
+	}
 	for i, part := range report.Answered {
 		result.Parts = append(result.Parts, gather.Parts[part])
 		result.LatenciesMicros = append(result.LatenciesMicros, int(report.Latencies[i].Microseconds()))
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -155,7 +155,8 @@
 	now := time.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	relayRun := fanout.NewRelayRun(matched.Name, services, gather.ReportAfter.Std(), gateway.fleet, now)
+	spec := fanout.RelaySpec{Route: matched.Name, Services: services, Targets: gather.Targets, ReportAfter: gather.ReportAfter.Std()}
+	relayRun := fanout.NewRelayRun(spec, gateway.fleet, now)
 	request := platform.NewForwardedRequest(gather.RequestID, gather.Method, gather.Head, gather.Body)
 	job := gateway.newBareJob(request, matched, version, now.Add(gather.Timeout.Std()))
 	job.machine, job.relayRun, job.started = relayRun, relayRun, now
