A refused connection shows a crash only if the VM reaches other targets

What callers would see: a VM whose links to the targets are reset while requests run finds each of their targets refusing connections, takes that for crashes under the request, and tells all VMs: the request is refused for a second, after two such cuts for ten minutes and everywhere. Change: before a crash counts, the VM connects to up to three other targets of the failure domain, those that answered it last first; if it reaches none, nothing is concluded. Failed before, 3 of 3: gateway.TestStrandedVMSuspectsNoRequest (one suspect after one cut); place.TestWitnesses.

--- a/core/place/path.go
+++ b/core/place/path.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -118,3 +119,26 @@
 func (fleet *Fleet) CutOff(now time.Time, failureDomain string) bool {
 	return fleet.reachabilityOf(endpointGroup{failureDomain, false}).cutOff(now)
 }
+
+// Witnesses returns the addresses of up to count other targets of a target's failure domain, those that answered this VM last first. If this
+// VM can connect to none of them, a connection that fails shows nothing about the target.
+func (fleet *Fleet) Witnesses(now time.Time, id string, count int) []string {
+	suspect, ok := fleet.endpoints[id]
+	if !ok {
+		return nil
+	}
+	var others []*trackedEndpoint
+	for _, endpoint := range fleet.endpoints {
+		if endpoint != suspect && endpoint.group() == suspect.group() && fleet.usable(now, endpoint) {
+			others = append(others, endpoint)
+		}
+	}
+	slices.SortFunc(others, func(a, b *trackedEndpoint) int {
+		return cmp.Or(b.paths[Direct].lastAnswer.Compare(a.paths[Direct].lastAnswer), cmp.Compare(a.ID, b.ID))
+	})
+	var addresses []string
+	for _, endpoint := range others[:min(count, len(others))] {
+		addresses = append(addresses, endpoint.Address)
+	}
+	return addresses
+}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -307,6 +307,20 @@
 	})
 }
 
+// TestWitnesses guards against targets that count as crashed since a VM does not reach them, and against witnesses that have ended too.
+func TestWitnesses(t *testing.T) {
+	fleet := newFleet()
+	for _, id := range []string{"b0", "b1", "b2", "c0"} {
+		endpoint := target(id, id[:1])
+		endpoint.Address = "at-" + id
+		fleet.Update(start, endpoint)
+	}
+	fleet.StartAttempt(start, "b2", route).Answered(start.Add(time.Millisecond))
+	assert.DeepEqual(t, fleet.Witnesses(start, "b0", 3), []string{"at-b2", "at-b1"})
+	assert.DeepEqual(t, fleet.Witnesses(start, "b0", 1), []string{"at-b2"})
+	assert.Equal(t, len(fleet.Witnesses(start, "c0", 3)), 0)
+}
+
 // TestChooseRelay guards against relays that are down, excluded or outside the permitted regions, and against needless hops.
 func TestChooseRelay(t *testing.T) {
 	vm := func(id, domain string) place.Endpoint {
--- a/poplarpind/gateway/poison.go
+++ b/poplarpind/gateway/poison.go
@@ -4,6 +4,7 @@
 	"errors"
 	"expvar"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 
 const (
 	crashCheckTimeout = 200 * time.Millisecond // for connecting to a target that broke off a connection
+	crashWitnesses    = 3                      // other targets that are connected to before a refused connection counts as a crash
 	quarantinedReason = "the request has crashed the servers that ran it"
 )
 
@@ -67,17 +69,13 @@
 	}
 }
 
-// checkCrash records that a target crashed while it ran a request, if it no longer accepts connections, was not about to stop, and no other
-// has answered the request.
+// checkCrash records that a target crashed while it ran a request, if it no longer accepts connections while others do, was not about to
+// stop, and no other has answered the request.
 func (gateway *Gateway) checkCrash(job *job, target place.Endpoint, crash poison.Crash) {
-	conn, err := net.DialTimeout("tcp", target.Address, crashCheckTimeout)
-	if err == nil {
-		_ = conn.Close() // nothing was sent on it
+	// A connection that times out shows that the target is unreachable rather than ended.
+	if !errors.Is(tryDial(target.Address), syscall.ECONNREFUSED) || !gateway.reachesOthers(target.ID) {
 		return
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return // unreachable rather than ended
-	}
 	fingerprint := job.fingerprint()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
@@ -89,6 +87,28 @@
 	gateway.signalObservations()
 }
 
+// reachesOthers reports whether this VM can connect to another target of a target's failure domain, or there is none to tell.
+func (gateway *Gateway) reachesOthers(target string) bool {
+	gateway.mu.Lock()
+	witnesses := gateway.fleet.Witnesses(time.Now(), target, crashWitnesses)
+	gateway.mu.Unlock()
+	reached := slices.ContainsFunc(witnesses, func(address string) bool { return tryDial(address) == nil })
+	if len(witnesses) > 0 && !reached {
+		suspectRequests.Add("unreachable", 1)
+		gateway.log.Info("targets not reached, so that a refused connection shows no crash", zap.String("target", target), zap.Strings("others", witnesses))
+	}
+	return len(witnesses) == 0 || reached
+}
+
+// tryDial connects to a target, sends nothing and returns why it could not connect.
+func tryDial(address string) error {
+	conn, err := net.DialTimeout("tcp", address, crashCheckTimeout)
+	if err == nil {
+		_ = conn.Close() // nothing was sent on it
+	}
+	return err
+}
+
 // answeredParts returns how many parts of the request targets have answered; the caller holds mu.
 func (job *job) answeredParts() int {
 	if job.clientRun != nil {
--- a/poplarpind/gateway/stranded_test.go
+++ b/poplarpind/gateway/stranded_test.go
@@ -94,3 +94,19 @@
 		})
 	}
 }
+
+// TestStrandedVMSuspectsNoRequest guards against requests that count as crashing their targets because one VM lost its links to these.
+func TestStrandedVMSuspectsNoRequest(t *testing.T) {
+	deployment := newStrandedDeployment(t)
+	for _, target := range deployment.targets {
+		target.SetHandler(platformtest.Delayed(100 * time.Millisecond))
+	}
+	running := deployment.targets["i-1"].Calls.Load()
+	ended := make(chan int)
+	go func() { ended <- deployment.stranded.doWithin(t, "/g/innocent") }()
+	waitFor(t, "a call", func() bool { return deployment.targets["i-1"].Calls.Load() > running })
+	deployment.eachLink((*platformtest.Link).Reset)
+	<-ended
+	time.Sleep(300 * time.Millisecond) // longer than a VM takes to check whether a target has crashed
+	assert.Equal(t, len(deployment.stranded.gateway.Dump().Suspects), 0)
+}
