Calls that a VM cancels make a target slow for others only if its failure domain has answered meanwhile

What callers would see: a VM that has lost its links cancels the calls that hang, counts each as a slow answer of its target and tells the other VMs of its failure domain, which then avoid targets that are well. Change: unless something of the target's failure domain has answered this VM since the call was sent, the latency of a cancelled call counts for this VM only. Failed before: place.TestObservationsOfDeadLinks (mutant "dead link makes targets slow").

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -33,6 +33,7 @@
 	baseline *Baseline
 	started  time.Time
 	expected time.Duration
+	answers  int // of the group when the call was sent
 	ended    bool
 }
 
@@ -174,19 +175,24 @@
 		fleet.recordLimitedCall(now, endpoint)
 	}
 	attempt := fleet.newAttempt(now, id, route, Direct)
-	attempt.group = fleet.reachabilityOf(attempt.endpoint.group())
-	attempt.group.sent(now)
+	attempt.sendTo(now, attempt.endpoint.group())
 	return attempt
 }
 
 // StartRelayedAttempt is StartAttempt for a call that a relay of a failure domain is assumed to have sent.
 func (fleet *Fleet) StartRelayedAttempt(now time.Time, id, route, relayDomain string) *Attempt {
 	attempt := fleet.newAttempt(now, id, route, Relayed)
-	attempt.group = fleet.reachabilityOf(endpointGroup{relayDomain, true})
-	attempt.group.sent(now)
+	attempt.sendTo(now, endpointGroup{relayDomain, true})
 	return attempt
 }
 
+// sendTo records that the call is sent to a group.
+func (attempt *Attempt) sendTo(now time.Time, group endpointGroup) {
+	attempt.group = attempt.fleet.reachabilityOf(group)
+	attempt.answers = attempt.group.answers
+	attempt.group.sent(now)
+}
+
 func (fleet *Fleet) newAttempt(now time.Time, id, route string, path Path) *Attempt {
 	attempt := &Attempt{fleet: fleet, path: path, baseline: fleet.Baseline(route), started: now}
 	endpoint, ok := fleet.endpoints[id]
@@ -226,9 +232,14 @@
 
 // observe updates the endpoint's slowness with the latency of the call and records an observation for other VMs.
 func (attempt *Attempt) observe(now time.Time, latency time.Duration) {
+	attempt.fleet.recordObservation(attempt.endpoint, attempt.updateSlowness(now, latency))
+}
+
+// updateSlowness updates the endpoint's slowness with the latency of the call and returns its ratio to the baseline.
+func (attempt *Attempt) updateSlowness(now time.Time, latency time.Duration) float64 {
 	ratio := min(float64(latency)/float64(max(attempt.baseline.Median(), time.Millisecond)), maxSlowness)
-	attempt.fleet.recordObservation(attempt.endpoint, ratio)
 	attempt.endpoint.updateSlowness(now, ratio)
+	return ratio
 }
 
 // updateSlowness moves the endpoint's slowness towards the latency ratio of one call.
@@ -338,13 +349,17 @@
 }
 
 // Cancelled records that the call was cancelled. The time until then is a lower bound of its latency and counts as its latency if it
-// exceeds twice the expected one.
+// exceeds twice the expected one; for other VMs only if the failure domain has answered this VM meanwhile, as its links may be down.
 func (attempt *Attempt) Cancelled(now time.Time) {
 	if !attempt.end() {
 		return
 	}
 	if latency := now.Sub(attempt.started); latency > 2*attempt.expected {
-		attempt.observe(now, latency)
+		if attempt.group.answers == attempt.answers {
+			attempt.updateSlowness(now, latency)
+		} else {
+			attempt.observe(now, latency)
+		}
 	}
 }
 
--- a/core/place/observation_test.go
+++ b/core/place/observation_test.go
@@ -106,6 +106,20 @@
 	assertChosen(t, fleet, now, "there")
 }
 
+// TestObservationsOfDeadLinks guards against targets that all VMs take for slow because the links of one of them are down.
+func TestObservationsOfDeadLinks(t *testing.T) {
+	fleet := newFleet(target("here", "a"), target("other", "a"))
+	now := playCalls(fleet, start, "here", median, 5)
+	fleet.TakeObservations()
+	attempt := fleet.StartAttempt(now, "here", route)
+	attempt.Cancelled(now.Add(10 * median))
+	assert.Equal(t, len(fleet.TakeObservations()), 0)
+	attempt = fleet.StartAttempt(now, "here", route)
+	fleet.StartAttempt(now, "other", route).Answered(now.Add(median))
+	attempt.Cancelled(now.Add(10 * median))
+	assert.Equal(t, len(fleet.TakeObservations()), 1, "the link works, so the target is slow")
+}
+
 // TestSharedObservations guards against slow detection of a slow target by VMs that each call it rarely. In a failure domain of 17 VMs,
 // each makes one call a second, and the target that they prefer has become ten times slower. A VM on its own needs several calls, and
 // thus seconds, to avoid it; with shared observations all of them avoid it after a few calls.
