Relays say which failure domains they do not reach; coverage counts targets that other VMs reach

Cause, from the logs of all VMs: a relay that reached none of the targets named in one message refused as if it reached none at all, and was left alone for up to 3 s for all targets; with two healthy VMs left, requests found no relay (209 of 400 "too few parts have a server"). A relay whose calls took long was passed over even if it was the only one. Requests served by others counted as congestion, so that the limit fell ("servers are overloaded"). Change: a relay answers "unreached" for parts whose failure domain it does not reach, and refuses whole messages only if it reaches none; the asking VM remembers that by relay and failure domain, and takes a target of another failure domain if no relay reaches the first. Slow relays are asked if there is no other. Parts that other VMs call show no congestion. A VM counts as able to serve if a VM next to the targets is (isolation). Five more mutants.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -74,7 +74,7 @@
 // retryableOnSameTarget reports whether a later call to the same target may succeed.
 func retryableOnSameTarget(outcome Outcome) bool {
 	switch outcome {
-	case Refused, NoCapacity, NotSent, ConnectionLimit, Lost, InvalidResponse:
+	case Refused, NoCapacity, Unreached, NotSent, ConnectionLimit, Lost, InvalidResponse:
 		return true
 	}
 	return false
--- a/core/fanout/canary.go
+++ b/core/fanout/canary.go
@@ -52,7 +52,7 @@
 		run.markExhausted(part)
 		return nil
 	}
-	run.directParts++
+	run.directParts += len(sends)
 	return sends
 }
 
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -20,6 +20,7 @@
 	NotSent         Outcome = "notSent"   // nothing was sent
 	ConnectionLimit Outcome = "crowded"   // the target accepts no more connections; nothing was sent
 	NoCapacity      Outcome = "noRoom"    // no spare connection to the target, or a relay refused or has no target for the part; nothing was sent
+	Unreached       Outcome = "unreached" // the relay does not reach the failure domain of the target; nothing was sent
 	Lost            Outcome = "lost"      // the connection broke; the call may have been processed
 	InvalidResponse Outcome = "spoilt"    // the response was unusable; the call may have been processed
 )
@@ -35,7 +36,7 @@
 
 // concernsPath reports whether a call with this outcome has not reached the target, so that it may reach it on another path.
 func (outcome Outcome) concernsPath() bool {
-	return outcome == NotSent || outcome == ConnectionLimit || outcome == NoCapacity
+	return outcome == NotSent || outcome == ConnectionLimit || outcome == NoCapacity || outcome == Unreached
 }
 
 // Action is a step that a Run or RelayRun asks its caller to carry out.
@@ -236,11 +237,13 @@
 		if relayed[i] || len(part.calls) > 0 {
 			continue
 		}
-		run.directParts++
 		sends, ok := run.startCall(now, part, "first")
 		if !ok {
 			run.markExhausted(part)
 		}
+		if !ok || len(sends) > 0 {
+			run.directParts++
+		}
 		actions = append(actions, sends...)
 	}
 	return actions
--- a/core/fanout/forward.go
+++ b/core/fanout/forward.go
@@ -34,21 +34,35 @@
 	return chosen{target: direct}, ok
 }
 
+// declined reports whether a relay did not make a call, so that another VM may be asked for the same one.
+func (outcome Outcome) declined() bool { return outcome == NoCapacity || outcome == Unreached }
+
 // chooseForwarded returns a target of a part and the VM that should call it.
 func (run *Run) chooseForwarded(now time.Time, part *partState, exclude []string) (chosen, bool) {
 	fleet := run.shared.Fleet
-	target, ok := fleet.ChooseRelayed(now, part.service, run.spec.Route, exclude, run.outOfReach(part.service))
-	if !ok {
-		return chosen{}, false
+	exclude = slices.Clone(exclude)
+	for {
+		target, ok := fleet.ChooseRelayed(now, part.service, run.spec.Route, exclude, run.outOfReach(part.service))
+		if !ok {
+			return chosen{}, false
+		}
+		if relay, ok := run.chooseRelay(now, part, target.FailureDomain); ok {
+			return chosen{target, relay, place.Relayed}, true
+		}
+		exclude = append(exclude, fleet.EndpointIDs(part.service, target.FailureDomain)...) // no VM reaches that failure domain
 	}
+}
+
+// chooseRelay returns the VM that should call a target of a failure domain for a part: one that gets a message in this step anyway, if it has
+// room for the part.
+func (run *Run) chooseRelay(now time.Time, part *partState, failureDomain string) (place.Endpoint, bool) {
 	asked := part.relays()
 	for _, unsent := range run.unsent {
-		if unsent.near == target.FailureDomain && len(unsent.parts) < run.maxForwardedParts(unsent.endpoint) && !slices.Contains(asked, unsent.endpoint.ID) {
-			return chosen{target, unsent.endpoint, place.Relayed}, true
+		if unsent.near == failureDomain && len(unsent.parts) < run.maxForwardedParts(unsent.endpoint) && !slices.Contains(asked, unsent.endpoint.ID) {
+			return unsent.endpoint, true
 		}
 	}
-	relay, ok := fleet.ChooseRelay(now, relayPrefix+run.spec.Route, target.FailureDomain, asked, run.spec.Regions.Allows)
-	return chosen{target, relay, place.Relayed}, ok
+	return run.shared.Fleet.ChooseRelay(now, relayPrefix+run.spec.Route, failureDomain, asked, run.spec.Regions.Allows)
 }
 
 // maxForwardedParts returns how many calls for this request a VM may be asked for in one message.
@@ -143,7 +157,7 @@
 				direct, forwarded = append(direct, target), append(forwarded, target)
 			}
 		case earlier.viaRelay:
-			if outcome != NoCapacity {
+			if !outcome.declined() {
 				forwarded = append(forwarded, target)
 			}
 		case outcome != NoCapacity || last:
--- a/core/fanout/forward_test.go
+++ b/core/fanout/forward_test.go
@@ -108,6 +108,31 @@
 		_, refused := actions[0].(fanout.Finish).Response.(fanout.Refuse)
 		assert.Assert(t, refused)
 	})
+	t.Run("a VM that does not reach one failure domain is asked for targets of another", func(t *testing.T) {
+		shared := newStranded(serviceNames(1)) // with a target in a and one in b
+		for _, id := range []string{"vm-a1", "vm-a2", "vm-b", "vm-c"} {
+			shared.Fleet.RelayReached(start, id, "a", false)
+		}
+		assert.DeepEqual(t, relaysOf(t, fanout.New(singleSpec(false), shared, start).Start(start))[0].Targets, []string{"s00-b"})
+		for _, id := range []string{"vm-a1", "vm-a2", "vm-b", "vm-c"} {
+			shared.Fleet.RelayReached(start, id, "a", true)
+		}
+		assert.DeepEqual(t, relaysOf(t, fanout.New(singleSpec(false), shared, start).Start(start))[0].Targets, []string{"s00-a"})
+	})
+	t.Run("one that says so is not asked again for a time", func(t *testing.T) {
+		shared := newStranded(serviceNames(1))
+		run := fanout.New(singleSpec(false), shared, start)
+		first := relaysOf(t, run.Start(start))[0]
+		run.RelayReport(start, first.Call, fanout.Report{Missing: []fanout.Missing{{Part: 0, Outcome: fanout.Unreached}}, Final: true})
+		assert.DeepEqual(t, shared.Fleet.RelaysCutOffFrom(start, fanout.RelayService(first.VM.FailureDomain), "a"), []string{first.VM.ID})
+		assert.Equal(t, len(shared.Fleet.RelaysCutOffFrom(start.Add(time.Second), fanout.RelayService(first.VM.FailureDomain), "a")), 0)
+	})
+	t.Run("requests that other VMs serve show no congestion", func(t *testing.T) {
+		services := serviceNames(9)
+		run := fanout.New(gatherSpec(services), newStranded(services), start)
+		run.Start(start)
+		assert.Assert(t, !run.Congested(start.Add(objective)))
+	})
 	t.Run("a request that is not idempotent and may have run is neither sent again nor cancelled", func(t *testing.T) {
 		run := fanout.New(singleSpec(false), newStranded(serviceNames(1)), start)
 		relay := relaysOf(t, run.Start(start))[0]
@@ -157,6 +182,13 @@
 		report := newRun(newFleet(services), "s01-b").Start(start)[0].(fanout.Report)
 		assert.DeepEqual(t, report.Missing, []fanout.Missing{{Part: 0, Outcome: fanout.NoCapacity}})
 	})
+	t.Run("it says which failure domain it does not reach", func(t *testing.T) {
+		fleet := newFleet(services)
+		strand(fleet, "b", services)
+		actions := newRun(fleet, "s00-b", "s01-c").Start(start)
+		assert.Equal(t, actions[0].(fanout.Send).Target.ID, "s01-c")
+		assert.DeepEqual(t, actions[1].(fanout.Report).Missing, []fanout.Missing{{Part: 0, Outcome: fanout.Unreached}})
+	})
 	t.Run("it refuses if it is stranded too", func(t *testing.T) {
 		fleet := newStranded(services).Fleet
 		assert.Assert(t, newRun(fleet, "s00-b").Start(start)[0].(fanout.Report).Refused)
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -68,7 +68,7 @@
 // VM does not answer.
 func (run *Run) chooseRelays(now time.Time, domain string, parts int) []place.Endpoint {
 	var relays []place.Endpoint
-	var chosen []string
+	chosen := run.shared.Fleet.RelaysCutOffFrom(now, RelayService(domain), domain)
 	for needed := 1; len(relays) < needed; {
 		vm, ok := run.shared.Fleet.Choose(now, RelayService(domain), relayPrefix+run.spec.Route, chosen)
 		if !ok || run.shared.Fleet.Stuck(now, vm.ID) || len(relays) > 0 && vm.Cores < relays[0].Cores/2 {
@@ -157,7 +157,7 @@
 	if call.ended {
 		return -1, nil
 	}
-	call.recordReport(now, report)
+	call.recordReport(now, run.shared.Fleet, report)
 	if run.finished {
 		call.ended = call.ended || report.Final
 		return -1, nil
@@ -185,11 +185,21 @@
 }
 
 // recordReport updates what the fleet knows of a relay and of the targets that it called.
-func (call *call) recordReport(now time.Time, report Report) {
+func (call *call) recordReport(now time.Time, fleet *place.Fleet, report Report) {
 	if call.forwarded != nil && report.Final && len(call.forwarded) == len(report.Missing) && !slices.ContainsFunc(report.Missing, made) {
-		call.attempt.InvalidAnswer(now) // the relay reaches none of the targets
+		call.attempt.InvalidAnswer(now) // the relay has made no call
+	}
+	call.attempt.Answered(now)   // only the first report counts as the latency of the relay
+	reached := map[string]bool{} // by failure domain
+	for _, missing := range report.Missing {
+		reached[call.domainOf(missing.Part)] = missing.Outcome != Unreached
+	}
+	for _, part := range report.Answered {
+		reached[call.domainOf(part)] = true
+	}
+	for domain, reached := range reached {
+		fleet.RelayReached(now, call.endpoint.ID, domain, reached)
 	}
-	call.attempt.Answered(now) // only the first report counts as the latency of the relay
 	for i, part := range report.Answered {
 		call.endForwarded(part, Answered)
 		if attempt := call.targetAttempts[part]; attempt != nil && i < len(report.Latencies) {
@@ -210,7 +220,15 @@
 }
 
 // made reports whether a relay has tried to call a target for a missing part.
-func made(missing Missing) bool { return missing.Outcome != NoCapacity }
+func made(missing Missing) bool { return !missing.Outcome.declined() }
+
+// domainOf returns the failure domain of the target of a relayed part.
+func (call *call) domainOf(part int) string {
+	if forwarded := call.forwarded[part]; forwarded != nil {
+		return forwarded.target.FailureDomain
+	}
+	return call.endpoint.FailureDomain
+}
 
 // recordMerged records the parts that one report answers and returns the index of a call that represents their merged results, or -1 if
 // there are none or the report is unusable. The results replace answers to single parts, since results that the relay has merged can't be
--- a/core/fanout/relay_run.go
+++ b/core/fanout/relay_run.go
@@ -69,10 +69,10 @@
 	return relayRun
 }
 
-// Start calls a target for each part that has one which this VM may call, or refuses the request if it reaches none of them. Call indices
+// Start calls a target for each part that has one which this VM may call, or refuses the request if it reaches no target at all. Call indices
 // are part indices.
 func (relayRun *RelayRun) Start(now time.Time) []Action {
-	if !relayRun.reachesTargets(now) {
+	if relayRun.fleet.Stranded(now) {
 		relayRun.ended = true
 		return []Action{Report{Refused: true, Final: true}}
 	}
@@ -81,7 +81,7 @@
 		part := &relayRun.parts[i]
 		target, ok := relayRun.choose(now, part)
 		if !ok {
-			part.outcome = NoCapacity // the requesting VM can call other targets
+			part.outcome = relayRun.whyNot(now, part)
 			continue
 		}
 		part.attempt = relayRun.fleet.StartAttempt(now, target.ID, relayRun.route)
@@ -104,19 +104,43 @@
 	return target, ok && !relayRun.fleet.Stuck(now, target.ID)
 }
 
-// reachesTargets reports whether this VM's own calls reach a target of some part. A few parts show nothing while the failure domain answers,
-// as their targets may be down.
-func (relayRun *RelayRun) reachesTargets(now time.Time) bool {
-	fleet := relayRun.fleet
-	if len(relayRun.parts) < minRelayedParts && !fleet.CutOff(now, fleet.FailureDomain()) {
-		return true
+// whyNot returns the outcome of a part whose target is not called: Unreached if this VM reaches none of the targets in its failure domain that
+// the request is for. A few of them show nothing while the failure domain answers, as they may be down.
+func (relayRun *RelayRun) whyNot(now time.Time, part *relayPart) Outcome {
+	domain := relayRun.domainOf(part)
+	if relayRun.fleet.CutOff(now, domain) {
+		return Unreached
 	}
-	return slices.ContainsFunc(relayRun.parts, func(part relayPart) bool {
-		if part.named != "" {
-			return fleet.Reaches(now, part.named)
+	parts := 0
+	for i := range relayRun.parts {
+		if other := &relayRun.parts[i]; relayRun.domainOf(other) == domain {
+			parts++
+			if slices.ContainsFunc(relayRun.candidates(other), func(id string) bool { return relayRun.fleet.Reaches(now, id) }) {
+				return NoCapacity
+			}
 		}
-		return slices.ContainsFunc(fleet.EndpointIDs(part.service, fleet.FailureDomain()), func(id string) bool { return fleet.Reaches(now, id) })
-	})
+	}
+	if parts < minRelayedParts {
+		return NoCapacity
+	}
+	return Unreached
+}
+
+// domainOf returns the failure domain of the targets of a part.
+func (relayRun *RelayRun) domainOf(part *relayPart) string {
+	if part.named == "" {
+		return relayRun.fleet.FailureDomain()
+	}
+	target, _ := relayRun.fleet.Endpoint(part.named)
+	return target.FailureDomain
+}
+
+// candidates returns the targets that may be called for a part.
+func (relayRun *RelayRun) candidates(part *relayPart) []string {
+	if part.named != "" {
+		return []string{part.named}
+	}
+	return relayRun.fleet.EndpointIDs(part.service, relayRun.fleet.FailureDomain())
 }
 
 // Result records the outcome of a part's call.
--- a/core/fanout/results.go
+++ b/core/fanout/results.go
@@ -83,7 +83,7 @@
 		attempt.Unreachable(now)
 	case Lost, ConnectionLimit:
 		attempt.ConnectionBroken(now)
-	case NoCapacity:
+	case NoCapacity, Unreached:
 		attempt.Discard()
 	default:
 		attempt.InvalidAnswer(now)
@@ -108,7 +108,7 @@
 		run.markExhausted(part)
 		return nil
 	}
-	if outcome == Refused || outcome == NoCapacity || outcome == NotSent || outcome == ConnectionLimit {
+	if outcome == Refused || outcome.concernsPath() {
 		direct, forwarded := part.targetIDs()
 		if _, ok := run.choose(now, part, direct, forwarded); !ok {
 			if _, ok := run.choose(now, part, nil, nil); !ok {
@@ -134,7 +134,7 @@
 			direct = append(direct, target)
 		}
 		outcome, _ := call.partOutcome(part)
-		if call.forwarded != nil && outcome != NoCapacity || call.forwarded == nil && !outcome.concernsPath() {
+		if call.forwarded != nil && !outcome.declined() || call.forwarded == nil && !outcome.concernsPath() {
 			forwarded = append(forwarded, target)
 		}
 	}
--- a/core/fleetload/fleet_load_test.go
+++ b/core/fleetload/fleet_load_test.go
@@ -86,6 +86,7 @@
 	slots         int
 	classes       []loadClass
 	slow          slowSpan
+	stranded      strandedSpan
 	pause         time.Duration // of each target, every pauseEvery
 	pauseEvery    time.Duration
 	slack         float64 // extra calls of a service in ten seconds, beyond a fraction of 0.2
@@ -136,6 +137,7 @@
 	shared    fanout.SharedState
 	busyUntil time.Time
 	messages  int // sent to other VMs
+	forwards  *fanout.ForwardLimit
 }
 
 // fleetRun is one run of a load on simulated VMs, targets and links.
@@ -151,12 +153,13 @@
 	calls   int // received by targets
 	parts   int // of all requests
 	results map[string]*classResult
+	reached map[bool]*classResult // of the requests during stranded, by whether their VM is stranded
 }
 
 // playLoad plays a load to its end; the seed decides on arrivals, latencies and slow targets.
 func playLoad(load fleetLoad, seed uint64) *fleetRun {
 	run := &fleetRun{load: load, random: rand.New(rand.NewPCG(seed, 7)), now: start, byName: map[string]*simVM{}, targets: map[string]*simTarget{},
-		results: map[string]*classResult{}}
+		results: map[string]*classResult{}, reached: map[bool]*classResult{false: {missing: fanout.MissingCauses{}}, true: {missing: fanout.MissingCauses{}}}}
 	run.addVMs()
 	run.addTargets()
 	for _, class := range load.classes {
@@ -167,6 +170,9 @@
 	}
 	for at := time.Duration(0); at < load.duration; at += observationDelay {
 		run.at(start.Add(at), run.shareObservations)
+		if load.stranded.vms != nil {
+			run.at(start.Add(at), run.probe)
+		}
 	}
 	for len(run.pending) > 0 {
 		next := heap.Pop(&run.pending).(event)
@@ -206,10 +212,10 @@
 	var peers []place.Endpoint
 	for _, domain := range slices.Sorted(maps.Keys(run.load.vms)) {
 		for i, cores := range run.load.vms[domain] {
-			vm := &simVM{name: fmt.Sprintf("vm-%s%d", domain, i), domain: domain, cores: cores}
+			vm := &simVM{name: fmt.Sprintf("vm-%s%d", domain, i), domain: domain, cores: cores, forwards: fanout.NewForwardLimit(cores)}
 			vm.fleet = place.New(domain, cores, rand.New(rand.NewPCG(uint64(len(run.vms)), 5)))
 			run.vms, run.byName[vm.name] = append(run.vms, vm), vm
-			peers = append(peers, place.Endpoint{ID: vm.name, Service: fanout.RelayService(domain), FailureDomain: domain, Slots: 16,
+			peers = append(peers, place.Endpoint{ID: vm.name, Address: vm.name, Service: fanout.RelayService(domain), FailureDomain: domain, Slots: 16,
 				State: place.Ready, Cores: cores, Peer: true})
 		}
 	}
@@ -228,7 +234,7 @@
 			target := &simTarget{id: service + "-" + domain, domain: domain, slow: i == slow}
 			run.targets[target.id] = target
 			for _, vm := range run.vms {
-				vm.fleet.Update(start, place.Endpoint{ID: target.id, Service: service, FailureDomain: domain, Slots: run.load.slots, State: place.Ready})
+				vm.fleet.Update(start, place.Endpoint{ID: target.id, Address: target.id, Service: service, FailureDomain: domain, Slots: run.load.slots, State: place.Ready})
 			}
 			if run.load.pause > 0 {
 				for at := time.Duration(run.random.Float64() * float64(run.load.pauseEvery)); at < run.load.duration; at += run.load.pauseEvery {
@@ -305,7 +311,13 @@
 	call.ended = func(outcome fanout.Outcome) {
 		run.after(delay, func() { run.process(vm, callCost/2, func() { ended(outcome) }) })
 	}
-	run.process(vm, callCost/2, func() { run.after(delay, func() { run.receive(target, call) }) })
+	run.process(vm, callCost/2, func() {
+		if run.isStranded(vm) {
+			run.lose(call)
+			return
+		}
+		run.after(delay, func() { run.receive(target, call) })
+	})
 	return call
 }
 
@@ -403,6 +415,10 @@
 		services[i] = serviceNames(run.load.shards)[part]
 	}
 	run.message(vm, relayVM, func() {
+		if len(relay.Targets) > 0 && !relayVM.forwards.Allow(run.now, len(relay.Targets)) {
+			run.message(relayVM, vm, func() { request.refused(relay) })
+			return
+		}
 		relayRun := fanout.NewRelayRun(fanout.RelaySpec{Route: request.class.name, Services: services, Targets: relay.Targets, ReportAfter: relay.ReportAfter}, relayVM.fleet, run.now)
 		request.relayRuns[relay.Call] = relayRun
 		var apply func(actions []fanout.Action)
@@ -414,7 +430,13 @@
 						apply(relayRun.Result(run.now, action.Call, outcome))
 					})
 				case fanout.Report:
-					run.message(relayVM, vm, func() { request.report(relay, action) })
+					run.message(relayVM, vm, func() {
+						if action.Refused {
+							request.refused(relay)
+							return
+						}
+						request.report(relay, action)
+					})
 				}
 			}
 		}
@@ -423,6 +445,11 @@
 	})
 }
 
+// refused tells the request that a relay makes none of its calls.
+func (request *simRequest) refused(relay fanout.Relay) {
+	request.apply(request.decision.RelayFailed(request.run.now, relay.Call, fanout.Refused))
+}
+
 // report gives a relay's report to the request, with the indices of its own parts.
 func (request *simRequest) report(relay fanout.Relay, report fanout.Report) {
 	received := fanout.Report{Latencies: report.Latencies, Early: report.Early, Final: report.Final}
@@ -438,7 +465,14 @@
 
 // finish records what the client gets.
 func (request *simRequest) finish(response fanout.Response) {
-	result := request.run.results[request.class.name]
+	request.count(request.run.results[request.class.name], response)
+	if request.run.load.stranded.judges(request.sent) {
+		request.count(request.run.reached[request.run.load.stranded.vms(request.vm.name)], response)
+	}
+}
+
+// count adds what the client gets to a result.
+func (request *simRequest) count(result *classResult, response fanout.Response) {
 	result.requests++
 	for cause, count := range request.decision.MissingCauses() {
 		result.missing[cause] += count
--- /dev/null
+++ b/core/fleetload/stranded_load_test.go
@@ -0,0 +1,120 @@
+package fleetload_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarpin.dev/core/fanout"
+)
+
+const (
+	strandedGrace = 2 * time.Second // from the cut until requests at stranded VMs are judged
+	dialTime      = time.Second     // after which a connection that hangs is given up
+)
+
+// strandedSpan cuts the links of some VMs to all targets for a time; their calls hang, or are refused at once.
+type strandedSpan struct {
+	vms     func(name string) bool // nil for none
+	refused bool
+	from    time.Duration
+	until   time.Duration
+}
+
+// judges reports whether a request sent at this time is one that stranded VMs should serve like the others.
+func (span strandedSpan) judges(sent time.Time) bool {
+	return span.vms != nil && sent.Sub(start) >= span.from+strandedGrace && sent.Sub(start) < span.until
+}
+
+func (run *fleetRun) isStranded(vm *simVM) bool {
+	span, now := run.load.stranded, run.now.Sub(start)
+	return span.vms != nil && span.vms(vm.name) && now >= span.from && now < span.until
+}
+
+// lose ends a call of a stranded VM.
+func (run *fleetRun) lose(call *simCall) {
+	delay := dialTime
+	if run.load.stranded.refused {
+		delay = inDomainDelay
+	}
+	run.after(delay, func() {
+		if !call.aborted {
+			call.ended(fanout.NotSent)
+		}
+	})
+}
+
+// probe connects each VM to endpoints that seem or may be cut off from it.
+func (run *fleetRun) probe() {
+	for _, vm := range run.vms {
+		for _, probe := range append(vm.fleet.SuspectProbes(run.now), vm.fleet.Probes(run.now)...) {
+			if probe.VM() || !run.isStranded(vm) {
+				vm.fleet.Reached(probe)
+			} else {
+				run.after(120*time.Millisecond, func() { vm.fleet.ProbeFailed(probe) })
+			}
+		}
+	}
+}
+
+// strandedLoads are loads with half of the VMs, or those of a failure domain, stranded for eight seconds.
+func strandedLoads(load func() fleetLoad) map[string]fleetLoad {
+	loads := map[string]fleetLoad{}
+	for name, span := range map[string]strandedSpan{
+		"calls of half of the VMs hang":                    {vms: func(name string) bool { return strings.ContainsAny(name[len(name)-1:], "02468") }},
+		"those of the VMs of a failure domain are refused": {vms: func(name string) bool { return strings.HasPrefix(name, "vm-a") }, refused: true},
+	} {
+		stranded := load()
+		stranded.stranded = span
+		stranded.stranded.from, stranded.stranded.until = 2*time.Second, 10*time.Second
+		loads[name] = stranded
+	}
+	return loads
+}
+
+// checkReached plays a load and checks what callers of stranded VMs and of the others get.
+func checkReached(t *testing.T, load fleetLoad, seeds int, check func(t *testing.T, result *classResult)) {
+	t.Helper()
+	for seed := range seeds {
+		for stranded, result := range playLoad(load, uint64(seed)).reached {
+			t.Logf("seed %d, stranded %t: %s", seed, stranded, result)
+			check(t, result)
+		}
+	}
+}
+
+// TestStrandedVMs guards against requests that are refused or fail at VMs without links to any target, and at others that serve for them:
+// at most one in 50 may.
+func TestStrandedVMs(t *testing.T) {
+	for size, load := range map[string]func() fleetLoad{"small fleet": smallLoad, "grown fleet": grownLoad} {
+		for name, load := range strandedLoads(load) {
+			t.Run(size+", "+name, func(t *testing.T) {
+				checkReached(t, load, 2, func(t *testing.T, result *classResult) {
+					assert.Assert(t, result.failed*50 <= result.requests, "%d of %d failed", result.failed, result.requests)
+				})
+			})
+		}
+	}
+}
+
+// assertCredit asserts that callers get 95% of their credit.
+func assertCredit(t *testing.T, result *classResult) {
+	t.Helper()
+	assert.Check(t, result.meanCredit() >= 0.95, "%.3f", result.meanCredit())
+}
+
+// TestStrandedVMsInTime guards against answers with parts left out or late while some VMs reach no target.
+func TestStrandedVMsInTime(t *testing.T) {
+	for name, load := range strandedLoads(smallLoad) {
+		t.Run(name, func(t *testing.T) { checkReached(t, load, 3, assertCredit) })
+	}
+}
+
+// TestStrandedVMsOfGrownFleetInTime is TestStrandedVMsInTime for 72 VMs, most with a fifth of a core.
+func TestStrandedVMsOfGrownFleetInTime(t *testing.T) {
+	for name, load := range strandedLoads(grownLoad) {
+		t.Run(name, func(t *testing.T) { checkReached(t, load, 2, assertCredit) })
+	}
+}
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -207,17 +207,35 @@
 	return cutOff
 }
 
-// HasCoverage reports whether at least this share of the services, and at least one, have an endpoint that can be called.
+// HasCoverage reports whether at least this share of the services, and at least one, have a target that this VM can call, or another VM
+// next to the target.
 func (fleet *Fleet) HasCoverage(now time.Time, services []string, minCoverage float64) bool {
+	relayed := fleet.relayedDomains(now)
 	count := 0
 	for _, service := range services {
-		if slices.ContainsFunc(fleet.services[service], func(endpoint *trackedEndpoint) bool { return fleet.callable(now, endpoint) }) {
+		if slices.ContainsFunc(fleet.services[service], func(endpoint *trackedEndpoint) bool {
+			return fleet.callable(now, endpoint) || relayed[endpoint.FailureDomain] && fleet.usable(now, endpoint)
+		}) {
 			count++
 		}
 	}
 	return count > 0 && float64(count) >= minCoverage*float64(len(services))
 }
 
+// relayedDomains returns the failure domains with an entry VM that may call targets there for this VM.
+func (fleet *Fleet) relayedDomains(now time.Time) map[string]bool {
+	relayed := map[string]bool{}
+	for service := range fleet.relayServices {
+		for _, vm := range fleet.services[service] {
+			if fleet.mayRelay(now, vm, vm.FailureDomain) {
+				relayed[vm.FailureDomain] = true
+				break
+			}
+		}
+	}
+	return relayed
+}
+
 // callable reports whether this VM may connect to an endpoint, however high its cost.
 func (fleet *Fleet) callable(now time.Time, endpoint *trackedEndpoint) bool {
 	return fleet.usable(now, endpoint) && !fleet.reachabilityOf(endpoint.group()).cutOff(now)
--- a/core/place/path.go
+++ b/core/place/path.go
@@ -90,8 +90,8 @@
 }
 
 // ChooseRelay returns the entry VM that should make a call to a target of a failure domain for this VM, and reports whether there is one: the
-// VM with the lowest cost that answers, is not excluded and is in a region that may get the request. VMs next to the target cost least, as
-// only they need no further hop between failure domains.
+// VM with the lowest cost that answers, reaches that failure domain, is not excluded and is in a region that may get the request. VMs next to
+// the target cost least, as only they need no further hop between failure domains.
 func (fleet *Fleet) ChooseRelay(now time.Time, route, failureDomain string, exclude []string, allows func(region string) bool) (Endpoint, bool) {
 	var candidates []*trackedEndpoint
 	for service := range fleet.relayServices {
@@ -101,18 +101,64 @@
 		}
 		first, left := fleet.random.IntN(len(vms)), maxRelayCandidates
 		for i := range vms {
-			vm := vms[(first+i)%len(vms)]
 			if left == 0 {
 				break
 			}
-			if vm.down(now, Direct) || !fleet.callable(now, vm) || vm.overdue(now, Direct) > 0 || slices.Contains(exclude, vm.ID) {
-				continue
+			if vm := vms[(first+i)%len(vms)]; fleet.mayRelay(now, vm, failureDomain) && !slices.Contains(exclude, vm.ID) {
+				candidates = append(candidates, vm)
+				left--
 			}
-			candidates = append(candidates, vm)
-			left--
 		}
 	}
-	return fleet.choose(now, candidates, costs{fleet.Baseline(route), Direct, failureDomain}, func(*trackedEndpoint) bool { return true })
+	costs := costs{fleet.Baseline(route), Direct, failureDomain}
+	chosen, ok := fleet.choose(now, candidates, costs, func(vm *trackedEndpoint) bool { return vm.overdue(now, Direct) <= 0 })
+	if ok {
+		return chosen, true
+	}
+	return fleet.choose(now, candidates, costs, func(*trackedEndpoint) bool { return true })
+}
+
+// mayRelay reports whether an entry VM answers and, as far as is known, reaches the targets of a failure domain.
+func (fleet *Fleet) mayRelay(now time.Time, vm *trackedEndpoint, failureDomain string) bool {
+	return fleet.callable(now, vm) && !vm.down(now, Direct) && !vm.cutOffFrom(now, failureDomain)
+}
+
+// cutOffFrom reports whether an entry VM has lately said that it does not reach the targets of a failure domain.
+func (endpoint *trackedEndpoint) cutOffFrom(now time.Time, failureDomain string) bool {
+	state := endpoint.reach[failureDomain]
+	return state != nil && now.Before(state.downUntil)
+}
+
+// RelayReached records whether an entry VM reaches the targets of a failure domain, as its answer to a relayed call shows.
+func (fleet *Fleet) RelayReached(now time.Time, vm, failureDomain string, reached bool) {
+	endpoint, ok := fleet.endpoints[vm]
+	if !ok {
+		return
+	}
+	if reached {
+		delete(endpoint.reach, failureDomain)
+		return
+	}
+	if endpoint.reach == nil {
+		endpoint.reach = map[string]*pathState{}
+	}
+	state, ok := endpoint.reach[failureDomain]
+	if !ok {
+		state = &pathState{}
+		endpoint.reach[failureDomain] = state
+	}
+	state.markDown(now)
+}
+
+// RelaysCutOffFrom returns the ids of the entry VMs of a failure domain that have lately said that they do not reach the targets there.
+func (fleet *Fleet) RelaysCutOffFrom(now time.Time, relayService, failureDomain string) []string {
+	var ids []string
+	for _, vm := range fleet.services[relayService] {
+		if vm.cutOffFrom(now, failureDomain) {
+			ids = append(ids, vm.ID)
+		}
+	}
+	return ids
 }
 
 // CutOff reports whether the targets of a failure domain do not answer this VM.
@@ -120,6 +166,21 @@
 	return fleet.reachabilityOf(endpointGroup{failureDomain, false}).cutOff(now)
 }
 
+// Stranded reports whether no failure domain with ready targets answers this VM, and there is at least one.
+func (fleet *Fleet) Stranded(now time.Time) bool {
+	stranded := false
+	for _, endpoint := range fleet.endpoints {
+		if endpoint.Peer || endpoint.State != Ready || fleet.isEvacuated(endpoint) {
+			continue
+		}
+		if !fleet.reachabilityOf(endpoint.group()).cutOff(now) {
+			return false
+		}
+		stranded = true
+	}
+	return stranded
+}
+
 // Witnesses returns the addresses of up to count other targets of a target's failure domain, those that answered this VM last first. If this
 // VM can connect to none of them, a connection that fails shows nothing about the target.
 func (fleet *Fleet) Witnesses(now time.Time, id string, count int) []string {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -44,6 +44,7 @@
 	lastSlowCall       time.Time      // when slowness was last updated with a ratio of at least suspectSlowness
 	attempts           []*Attempt
 	paths              [2]pathState
+	reach              map[string]*pathState // of an entry VM: failure domains whose targets it does not reach
 	deprioritizedUntil time.Time
 	displaced          bool // another endpoint answers at its address
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -263,6 +263,14 @@
 		fleet.Remove("a0")
 		assert.Assert(t, !fleet.HasCoverage(now, []string{"s"}, 0.5))
 	})
+	t.Run("coverage counts targets that a VM next to them can call", func(t *testing.T) {
+		vm := place.Endpoint{ID: "vm", Service: "vms", FailureDomain: "b", State: place.Ready, Peer: true}
+		fleet := newFleet(target("b0", "b"), target("b1", "b"), vm)
+		now := silence(fleet, "b")
+		assert.Assert(t, fleet.HasCoverage(now, []string{"s"}, 1))
+		fleet.RelayReached(now, "vm", "b", false)
+		assert.Assert(t, !fleet.HasCoverage(now, []string{"s"}, 1))
+	})
 	t.Run("other failure domains are returned only if the best target is there", func(t *testing.T) {
 		fleet := newFleet(all...)
 		assert.Equal(t, len(fleet.BestFailureDomains(start, "s", route, false)), 0)
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -110,11 +110,16 @@
 mutant "lost forwarded call sent again" fanout relay.go 's/if outcome.possiblyRan\(\) \{\n\t\tpart.possibleRuns\+\+\n\t\}\n\tif part.answeredBy/if part.answeredBy/'
 mutant "forwarded call not counted as run" fanout forward.go 's/case !ended \|\| outcome.possiblyRan\(\):\n\t\t\tdirect, forwarded = append\(direct, target\), append\(forwarded, target\)/case !ended || outcome.possiblyRan():/'
 mutant "request cancelled that runs once" fanout calls.go 's/CloseConnection: run.spec.Idempotent/CloseConnection: true/'
-mutant "stranded relay does not refuse" fanout relay_run.go 's/if !relayRun.reachesTargets\(now\) \{/if false {/'
+mutant "stranded relay does not refuse" fanout relay_run.go 's/if relayRun.fleet.Stranded\(now\) \{/if false {/'
 mutant "relay chooses another target" fanout relay_run.go 's/if part.named != "" \{\n\t\treturn relayRun.fleet.Callable/if false {\n\t\treturn relayRun.fleet.Callable/'
 mutant "forwarded calls not limited" fanout forward_limit.go 's/return forwardLimit.calls.AllowN\(now, calls\)/return true/'
 mutant "unserved request waits" fanout results.go 's/if _, ok := run.choose\(now, part, nil, nil\); !ok \{/if false {/'
 mutant "forwards sent after the end" fanout forward.go 's/if run.finished \|\| call.ended \{/if false {/'
+mutant "cut-off relay asked again" place path.go 's/ && !vm.cutOffFrom\(now, failureDomain\)//'
+mutant "dead link makes targets slow" place choose.go 's/if attempt.group.answers == attempt.answers \{/if false {/'
+mutant "relay names no cut" fanout relay_run.go 's/if relayRun.fleet.CutOff\(now, domain\) \{\n\t\treturn Unreached/if relayRun.fleet.CutOff(now, domain) {\n\t\treturn NoCapacity/'
+mutant "forwarded parts show congestion" fanout fanout.go 's/if !ok \|\| len\(sends\) > 0 \{/if true {/'
+mutant "any VM in reach ends a cut" place domain.go 's/if !fleet.reachabilityOf\(endpoint.group\(\)\).cutOff\(now\) \{/if !fleet.reachabilityOf(endpointGroup{endpoint.FailureDomain, true}).cutOff(now) {/'
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
