--- a/core/fanout/canary_test.go
+++ b/core/fanout/canary_test.go
@@ -132,6 +132,10 @@
 		assert.Assert(t, ok)
 		assert.Equal(t, deliver.Missing, 0)
 	})
+	t.Run("the first attempt has called a target of each shard before it is known to crash them, a later one calls one", func(t *testing.T) {
+		assert.Equal(t, len(sends(newCanaryRun(false).Start(start))), canaryParts)
+		assert.Equal(t, len(sends(newCanaryRun(true).Start(start))), 1)
+	})
 	t.Run("a request that crashes whatever runs it leaves the replicas alone", func(t *testing.T) {
 		run := newCanaryRun(false)
 		calls, crashed := sends(run.Start(start)), 0
