Bodies of forwarded requests are bounded; a planned stop finishes those that cannot be repeated

Cause, seen in review: a response of up to 16 MB to a single-service request would not fit into a message between VMs, which ends the link and all calls on it; and a relay that stops as planned broke off a request that is not idempotent, which its caller's VM then had to report as 502. Change: bodies up to 8 MB are forwarded, larger ones end as too large at the relay or are not forwarded; a stopping VM waits within its grace for forwarded requests that cannot be repeated. Measured: nothing; no test brings either about.

--- a/core/rpc/gather.go
+++ b/core/rpc/gather.go
@@ -14,6 +14,9 @@
 	MethodGatherCancel = "gatherCancel" // notification: GatherCancel
 )
 
+// MaxForwardedBody bounds the body of a request or response in a message of relaying, which is larger in JSON.
+const MaxForwardedBody = 8 << 20
+
 // Gather asks an entry VM to call targets of its failure domain, or the targets that it names, for some parts of a request. The receiver
 // calls them itself and asks no further VM.
 type Gather struct {
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -137,7 +137,7 @@
 	call := http1.Call{
 		Target: send.Target.ID, Address: send.Target.Address, Method: job.request.Method,
 		Encode:    func() []byte { return job.request.EncodeCall(send.Target.ID, time.Until(job.deadline)) },
-		FreshConn: !job.route.Idempotent, Deadline: job.deadline, MaxBody: maxResponseBody(job.route), Priority: job.route.EffectivePriority(job.account),
+		FreshConn: !job.route.Idempotent, Deadline: job.deadline, MaxBody: job.maxResponseBody(), Priority: job.route.EffectivePriority(job.account),
 		Done: func(response *http1.Response, err error) (bool, time.Duration) {
 			return gateway.exchangeEnded(job, send, sentAt, response, err)
 		},
@@ -159,11 +159,14 @@
 	}
 }
 
-// maxResponseBody returns the limit on the body of a target's response on a route, 0 for the default.
-func maxResponseBody(matched *route.Route) int64 {
-	if gather, ok := matched.Destination.(route.Gather); ok {
+// maxResponseBody returns the limit on the body of a target's response, 0 for the default.
+func (job *job) maxResponseBody() int64 {
+	if gather, ok := job.route.Destination.(route.Gather); ok {
 		return max(gatherBodyFactor*int64(gather.TopK)*platform.RecordSize, minGatherBody)
 	}
+	if job.relayRun != nil {
+		return rpc.MaxForwardedBody
+	}
 	return 0
 }
 
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -17,6 +17,8 @@
 	"poplarpin.dev/poplarpind/peer"
 )
 
+const forwardedPollInterval = 20 * time.Millisecond // between two looks at the requests in flight for peers during a stop
+
 // relayedCall is a call that a peer relays for this VM.
 type relayedCall struct {
 	job     *job
@@ -38,6 +40,10 @@
 	gateway.relayedCalls[queryID] = relayedCall{job: job, index: relay.Call, relayVM: relay.VM.ID}
 	job.relayQueries[relay.Call] = queryID
 	gateway.mu.Unlock()
+	if len(job.request.Body) > rpc.MaxForwardedBody {
+		gateway.endRelay(queryID, relay.VM.ID, fanout.NoCapacity)
+		return
+	}
 	message := rpc.Gather{
 		QueryID: queryID, Route: job.route.Name, ShardsDigest: shardsDigest(job.route), Parts: relay.Parts, Targets: relay.Targets, Once: !job.route.Idempotent,
 		RequestID: job.request.ID, Method: job.request.Method, Head: job.request.Head(), Body: job.request.Body,
@@ -304,3 +310,20 @@
 	}
 	return result
 }
+
+// awaitForwarded waits until no request that is not idempotent is in flight for a peer.
+func (gateway *Gateway) awaitForwarded(ctx context.Context) {
+	inFlight := func() bool {
+		gateway.mu.Lock()
+		defer gateway.mu.Unlock()
+		for _, job := range gateway.relayJobs {
+			if !job.route.Idempotent {
+				return true
+			}
+		}
+		return false
+	}
+	for inFlight() && ctx.Err() == nil {
+		sleep(ctx, forwardedPollInterval)
+	}
+}
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -167,7 +167,8 @@
 	gateway.currentSeeds.Store(&settings.Seeds)
 }
 
-// shutdown stops gracefully: it waits until the load balancer has removed this VM, then finishes the requests in flight.
+// shutdown stops gracefully: it waits until the load balancer has removed this VM, then finishes the requests in flight, also those of peers
+// that cannot be repeated.
 func (gateway *Gateway) shutdown(clients *http.Server) {
 	grace := gateway.settings.Bounds.GracePeriod
 	if grace <= 0 {
@@ -179,5 +180,6 @@
 	gateway.deregister(ctx)
 	sleep(ctx, min(balancerRemovalTime, grace/2))
 	err := clients.Shutdown(ctx)
+	gateway.awaitForwarded(ctx)
 	gateway.log.Info("entry VM stopped", zap.Int64("active", gateway.ActiveRequests()), zap.Error(err))
 }
