VMs say in their greeting what their build understands; named targets go to builds that know them

Cause: links carry no version, and JSON drops a field that a build does not know. A Gather with Targets or Once reached a VM of an earlier build as a plain request for parts: it chose targets itself and could hedge, while the asking VM counted one call at the target that it had named. What it then believed of attempts, budget and "not run" was not what had happened. A relay's "unreached" counted as an invalid answer of the relay on earlier builds.

Change: Hello names capabilities and, for operators, the build. A message states the capability that it needs; a link sends it only to a peer whose greeting has it, and reports it as unsent otherwise, which is no failure of that peer. Relays for calls to named targets are chosen among VMs not known to lack the capability; what is known of one lasts 10 s, as it may be replaced. Results for a VM without it say noRoom instead of unreached. The greeting alone decides, not the entry in the store: a VM that is rolled back finds its entry as the newer build wrote it. Dump and log show builds and capabilities.

Result: TestCapabilities (peer) and TestStrandedVMBesideOlderBuild (gateway) pass; before, the older VM got such messages.

--- a/core/place/path.go
+++ b/core/place/path.go
@@ -15,7 +15,10 @@
 	Relayed             // a connection of another VM, to a target
 )
 
-const maxRelayCandidates = 32 // VMs of one failure domain that are compared for one call
+const (
+	maxRelayCandidates = 32               // VMs of one failure domain that are compared for one call
+	incapableTime      = 10 * time.Second // for which a VM whose build lacks a capability is left alone
+)
 
 // pathState is what the calls on one path have shown of an endpoint.
 type pathState struct {
@@ -118,9 +121,22 @@
 	return fleet.choose(now, candidates, costs, func(*trackedEndpoint) bool { return true })
 }
 
-// mayRelay reports whether an entry VM answers and, as far as is known, reaches the targets of a failure domain.
+// mayRelay reports whether an entry VM answers and, as far as is known, calls the targets of a failure domain for others.
 func (fleet *Fleet) mayRelay(now time.Time, vm *trackedEndpoint, failureDomain string) bool {
-	return fleet.callable(now, vm) && !vm.down(now, Direct) && !vm.cutOffFrom(now, failureDomain)
+	return fleet.callable(now, vm) && !vm.down(now, Direct) && !vm.cutOffFrom(now, failureDomain) && !now.Before(vm.incapableUntil)
+}
+
+// RelayCapable records whether the build of an entry VM calls the targets that other VMs name, as its greeting says. One that does not is
+// asked again after a time, as it may have been replaced.
+func (fleet *Fleet) RelayCapable(now time.Time, vm string, capable bool) {
+	endpoint, ok := fleet.endpoints[vm]
+	if !ok {
+		return
+	}
+	endpoint.incapableUntil = time.Time{}
+	if !capable {
+		endpoint.incapableUntil = now.Add(incapableTime)
+	}
 }
 
 // cutOffFrom reports whether an entry VM has lately said that it does not reach the targets of a failure domain.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -46,6 +46,7 @@
 	attempts           []*Attempt
 	paths              [2]pathState
 	reach              map[string]*pathState // of an entry VM: failure domains whose targets it does not reach
+	incapableUntil     time.Time             // of an entry VM: its build does not call the targets that others name
 	deprioritizedUntil time.Time
 	displaced          bool // another endpoint answers at its address
 }
--- /dev/null
+++ b/core/rpc/capability.go
@@ -0,0 +1,37 @@
+package rpc
+
+import "slices"
+
+// Capability names something that a build understands and builds before it do not. A name is never used again with another meaning.
+type Capability string
+
+// NamedTargets says that a VM calls exactly the targets that a Gather names, once each, answers with the Response of a target, and knows
+// fanout.Unreached.
+const NamedTargets Capability = "namedTargets"
+
+// maxCapabilities bounds the capabilities in a greeting.
+const maxCapabilities = 256
+
+// OwnCapabilities returns the capabilities of this build.
+func OwnCapabilities() []Capability { return []Capability{NamedTargets} }
+
+// Hello names the VM at the other end of a link, and says what its build understands. The first builds send neither a build nor capabilities.
+type Hello struct {
+	VM           string       `json:"vm"`
+	Incarnation  int64        `json:"incarnation"`
+	Build        string       `json:"build,omitempty"` // version of the program, for operators only
+	Capabilities []Capability `json:"can,omitempty"`
+}
+
+// Can reports whether the VM understands a capability; every VM understands the empty one.
+func (hello Hello) Can(capability Capability) bool {
+	return capability == "" || slices.Contains(hello.Capabilities, capability)
+}
+
+// Validate checks a decoded greeting.
+func (hello Hello) Validate() error {
+	if hello.VM == "" || len(hello.Capabilities) > maxCapabilities {
+		return invalid("hello", "vm %q with %d capabilities", hello.VM, len(hello.Capabilities))
+	}
+	return nil
+}
--- a/core/rpc/rpc.go
+++ b/core/rpc/rpc.go
@@ -20,12 +20,6 @@
 	MethodDomainStatus   = "status.domain"  // call without parameters, answered by a list of api.VMStatus
 )
 
-// Hello names the VM at the other end of a link.
-type Hello struct {
-	VM          string `json:"vm"`
-	Incarnation int64  `json:"incarnation"`
-}
-
 // Batch asks the owner of some targets, the entry VM that connects to them, to call them for one query.
 type Batch struct {
 	QueryID       string          `json:"query"` // unique within the entry VM's incarnation
--- a/poplarpind/entry/members.go
+++ b/poplarpind/entry/members.go
@@ -11,6 +11,7 @@
 	"poplarpin.dev/core/object"
 	"poplarpin.dev/core/owner"
 	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/poplarpind/peer"
 )
 
 const (
@@ -59,7 +60,7 @@
 // deliver sends outgoing membership messages to peers.
 func (vm *VM) deliver(outgoing []member.Outgoing) {
 	for _, out := range outgoing {
-		vm.mesh.Notify(out.To.Name, out.To.Address, rpc.MethodMembership, out.Message, func() {})
+		vm.mesh.Notify(out.To.Name, out.To.Address, peer.Message{Method: rpc.MethodMembership, Params: out.Message})
 	}
 }
 
@@ -165,6 +166,6 @@
 			vm.owner.MarkLeaving(names)
 			continue
 		}
-		vm.mesh.Notify(owner.Name, owner.Address, rpc.MethodLeavingTargets, rpc.LeavingTargets{Targets: names}, func() {})
+		vm.mesh.Notify(owner.Name, owner.Address, peer.Message{Method: rpc.MethodLeavingTargets, Params: rpc.LeavingTargets{Targets: names}})
 	}
 }
--- a/poplarpind/entry/query.go
+++ b/poplarpind/entry/query.go
@@ -13,6 +13,7 @@
 	"poplarpin.dev/core/member"
 	"poplarpin.dev/core/query"
 	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/poplarpind/peer"
 	"poplarpin.dev/poplarpind/settings"
 )
 
@@ -270,6 +271,6 @@
 			go scatter.vm.owner.Cancel(cancel)
 			continue
 		}
-		scatter.vm.mesh.Notify(owner.Name, owner.Address, rpc.MethodBatchCancel, cancel, func() {})
+		scatter.vm.mesh.Notify(owner.Name, owner.Address, peer.Message{Method: rpc.MethodBatchCancel, Params: cancel})
 	}
 }
--- a/poplarpind/entry/route.go
+++ b/poplarpind/entry/route.go
@@ -6,6 +6,7 @@
 	"poplarpin.dev/core/config"
 	"poplarpin.dev/core/member"
 	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/poplarpind/peer"
 	"poplarpin.dev/poplarpind/settings"
 )
 
@@ -36,13 +37,13 @@
 		go vm.owner.Run(&batch, func(result rpc.Result) { vm.deliverResult(batch.QueryID, result) })
 		return
 	}
-	vm.mesh.Notify(owner.Name, owner.Address, rpc.MethodBatch, batch, func() {
+	vm.mesh.Notify(owner.Name, owner.Address, peer.Message{Method: rpc.MethodBatch, Params: batch, OnUnsent: func(peer.Kind) {
 		go func() {
 			for _, call := range batch.Calls {
 				vm.deliverResult(batch.QueryID, rpc.Result{CallID: call.ID, Target: call.Target, Outcome: rpc.OwnerNotReached})
 			}
 		}()
-	})
+	}})
 }
 
 // deliverResult passes a result to its pending query; a result body that cannot be unpacked counts as a lost call.
@@ -74,6 +75,9 @@
 	delete(vm.queries.active, queryID)
 }
 
+// Greeted implements peer.Handler. The messages between these VMs need no capability.
+func (vm *VM) Greeted(rpc.Hello) {}
+
 // LinkDown implements peer.Handler: it notifies every pending query that results from the peer may not arrive any more.
 func (vm *VM) LinkDown(name string) {
 	vm.queries.Lock()
--- a/poplarpind/entry/status.go
+++ b/poplarpind/entry/status.go
@@ -9,6 +9,7 @@
 	"poplarpin.dev/core/member"
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/core/status"
+	"poplarpin.dev/poplarpind/peer"
 )
 
 const (
@@ -43,7 +44,7 @@
 			vm.recordStatus(status)
 			continue
 		}
-		vm.mesh.Notify(collector.Name, collector.Address, rpc.MethodStatusReport, status, func() {})
+		vm.mesh.Notify(collector.Name, collector.Address, peer.Message{Method: rpc.MethodStatusReport, Params: status})
 	}
 }
 
--- a/poplarpind/gateway/accounts_test.go
+++ b/poplarpind/gateway/accounts_test.go
@@ -283,17 +283,19 @@
 	})
 }
 
+func (fakeRelay) Greeted(rpc.Hello) {}
+
 func (fakeRelay) LinkDown(string) {}
 
 func (fakeRelay) AwaitsReply(string) bool { return false }
 
-// startRelay registers a fake entry VM of a failure domain.
-func startRelay(t *testing.T, store *platformtest.Store, name, domain string) fakeRelay {
+// startRelay registers a fake entry VM of a failure domain with some capabilities.
+func startRelay(t *testing.T, store *platformtest.Store, name, domain string, capabilities ...rpc.Capability) fakeRelay {
 	t.Helper()
 	relay := fakeRelay{gathers: make(chan rpc.Gather, 100)}
 	links, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	mesh := peer.New(rpc.Hello{VM: name, Incarnation: 1}, relay, nil)
+	mesh := peer.New(rpc.Hello{VM: name, Incarnation: 1, Capabilities: capabilities}, relay, nil)
 	go mesh.Serve(links)
 	t.Cleanup(func() { mesh.Close(); _ = links.Close() })
 	store.Put("entryvms", name, map[string]any{"failureDomain": domain, "address": links.Addr().String(), "cores": 4})
--- a/poplarpind/gateway/admit_test.go
+++ b/poplarpind/gateway/admit_test.go
@@ -14,7 +14,7 @@
 )
 
 func newTestGateway() *Gateway {
-	return New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, zap.NewNop())
+	return New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, "test", zap.NewNop())
 }
 
 func gatherRoute(number int) *route.Route {
--- a/poplarpind/gateway/dump.go
+++ b/poplarpind/gateway/dump.go
@@ -1,19 +1,25 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"poplarpin.dev/core/config"
 	"poplarpin.dev/core/place"
 	"poplarpin.dev/core/poison"
 	"poplarpin.dev/core/quota"
+	"poplarpin.dev/core/rpc"
 )
 
 // Dump is a snapshot of a gateway's state for operators.
 type Dump struct {
 	VM             string               `json:"vm"`
 	FailureDomain  string               `json:"failureDomain"`
-	ConfigVersion  int64                `json:"version"` // 0 for no configuration
+	Build          string               `json:"build,omitempty"`
+	Capabilities   []rpc.Capability     `json:"capabilities"`
+	Peers          []rpc.Hello          `json:"peers,omitempty"` // the last greetings of other entry VMs, by name
+	ConfigVersion  int64                `json:"version"`         // 0 for no configuration
 	Routes         int                  `json:"routes"`
 	Ready          bool                 `json:"ready"`
 	Stopping       bool                 `json:"stopping"`
@@ -34,7 +40,7 @@
 
 // Dump returns a snapshot of the gateway's state.
 func (gateway *Gateway) Dump() Dump {
-	dump := Dump{VM: gateway.settings.VM, FailureDomain: gateway.settings.FailureDomain, Ready: gateway.Ready(),
+	dump := Dump{VM: gateway.settings.VM, FailureDomain: gateway.settings.FailureDomain, Build: gateway.hello.Build, Capabilities: gateway.hello.Capabilities, Ready: gateway.Ready(),
 		Stopping: gateway.stopping.Load(), Isolated: gateway.isolated.Load(), ActiveRequests: gateway.ActiveRequests(),
 		StoreAddress: gateway.storeAddress(), Seeds: gateway.seeds()}
 	if table := gateway.table.Load(); table != nil {
@@ -51,6 +57,9 @@
 	dump.Evacuated = gateway.fleet.Evacuated()
 	dump.Endpoints = gateway.fleet.Views(now)
 	dump.Suspects = gateway.suspects.Views(now)
+	for _, name := range slices.Sorted(maps.Keys(gateway.greetings)) {
+		dump.Peers = append(dump.Peers, gateway.greetings[name])
+	}
 	return dump
 }
 
--- a/poplarpind/gateway/evacuations_list_test.go
+++ b/poplarpind/gateway/evacuations_list_test.go
@@ -33,7 +33,7 @@
 func TestStaleListLacksKind(t *testing.T) {
 	store := httptest.NewServer(http.HandlerFunc(staleStore))
 	defer store.Close()
-	gateway := New(platform.Settings{VM: "vm-a1", FailureDomain: "a", StoreAddress: strings.TrimPrefix(store.URL, "http://")}, zap.NewNop())
+	gateway := New(platform.Settings{VM: "vm-a1", FailureDomain: "a", StoreAddress: strings.TrimPrefix(store.URL, "http://")}, "test", zap.NewNop())
 	gateway.mu.Lock()
 	gateway.applyUpdate("vm-a2", rpc.StoreUpdate{Through: 10, Full: true, Evacuations: &rpc.Evacuations{Revision: 5, FailureDomains: []string{"a"}}})
 	gateway.mu.Unlock()
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -36,6 +36,7 @@
 type Gateway struct {
 	settings            platform.Settings
 	log                 *zap.Logger
+	hello               rpc.Hello // of this VM
 	pool                *http1.Pool
 	mesh                *peer.Mesh
 	era                 *platform.Era // of the store
@@ -67,6 +68,7 @@
 	view                follow.View               // how recent the known configuration is
 	restartConfigWatch  context.CancelFunc        // ends the watch of the configuration in flight, so that it is sent again; nil for none
 	peers               []platform.VM             // the other entry VMs
+	greetings           map[string]rpc.Hello      // the last ones of other entry VMs, by name
 	subscribers         map[string]*subscriber    // VMs that get store updates from this one, by name
 	pendingObservations []reportedObservation     // not yet sent to other VMs
 	pendingHints        []reportedHint            // not yet sent to other VMs
@@ -85,13 +87,15 @@
 	retryPacers map[string]*admit.RetryPacer // of routes without a limiter, by route
 }
 
-// New returns a gateway without a configuration.
-func New(settings platform.Settings, log *zap.Logger) *Gateway {
+// New returns a gateway without a configuration; build is the version of the program.
+func New(settings platform.Settings, build string, log *zap.Logger) *Gateway {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	bounds := settings.Bounds
 	gateway := &Gateway{
 		settings:          settings,
 		log:               log,
+		hello:             rpc.Hello{VM: settings.VM, Incarnation: time.Now().UnixMicro(), Build: build, Capabilities: rpc.OwnCapabilities()},
+		greetings:         map[string]rpc.Hello{},
 		random:            random,
 		fleet:             place.New(settings.FailureDomain, settings.Cores, random),
 		era:               platform.NewEra(func(event string) { storeEras.Add(event, 1) }),
@@ -116,7 +120,7 @@
 	gateway.quotas = newQuotas(gateway)
 	gateway.pauses = pause.New(syncInterval)
 	gateway.pool = http1.New(gateway.maxConnections, memoryBudget(settings.MemoryBytes))
-	gateway.mesh = peer.New(rpc.Hello{VM: settings.VM, Incarnation: time.Now().UnixMicro()}, gateway, nil)
+	gateway.mesh = peer.New(gateway.hello, gateway, nil)
 	gateway.currentStoreAddress.Store(&settings.StoreAddress)
 	gateway.currentSeeds.Store(&settings.Seeds)
 	return gateway
--- a/poplarpind/gateway/gateway_test.go
+++ b/poplarpind/gateway/gateway_test.go
@@ -60,7 +60,7 @@
 
 func startVMWith(t *testing.T, settings platform.Settings, log *zap.Logger) *vm {
 	t.Helper()
-	started := &vm{gateway: gateway.New(settings, log), peerAddress: settings.PeerAddress}
+	started := &vm{gateway: gateway.New(settings, "test", log), peerAddress: settings.PeerAddress}
 	ctx, cancel := context.WithCancel(context.Background())
 	assert.NilError(t, started.gateway.Start(ctx))
 	started.clients = httptest.NewServer(platform.NewIngress(started.gateway, platform.NewBodies(1<<20)))
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"poplarpin.dev/core/fanout"
 	"poplarpin.dev/core/place"
+	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/platform"
 )
 
@@ -129,6 +131,9 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	gateway.peers = peers
+	maps.DeleteFunc(gateway.greetings, func(name string, _ rpc.Hello) bool {
+		return !slices.ContainsFunc(peers, func(vm platform.VM) bool { return vm.Name == name })
+	})
 	if len(peers) < len(listed) {
 		gateway.fleet.MarkListed()
 	}
@@ -137,6 +142,19 @@
 	gateway.budgets.SetVMs(time.Now(), len(peers)+1)
 }
 
+// Greeted implements peer.Handler; it records the build of a peer, which may change with each of its restarts.
+func (gateway *Gateway) Greeted(hello rpc.Hello) {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	before, known := gateway.greetings[hello.VM]
+	gateway.greetings[hello.VM] = hello
+	gateway.fleet.RelayCapable(time.Now(), hello.VM, hello.Can(rpc.NamedTargets))
+	if !known || before.Build != hello.Build {
+		gateway.log.Info("build of peer known", zap.String("peer", truncate(hello.VM)), zap.String("build", truncate(hello.Build)),
+			zap.Int("capabilities", len(hello.Capabilities)))
+	}
+}
+
 // deregister removes this VM's entry from the store, so that peers stop sending it requests to relay.
 func (gateway *Gateway) deregister(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
--- a/poplarpind/gateway/quota.go
+++ b/poplarpind/gateway/quota.go
@@ -280,7 +280,7 @@
 			quotas.linkDown(send.VM)
 			continue
 		}
-		quotas.gateway.mesh.Notify(send.VM, vm.Address, method, send.Message, func() { quotas.linkDown(send.VM) })
+		quotas.gateway.mesh.Notify(send.VM, vm.Address, peer.Message{Method: method, Params: send.Message, OnUnsent: func(peer.Kind) { quotas.linkDown(send.VM) }})
 	}
 }
 
--- a/poplarpind/gateway/quota_restart_test.go
+++ b/poplarpind/gateway/quota_restart_test.go
@@ -25,7 +25,7 @@
 		"entry from a later clock": {true, -time.Minute, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			gateway := New(platform.Settings{VM: "vm-a1", FailureDomain: "a", Bounds: platform.Bounds{QuotaWindow: time.Second}}, zap.NewNop())
+			gateway := New(platform.Settings{VM: "vm-a1", FailureDomain: "a", Bounds: platform.Bounds{QuotaWindow: time.Second}}, "test", zap.NewNop())
 			registeredAt := int64(0)
 			if test.since != 0 {
 				registeredAt = time.Now().Add(-test.since).UnixMilli()
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -50,9 +50,24 @@
 		Timeout:     config.Duration(max(time.Until(job.deadline), time.Millisecond)),
 		ReportAfter: config.Duration(relay.ReportAfter),
 	}
-	gateway.mesh.Notify(relay.VM.ID, relay.VM.Address, rpc.MethodGather, message, func() {
-		gateway.endRelay(queryID, relay.VM.ID, fanout.NotSent)
-	})
+	needs := rpc.Capability("")
+	if len(relay.Targets) > 0 {
+		needs = rpc.NamedTargets
+	}
+	gateway.mesh.Notify(relay.VM.ID, relay.VM.Address, peer.Message{Method: rpc.MethodGather, Params: message, Needs: needs, OnUnsent: func(reason peer.Kind) {
+		gateway.endRelay(queryID, relay.VM.ID, gateway.unsentOutcome(relay.VM.ID, reason))
+	}})
+}
+
+// unsentOutcome returns the outcome of a relayed call whose message was not sent.
+func (gateway *Gateway) unsentOutcome(relayVM string, reason peer.Kind) fanout.Outcome {
+	if reason != peer.Incapable {
+		return fanout.NotSent
+	}
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	gateway.fleet.RelayCapable(time.Now(), relayVM, false)
+	return fanout.NoCapacity // the VM itself is well
 }
 
 // shardsDigest returns the digest of a route's shards, 0 for a route without any.
@@ -68,10 +83,10 @@
 	queryID, ok := job.relayQueries[cancel.Call]
 	call := gateway.relayedCalls[queryID]
 	delete(gateway.relayedCalls, queryID)
-	peer, known := gateway.fleet.Endpoint(call.relayVM)
+	relay, known := gateway.fleet.Endpoint(call.relayVM)
 	gateway.mu.Unlock()
 	if ok && known && cancel.CloseConnection {
-		gateway.mesh.Notify(call.relayVM, peer.Address, rpc.MethodGatherCancel, rpc.GatherCancel{QueryID: queryID}, func() {})
+		gateway.mesh.Notify(call.relayVM, relay.Address, peer.Message{Method: rpc.MethodGatherCancel, Params: rpc.GatherCancel{QueryID: queryID}})
 	}
 	return ok
 }
@@ -225,7 +240,7 @@
 			refuse("this VM does not reach the targets")
 			return
 		}
-		reply(rpc.MethodGatherResult, gateway.gatherResult(job, gather, report))
+		reply(rpc.MethodGatherResult, gateway.inTermsOf(from, gateway.gatherResult(job, gather, report)))
 		if report.Final {
 			job.releaseResponses()
 		}
@@ -311,6 +326,21 @@
 	return result
 }
 
+// inTermsOf replaces what the build of a peer does not know in a result for it.
+func (gateway *Gateway) inTermsOf(peer string, result rpc.GatherResult) rpc.GatherResult {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if gateway.greetings[peer].Can(rpc.NamedTargets) {
+		return result
+	}
+	for i := range result.Missing {
+		if result.Missing[i].Outcome == fanout.Unreached {
+			result.Missing[i].Outcome = fanout.NoCapacity
+		}
+	}
+	return result
+}
+
 // awaitForwarded waits until no request that is not idempotent is in flight for a peer.
 func (gateway *Gateway) awaitForwarded(ctx context.Context) {
 	inFlight := func() bool {
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -31,7 +31,7 @@
 )
 
 // Main runs an entry VM on the platform until SIGTERM or SIGINT.
-func Main(path string, log *zap.Logger) error {
+func Main(path, build string, log *zap.Logger) error {
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -43,7 +43,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	gateway := New(settings, log)
+	gateway := New(settings, build, log)
 	clients := &http.Server{Handler: platform.NewIngress(gateway, platform.NewBodies(memoryBudget(settings.MemoryBytes))), ReadHeaderTimeout: headerTimeout, IdleTimeout: platform.DefaultIdleTimeout,
 		ErrorLog: zap.NewStdLog(log), ConnContext: withClientConn}
 	ready := &http.Server{Handler: platform.NewReadiness(gateway), ReadHeaderTimeout: headerTimeout}
@@ -55,7 +55,7 @@
 			return err
 		}
 	}
-	log.Info("entry VM serving", zap.String("domain", settings.FailureDomain), zap.Float64("cores", settings.Cores), zap.String("store", settings.StoreAddress),
+	log.Info("entry VM serving", zap.String("build", build), zap.String("domain", settings.FailureDomain), zap.Float64("cores", settings.Cores), zap.String("store", settings.StoreAddress),
 		zap.Strings("seeds", settings.Seeds))
 	go gateway.WatchSettings(ctx, path)
 	gateway.handleSignals(path)
--- a/poplarpind/gateway/share.go
+++ b/poplarpind/gateway/share.go
@@ -8,6 +8,7 @@
 
 	"poplarpin.dev/core/place"
 	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/poplarpind/peer"
 )
 
 // shareInterval is the time between two messages with observations: so short that a target gets only a few calls meanwhile (tens a
@@ -85,7 +86,7 @@
 	}
 	if source, ok := gateway.fleet.Endpoint(gateway.plan.Source); ok && source.FailureDomain == gateway.settings.FailureDomain {
 		if message, ok := gateway.messageExceptFrom(pending, source.ID); ok {
-			gateway.mesh.Notify(source.ID, source.Address, rpc.MethodObservations, message, func() {})
+			gateway.mesh.Notify(source.ID, source.Address, peer.Message{Method: rpc.MethodObservations, Params: message})
 		}
 	}
 	for name, subscriber := range gateway.subscribers {
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -76,7 +76,7 @@
 		}
 		if plan.Source != "" && (plan.Source != before.Source || unsent.Swap(false) || now.Sub(subscribedAt) >= subscribeInterval) {
 			subscribedAt = now
-			gateway.mesh.Notify(plan.Source, source.Address, rpc.MethodSubscribe, revisions, func() { unsent.Store(true) })
+			gateway.mesh.Notify(plan.Source, source.Address, peer.Message{Method: rpc.MethodSubscribe, Params: revisions, OnUnsent: func(peer.Kind) { unsent.Store(true) }})
 		}
 	}
 }
--- a/poplarpind/gateway/stranded_test.go
+++ b/poplarpind/gateway/stranded_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/platform/platformtest"
 )
 
@@ -95,6 +96,25 @@
 	}
 }
 
+// TestStrandedVMBesideOlderBuild guards against a message that names targets to a VM whose build chooses the targets itself, and may hedge.
+func TestStrandedVMBesideOlderBuild(t *testing.T) {
+	deployment := newStrandedDeployment(t)
+	older := startRelay(t, deployment.store, "vm-b0", "b")
+	newer := startRelay(t, deployment.store, "vm-b3", "b", rpc.NamedTargets)
+	waitFor(t, "the list of VMs", func() bool { return deployment.stranded.gateway.Dump().Endpoint("vm-b3").State == "ready" })
+	deployment.eachLink((*platformtest.Link).Hang)
+	for _, target := range deployment.targets {
+		target.SetHandler(platformtest.LastReply)
+	}
+	waitFor(t, "a message to a VM that understands it", func() bool {
+		deployment.stranded.doWithin(t, "/g/x")
+		return len(newer.gathers) > 0
+	})
+	assertServes(t, deployment.stranded, "/g/x", "/o/x")
+	assert.Assert(t, len((<-newer.gathers).Targets) > 0)
+	assert.Equal(t, len(older.gathers), 0)
+}
+
 // TestStrandedVMSuspectsNoRequest guards against requests that count as crashing their targets because one VM lost its links to these.
 func TestStrandedVMSuspectsNoRequest(t *testing.T) {
 	deployment := newStrandedDeployment(t)
--- a/poplarpind/gateway/target_report.go
+++ b/poplarpind/gateway/target_report.go
@@ -118,7 +118,7 @@
 	}
 	for _, name := range follow.WatchersElsewhere(toFollowPeers(gateway.peers), gateway.settings.FailureDomain, hintReceivers) {
 		if vm, ok := gateway.fleet.Endpoint(name); ok {
-			gateway.mesh.Notify(name, vm.Address, rpc.MethodObservations, message, func() {})
+			gateway.mesh.Notify(name, vm.Address, peer.Message{Method: rpc.MethodObservations, Params: message})
 		}
 	}
 }
--- a/poplarpind/main.go
+++ b/poplarpind/main.go
@@ -62,6 +62,20 @@
 	kongContext.FatalIfErrorf(run(settings, log))
 }
 
+// build returns the version of the program: the one set when it was built, or the commit that it was built from.
+func build() string {
+	info, ok := debug.ReadBuildInfo()
+	if version != "unset" || !ok {
+		return version
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return setting.Value
+		}
+	}
+	return version
+}
+
 // runOnPlatform runs the gateway on a VM of the users' platform, or only checks its settings.
 func runOnPlatform(check bool) error {
 	path := platform.SettingsPath()
@@ -77,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	err = gateway.Main(path, log)
+	err = gateway.Main(path, build(), log)
 	if err != nil {
 		log.Error("gateway failed", zap.Error(err))
 	}
--- a/poplarpind/peer/inbound.go
+++ b/poplarpind/peer/inbound.go
@@ -19,13 +19,13 @@
 	conn    net.Conn
 	codec   *frameCodec
 	from    string // the peer's name; empty until the handshake
-	replies chan message
+	replies chan Message
 }
 
 // reply queues a notification to the peer. If the queue is full it closes the link, by which the peer learns of the loss.
 func (inbound *inbound) reply(method string, params any) {
 	select {
-	case inbound.replies <- message{method: method, params: params}:
+	case inbound.replies <- Message{Method: method, Params: params}:
 	default:
 		_ = inbound.conn.Close()
 	}
@@ -36,8 +36,8 @@
 	for {
 		select {
 		case message := <-inbound.replies:
-			sentMessages.Add(message.method, 1)
-			if conn.Notify(context.Background(), message.method, message.params) != nil {
+			sentMessages.Add(message.Method, 1)
+			if conn.Notify(context.Background(), message.Method, message.Params) != nil {
 				_ = conn.Close()
 				return
 			}
@@ -82,7 +82,7 @@
 // handshake requires the first message to state the peer's name and checks the name against the peer's certificate.
 func (inbound *inbound) handshake(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request, params json.RawMessage) {
 	var hello rpc.Hello
-	if request.Method != rpc.MethodHello || json.Unmarshal(params, &hello) != nil || hello.VM == "" || !certifiedAs(inbound.conn, hello.VM) {
+	if request.Method != rpc.MethodHello || json.Unmarshal(params, &hello) != nil || hello.Validate() != nil || !certifiedAs(inbound.conn, hello.VM) {
 		_ = conn.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "not a member"})
 		_ = conn.Close()
 		return
@@ -90,6 +90,7 @@
 	inbound.from = hello.VM
 	inbound.codec.handshakeComplete()
 	_ = inbound.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	inbound.mesh.handler.Greeted(hello)
 	_ = conn.Reply(ctx, request.ID, inbound.mesh.self)
 }
 
--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -12,19 +12,13 @@
 	"poplarpin.dev/core/rpc"
 )
 
-// message is a queued notification.
-type message struct {
-	method   string
-	params   any
-	onUnsent func()
-}
-
 // link is a connection that this VM has opened to a peer.
 type link struct {
 	mesh         *Mesh
 	name         string
 	address      string
-	queue        chan message
+	queue        chan Message
+	peer         rpc.Hello     // set before ready is closed
 	ready        chan struct{} // closed once rpc is set or opening has failed
 	rpc          *jsonrpc2.Conn
 	conn         net.Conn
@@ -50,8 +44,13 @@
 	for {
 		select {
 		case message := <-link.queue:
+			if !link.peer.Can(message.Needs) {
+				message.unsent(Incapable)
+				continue
+			}
 			link.markSent()
-			if err := link.rpc.Notify(ctx, message.method, message.params); err != nil {
+			sentMessages.Add(message.Method, 1)
+			if err := link.rpc.Notify(ctx, message.Method, message.Params); err != nil {
 				link.close()
 				return
 			}
@@ -79,10 +78,11 @@
 		_ = rpcConn.Close()
 		return err
 	}
-	if hello.VM != link.name || !certifiedAs(conn, link.name) {
+	if hello.Validate() != nil || hello.VM != link.name || !certifiedAs(conn, link.name) {
 		_ = rpcConn.Close()
 		return &Error{"open", Rejected, fmt.Sprintf("%s answers at the address of %s", hello.VM, link.name)}
 	}
+	link.mesh.handler.Greeted(hello)
 	link.mu.Lock()
 	defer link.mu.Unlock()
 	if link.closed {
@@ -90,12 +90,12 @@
 		return &Error{"open", Unreachable, "the link to " + link.name + " was closed while it was opened"}
 	}
 	codec.handshakeComplete()
-	link.rpc, link.conn = rpcConn, conn
+	link.rpc, link.conn, link.peer = rpcConn, conn, hello
 	return nil
 }
 
 // enqueue queues a message and reports whether it did: not if the link is closed or the queue is full.
-func (link *link) enqueue(message message) bool {
+func (link *link) enqueue(message Message) bool {
 	link.mu.Lock()
 	defer link.mu.Unlock()
 	if link.closed {
@@ -197,7 +197,7 @@
 	for {
 		select {
 		case message := <-link.queue:
-			message.onUnsent()
+			message.unsent(Unreachable)
 		default:
 			return
 		}
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -38,6 +38,7 @@
 // The kinds of errors. Their text appears in log lines and is kept, even where it differs from the constant's name.
 const (
 	Unreachable Kind = "unreachable" // no link; nothing was sent
+	Incapable   Kind = "incapable"   // the peer's build lacks the capability that the message needs; nothing was sent
 	Broken      Kind = "broken"      // the link was lost; the message may have arrived
 	Rejected    Kind = "unwelcome"   // the peer or its message is not accepted
 )
@@ -67,6 +68,7 @@
 
 // Handler handles the messages of peers; it must not block.
 type Handler interface {
+	Greeted(hello rpc.Hello) // a peer has said what its build understands, on a link that either side has opened
 	Notify(from string, reply Reply, method string, params json.RawMessage) error
 	Call(ctx context.Context, from string, method string, params json.RawMessage) (any, error)
 	LinkDown(name string) // a link on which messages were sent has been closed
@@ -101,17 +103,30 @@
 	return time.Since(mesh.failedAt[name]) > redialBackoff
 }
 
-// Notify sends a notification; onUnsent is called if it was certainly not sent.
-func (mesh *Mesh) Notify(name, address, method string, params any, onUnsent func()) {
+// Message is a notification to a peer.
+type Message struct {
+	Method   string
+	Params   any
+	Needs    rpc.Capability // peers without it do not get the message; empty if all builds understand it
+	OnUnsent func(Kind)     // called if the message was certainly not sent, with the reason; nil if that does not matter
+}
+
+func (message Message) unsent(kind Kind) {
+	if message.OnUnsent != nil {
+		message.OnUnsent(kind)
+	}
+}
+
+// Notify sends a notification.
+func (mesh *Mesh) Notify(name, address string, message Message) {
 	link := mesh.link(name, address)
 	if link == nil {
-		onUnsent()
+		message.unsent(Unreachable)
 		return
 	}
-	sentMessages.Add(method, 1)
-	if !link.enqueue(message{method, params, onUnsent}) {
+	if !link.enqueue(message) {
 		link.close()
-		onUnsent()
+		message.unsent(Unreachable)
 	}
 }
 
@@ -149,7 +164,7 @@
 	if mesh.closed || time.Since(mesh.failedAt[name]) <= redialBackoff {
 		return nil
 	}
-	created := &link{mesh: mesh, name: name, address: address, queue: make(chan message, queueLength),
+	created := &link{mesh: mesh, name: name, address: address, queue: make(chan Message, queueLength),
 		ready: make(chan struct{}), done: make(chan struct{}), lastSent: time.Now()}
 	if existing := mesh.links[name]; existing != nil {
 		go existing.close() // which locks the mesh
@@ -221,7 +236,7 @@
 	codec := newFrameCodec()
 	stream := jsonrpc2.NewBufferedStream(countingConn{conn}, codec)
 	_ = conn.SetReadDeadline(time.Now().Add(handshakeTimeout)) // fails only on a closed connection
-	inbound := &inbound{mesh: mesh, conn: conn, codec: codec, replies: make(chan message, queueLength)}
+	inbound := &inbound{mesh: mesh, conn: conn, codec: codec, replies: make(chan Message, queueLength)}
 	rpcConn := jsonrpc2.NewConn(context.Background(), stream, inbound, discardLog)
 	go inbound.writeReplies(rpcConn)
 	<-rpcConn.DisconnectNotify()
--- a/poplarpind/peer/peer_test.go
+++ b/poplarpind/peer/peer_test.go
@@ -21,6 +21,7 @@
 type handler struct {
 	notified    atomic.Int64
 	linksLost   atomic.Int64
+	greeting    atomic.Pointer[rpc.Hello] // the last one
 	awaitsReply atomic.Bool
 	replies     bool
 }
@@ -37,6 +38,8 @@
 	return nil, nil
 }
 
+func (handler *handler) Greeted(hello rpc.Hello) { handler.greeting.Store(&hello) }
+
 func (handler *handler) LinkDown(string) { handler.linksLost.Add(1) }
 
 func (handler *handler) AwaitsReply(string) bool { return handler.awaitsReply.Load() }
@@ -116,7 +119,7 @@
 }
 
 func notify(mesh *peer.Mesh, proxy *proxy) {
-	mesh.Notify("b", proxy.listener.Addr().String(), rpc.MethodGather, struct{}{}, func() {})
+	mesh.Notify("b", proxy.listener.Addr().String(), peer.Message{Method: rpc.MethodGather, Params: struct{}{}})
 }
 
 // TestSilence guards against links that fail without being closed, as when a VM loses power: the replies awaited on them never
@@ -169,7 +172,7 @@
 		assert.NilError(t, err)
 		defer listener.Close()
 		mesh := peer.New(rpc.Hello{VM: "a"}, &handler{}, nil)
-		mesh.Notify("b", listener.Addr().String(), rpc.MethodGather, struct{}{}, func() {})
+		mesh.Notify("b", listener.Addr().String(), peer.Message{Method: rpc.MethodGather, Params: struct{}{}})
 		conn, err := listener.Accept()
 		assert.NilError(t, err)
 		hello := slowHello{asked: make(chan struct{}), release: make(chan struct{})}
@@ -201,10 +204,45 @@
 		for range senders {
 			go func() {
 				for range messages {
-					mesh.Notify("b", proxy.listener.Addr().String(), rpc.MethodGather, struct{}{}, func() { unsent.Add(1) })
+					mesh.Notify("b", proxy.listener.Addr().String(), peer.Message{Method: rpc.MethodGather, Params: struct{}{}, OnUnsent: func(peer.Kind) { unsent.Add(1) }})
 				}
 			}()
 		}
 		waitFor(t, "the reports", func() bool { return unsent.Load() == senders*messages })
 	})
 }
+
+// TestCapabilities guards against a message to a VM whose build does not understand it.
+func TestCapabilities(t *testing.T) {
+	for name, test := range map[string]struct {
+		peer  []rpc.Capability
+		needs rpc.Capability
+		sent  bool
+	}{
+		"an older build gets messages that all builds understand": {sent: true},
+		"an older build does not get a newer message":             {needs: rpc.NamedTargets},
+		"a build that understands a message gets it":              {peer: []rpc.Capability{rpc.NamedTargets}, needs: rpc.NamedTargets, sent: true},
+		"an unknown capability does not stand for another":        {peer: []rpc.Capability{"later"}, needs: rpc.NamedTargets},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			receiver, sender := &handler{}, &handler{}
+			server := peer.New(rpc.Hello{VM: "b", Capabilities: test.peer}, receiver, nil)
+			go server.Serve(listener)
+			client := peer.New(rpc.Hello{VM: "a", Build: "1", Capabilities: rpc.OwnCapabilities()}, sender, nil)
+			t.Cleanup(func() { client.Close(); server.Close(); _ = listener.Close() })
+			unsent := make(chan peer.Kind, 1)
+			client.Notify("b", listener.Addr().String(), peer.Message{Method: rpc.MethodGather, Params: struct{}{}, Needs: test.needs,
+				OnUnsent: func(kind peer.Kind) { unsent <- kind }})
+			if test.sent {
+				waitFor(t, "the message", func() bool { return receiver.notified.Load() == 1 })
+			} else {
+				assert.Equal(t, <-unsent, peer.Incapable)
+				assert.Equal(t, receiver.notified.Load(), int64(0))
+			}
+			assert.DeepEqual(t, sender.greeting.Load().Capabilities, test.peer)
+			assert.DeepEqual(t, receiver.greeting.Load(), &rpc.Hello{VM: "a", Build: "1", Capabilities: rpc.OwnCapabilities()})
+		})
+	}
+}
