A forwarded request that is not idempotent is never hedged

Cause: when a relay says that a call takes long (Report.Early), Run.relayReport hedges its parts without asking whether the request may be hedged; only the hedge by time asked. Forwarded calls are the first relayed ones of requests that are not idempotent, so a stranded VM sent such a request to a second target while the first ran it: twice. The same for requests that may crash their targets.

Change: each way to a hedge asks mayHedge.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -82,7 +82,7 @@
 
 // canHedge reports whether a call may be hedged.
 func (run *Run) canHedge(call *call) bool {
-	if call.ended || call.hedged || !run.mayHedge() {
+	if call.ended || call.hedged {
 		return false
 	}
 	return slices.ContainsFunc(call.parts, run.canHedgePart)
@@ -90,7 +90,7 @@
 
 // canHedgePart reports whether a part may be sent to a second target before the first has answered.
 func (run *Run) canHedgePart(part *partState) bool {
-	return part.answeredBy == nil && part.inFlight == 1 && part.possibleRuns+part.inFlight < run.spec.MaxAttempts
+	return run.mayHedge() && part.answeredBy == nil && part.inFlight == 1 && part.possibleRuns+part.inFlight < run.spec.MaxAttempts
 }
 
 // hedgeAt returns when to hedge a call: after the latency of a slow call of the route, but early enough for the second answer to meet the objective,
--- a/core/fanout/forward_test.go
+++ b/core/fanout/forward_test.go
@@ -59,6 +59,29 @@
 	return fanout.Spec{Route: "r", Parts: serviceNames(1), MaxAttempts: 3, Idempotent: idempotent, Objective: objective, Timeout: timeout}
 }
 
+// TestForwardedSlowly guards against a second call for a request that is not idempotent, or may crash its targets, when the relay says that the
+// first one takes long.
+func TestForwardedSlowly(t *testing.T) {
+	for name, test := range map[string]struct {
+		idempotent, cautious bool
+		hedges               int
+	}{
+		"a request that may be repeated is hedged": {idempotent: true, hedges: 1},
+		"one that is not idempotent is not":        {},
+		"one that may crash its targets is not":    {idempotent: true, cautious: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			spec := singleSpec(test.idempotent)
+			spec.Cautious = test.cautious
+			run := fanout.New(spec, newStranded(serviceNames(1)), start)
+			first := relaysOf(t, run.Start(start))
+			assert.Equal(t, len(first), 1)
+			_, actions := run.RelayReport(start.Add(first[0].ReportAfter), first[0].Call, fanout.Report{Early: true})
+			assert.Equal(t, len(relaysOf(t, actions)), test.hedges)
+		})
+	}
+}
+
 // TestStranded guards against requests that hang, or are refused, at a VM that reaches no target while others do.
 func TestStranded(t *testing.T) {
 	t.Run("all parts of a gathered request go through other VMs in few messages", func(t *testing.T) {
--- a/core/fanout/relay_run.go
+++ b/core/fanout/relay_run.go
@@ -17,7 +17,7 @@
 	earlyReportAt time.Time // when the available results are reported if some are missing
 	parts         []relayPart
 	inFlight      int
-	reportedEarly bool // the early report has been sent
+	reportedEarly bool // the early report has been sent, or there is none
 	ended         bool
 }
 
@@ -54,11 +54,12 @@
 	Services    []string      // of the parts
 	Targets     []string      // that must be called, one for each part; empty if the relay chooses
 	ReportAfter time.Duration // until the early report
+	Once        bool          // the request is not idempotent; there is no early report, on which a VM of build e92619e sends a second call
 }
 
 // NewRelayRun returns a relay run that has not started.
 func NewRelayRun(spec RelaySpec, fleet *place.Fleet, now time.Time) *RelayRun {
-	relayRun := &RelayRun{route: spec.Route, fleet: fleet, started: now, earlyReportAt: now.Add(spec.ReportAfter),
+	relayRun := &RelayRun{route: spec.Route, fleet: fleet, started: now, earlyReportAt: now.Add(spec.ReportAfter), reportedEarly: spec.Once,
 		parts: make([]relayPart, len(spec.Services))}
 	for i, service := range spec.Services {
 		relayRun.parts[i].service = service
--- a/core/fanout/relay_run_test.go
+++ b/core/fanout/relay_run_test.go
@@ -81,6 +81,17 @@
 	assert.Assert(t, !report.Final)
 }
 
+// TestRelayRunOnceReportsOnce guards against a report without a result to a VM that takes it as a reason to send the request again.
+func TestRelayRunOnceReportsOnce(t *testing.T) {
+	services := serviceNames(1)
+	relayRun := fanout.NewRelayRun(fanout.RelaySpec{Route: "r", Services: services, ReportAfter: 20 * time.Millisecond, Once: true}, newFleet(services), start)
+	assert.Equal(t, len(relayRun.Start(start)), 1)
+	assert.Equal(t, len(relayRun.Tick(start.Add(20*time.Millisecond))), 0)
+	actions := relayRun.Result(start.Add(30*time.Millisecond), 0, fanout.Answered)
+	assert.Equal(t, len(actions), 1)
+	assert.Assert(t, actions[0].(fanout.Report).Final)
+}
+
 // TestNoHedgeBeforeItsTime guards against hedging all parts of a relay because it reports that it has no target for one of them.
 func TestNoHedgeBeforeItsTime(t *testing.T) {
 	services := serviceNames(9)
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -155,7 +155,7 @@
 	now := time.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	spec := fanout.RelaySpec{Route: matched.Name, Services: services, Targets: gather.Targets, ReportAfter: gather.ReportAfter.Std()}
+	spec := fanout.RelaySpec{Route: matched.Name, Services: services, Targets: gather.Targets, ReportAfter: gather.ReportAfter.Std(), Once: gather.Once}
 	relayRun := fanout.NewRelayRun(spec, gateway.fleet, now)
 	request := platform.NewForwardedRequest(gather.RequestID, gather.Method, gather.Head, gather.Body)
 	job := gateway.newBareJob(request, matched, version, now.Add(gather.Timeout.Std()))
