--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -215,3 +215,10 @@
 		}
 	})
 }
+
+// TestLaterField guards against a message that is rejected because a later build has added a field to it.
+func TestLaterField(t *testing.T) {
+	var message member.Message
+	assert.NilError(t, json.Unmarshal([]byte(`{"kind":"ping","from":{"name":"a","state":1},"laterField":1}`), &message))
+	assert.Equal(t, message.From.Name, "a")
+}
--- a/core/member/message.go
+++ b/core/member/message.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 )
@@ -72,12 +71,10 @@
 	Release  int64    `json:"release,omitempty"` // in force at the sender
 }
 
-// UnmarshalJSON decodes the message, rejects unknown fields and validates the result.
+// UnmarshalJSON decodes and validates the message; later builds may add fields.
 func (message *Message) UnmarshalJSON(data []byte) error {
 	type plain Message
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode((*plain)(message)); err != nil {
+	if err := json.Unmarshal(data, (*plain)(message)); err != nil {
 		return err
 	}
 	if message.From.Name == "" || len(message.Updates) > MaxUpdates || message.Release < 0 {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -344,11 +344,24 @@
 	assert.Equal(t, choose("c", nil, "xy"), "vm-c")
 	assert.Equal(t, choose("b", []string{"vm-b1"}, "xy"), "vm-b2")
 	assert.Equal(t, choose("c", []string{"vm-a", "vm-b1"}, "x"), "vm-b2")
+	fleet.RelayCapable(start, "vm-b1", false)
+	assert.Equal(t, choose("b", nil, "xy"), "vm-b2")
+	fleet.RelayCapable(start, "vm-b1", true)
 	fleet.StartAttempt(start, "vm-b2", "r").Refused(start)
 	assert.Equal(t, choose("b", nil, "x"), "vm-b1")
 	assert.Equal(t, choose("b", []string{"vm-a", "vm-b1"}, "x"), "")
 }
 
+// TestIncapableRelay guards against a VM that is left alone for ever because of the build that it once had.
+func TestIncapableRelay(t *testing.T) {
+	fleet := newFleet(place.Endpoint{ID: "vm", Service: "relay/b", FailureDomain: "b", Slots: 16, State: place.Ready, Peer: true})
+	fleet.RelayCapable(start, "vm", false)
+	for elapsed, want := range map[time.Duration]bool{0: false, 9 * time.Second: false, 11 * time.Second: true} {
+		_, ok := fleet.ChooseRelay(start.Add(elapsed), "r", "b", nil, func(string) bool { return true })
+		assert.Equal(t, ok, want, "%s", elapsed)
+	}
+}
+
 func TestShouldOffload(t *testing.T) {
 	peer := func(id string, cores float64) place.Endpoint {
 		return place.Endpoint{ID: id, Service: "vms", FailureDomain: "a", Slots: 16, State: place.Ready, Cores: cores, Peer: true}
--- /dev/null
+++ b/core/rpc/corpus_test.go
@@ -0,0 +1,126 @@
+package rpc_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"poplarpin.dev/core/api"
+	"poplarpin.dev/core/member"
+	"poplarpin.dev/core/rpc"
+)
+
+// landedBuilds are the builds that may run beside this one. The command "testbed corpus COMMIT" records one.
+var landedBuilds = []string{"0b73695", "3db0f72", "0fcc62c", "e92619e"}
+
+// newMessages returns an empty message of each kind.
+func newMessages() map[string]any {
+	return map[string]any{
+		rpc.MethodHello: &rpc.Hello{}, rpc.MethodGather: &rpc.Gather{}, rpc.MethodGatherResult: &rpc.GatherResult{}, rpc.MethodGatherCancel: &rpc.GatherCancel{},
+		rpc.MethodSubscribe: &rpc.StoreRevisions{}, rpc.MethodStoreUpdate: &rpc.StoreUpdate{}, rpc.MethodObservations: &rpc.Observations{},
+		rpc.MethodQuotaLoan: &rpc.QuotaLoan{}, rpc.MethodQuotaAsk: &rpc.QuotaAsk{}, rpc.MethodQuotaGrant: &rpc.QuotaGrant{},
+		rpc.MethodBatch: &rpc.Batch{}, rpc.MethodBatchCancel: &rpc.BatchCancel{}, rpc.MethodBatchResults: &rpc.BatchResults{},
+		rpc.MethodPull: &rpc.Pull{}, rpc.MethodPull + " answer": &rpc.PullResponse{}, rpc.MethodLeavingTargets: &rpc.LeavingTargets{},
+		rpc.MethodMembership: &member.Message{}, rpc.MethodStatusReport: &api.VMStatus{},
+	}
+}
+
+// recorded returns the messages of a build.
+func recorded(t testing.TB, build string) map[string]json.RawMessage {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("testdata", "builds", build+".json"))
+	assert.NilError(t, err)
+	var messages map[string]json.RawMessage
+	assert.NilError(t, json.Unmarshal(data, &messages))
+	return messages
+}
+
+// validate checks a message that knows how.
+func validate(message any) error {
+	if checked, ok := message.(interface{ Validate() error }); ok {
+		return checked.Validate()
+	}
+	return nil
+}
+
+// TestMessagesOfLandedBuilds guards against a field of a VM of an earlier build that this one does not read, or reads with another meaning.
+func TestMessagesOfLandedBuilds(t *testing.T) {
+	for _, build := range landedBuilds {
+		t.Run(build, func(t *testing.T) {
+			messages := recorded(t, build)
+			for kind, message := range newMessages() {
+				t.Run(kind, func(t *testing.T) {
+					assert.Assert(t, messages[kind] != nil, "no such message was recorded")
+					assert.NilError(t, json.Unmarshal(messages[kind], message))
+					assert.NilError(t, validate(message))
+					assertKept(t, messages[kind], encode(t, message))
+				})
+			}
+		})
+	}
+}
+
+// TestMessagesOfLaterBuilds guards against a message that is rejected because a later build has added a field to it.
+func TestMessagesOfLaterBuilds(t *testing.T) {
+	for kind, message := range newMessages() {
+		t.Run(kind, func(t *testing.T) {
+			var fields map[string]any
+			assert.NilError(t, json.Unmarshal(recorded(t, landedBuilds[len(landedBuilds)-1])[kind], &fields))
+			fields["laterField"] = []int{1}
+			assert.NilError(t, json.Unmarshal(encode(t, fields), message))
+			assert.NilError(t, validate(message))
+		})
+	}
+}
+
+func encode(t *testing.T, value any) []byte {
+	t.Helper()
+	data, err := json.Marshal(value)
+	assert.NilError(t, err)
+	return data
+}
+
+// assertKept asserts that all values of a message are the same after it has been decoded and encoded.
+func assertKept(t *testing.T, before, after []byte) {
+	t.Helper()
+	var values [2]map[string]any
+	for i, data := range [][]byte{before, after} {
+		assert.NilError(t, json.Unmarshal(data, &values[i]))
+	}
+	for field, value := range values[0] {
+		assert.DeepEqual(t, values[1][field], value)
+	}
+}
+
+// FuzzMessages guards against a message that passes its check and is another one after it has been passed on.
+func FuzzMessages(f *testing.F) {
+	for _, build := range landedBuilds {
+		for kind, message := range recorded(f, build) {
+			f.Add(kind, []byte(message))
+		}
+	}
+	f.Fuzz(func(t *testing.T, kind string, data []byte) {
+		first, second := newMessages()[kind], newMessages()[kind]
+		if first == nil || json.Unmarshal(data, first) != nil || validate(first) != nil {
+			return
+		}
+		passedOn := encode(t, first)
+		assert.NilError(t, json.Unmarshal(passedOn, second))
+		assert.NilError(t, validate(second))
+		assert.Equal(t, string(encode(t, second)), string(passedOn))
+	})
+}
+
+// TestRecordedBuilds guards against a recorded build that no test reads.
+func TestRecordedBuilds(t *testing.T) {
+	entries, err := os.ReadDir(filepath.Join("testdata", "builds"))
+	assert.NilError(t, err)
+	for _, entry := range entries {
+		assert.Assert(t, slices.Contains(landedBuilds, strings.TrimSuffix(entry.Name(), ".json")), entry.Name())
+	}
+}
--- a/poplarpin/inspect/fleet.go
+++ b/poplarpin/inspect/fleet.go
@@ -18,7 +18,9 @@
 	Peer          string          `json:"peer"` // address that was asked
 	Name          string          `json:"vm,omitempty"`
 	FailureDomain string          `json:"failureDomain,omitempty"`
-	Version       int64           `json:"version,omitempty"` // of the configuration; 0 for none
+	Build         string          `json:"build,omitempty"`        // empty for the first builds
+	Capabilities  []string        `json:"capabilities,omitempty"` // that the VM names to others
+	Version       int64           `json:"version,omitempty"`      // of the configuration; 0 for none
 	Ready         bool            `json:"ready"`
 	WatchingStore bool            `json:"watching"`
 	Source        string          `json:"source,omitempty"`
--- a/poplarpin/output/platform.go
+++ b/poplarpin/output/platform.go
@@ -1,6 +1,7 @@
 package output
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -17,13 +18,13 @@
 }
 
 func writeFleet(table io.Writer, fleet inspect.Fleet) {
-	fmt.Fprintln(table, "VM\tDOMAIN\tVERSION\tREADY\tUPDATES FROM\tVIEW AGE\tTARGETS\tBEHIND")
+	fmt.Fprintln(table, "VM\tDOMAIN\tBUILD\tCAN\tVERSION\tREADY\tUPDATES FROM\tVIEW AGE\tTARGETS\tBEHIND")
 	for _, vm := range fleet {
 		if vm.Error != "" {
-			fmt.Fprintf(table, "%s\t-\t-\t-\t-\t-\t-\tunknown: %s\n", vm.Peer, vm.Error)
+			fmt.Fprintf(table, "%s\t-\t-\t-\t-\t-\t-\t-\t-\tunknown: %s\n", vm.Peer, vm.Error)
 			continue
 		}
-		fmt.Fprintf(table, "%s\t%s\t%d\t%t\t%s\t%s\t%d\t%s\n", vm.Name, vm.FailureDomain, vm.Version, vm.Ready, updatesFrom(vm), viewAge(vm),
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%t\t%s\t%s\t%d\t%s\n", vm.Name, vm.FailureDomain, cmp.Or(vm.Build, "none"), cmp.Or(strings.Join(vm.Capabilities, ","), "none"), vm.Version, vm.Ready, updatesFrom(vm), viewAge(vm),
 			vm.Targets, strings.Join(vm.Behind, "; "))
 	}
 	for _, vm := range fleet {
--- a/testbed/main.go
+++ b/testbed/main.go
@@ -16,6 +16,8 @@
 	Control  controlCommand  `cmd:"" help:"Measure what the control side costs and how fast releases are in force."`
 	Capacity capacityCommand `cmd:"" help:"Make the tables of docs/CAPACITY.md anew from measured slopes."`
 	Bench    benchCommand    `cmd:"" help:"Measure against plain scatter-gather in the same run."`
+	Upgrade  upgradeCommand  `cmd:"" help:"Replace the VMs of a fleet by those of another build under load, and check the promises."`
+	Corpus   corpusCommand   `cmd:"" help:"Record the messages, objects and dumps of a landed build as test data."`
 }
 
 func main() {
--- /dev/null
+++ b/testbed/upgrade/build.go
@@ -0,0 +1,63 @@
+package upgrade
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// Landed lists the builds that may run beside this one, oldest first.
+var Landed = []string{"0b73695", "3db0f72", "0fcc62c", "e92619e"}
+
+// Source is the source of a commit in a folder of its own.
+type Source struct {
+	Folder     string
+	repository string
+}
+
+// Checkout checks a commit of a repository's history out into a new folder.
+func Checkout(repository, commit, folder string) (*Source, error) {
+	if output, err := git(repository, "rev-parse", "--quiet", "--verify", commit+"^{commit}"); err != nil {
+		return nil, &Error{"checkout", UnknownCommit, commit + " is not in the history of this repository; a shallow clone has only part of it" + output}
+	}
+	source := &Source{Folder: filepath.Join(folder, "source-"+commit), repository: repository}
+	if output, err := git(repository, "worktree", "add", "--detach", "--force", source.Folder, commit); err != nil {
+		return nil, &Error{"checkout", BuildFailed, output}
+	}
+	return source, nil
+}
+
+// Remove removes the folder.
+func (source *Source) Remove() {
+	_ = os.RemoveAll(source.Folder)
+	_, _ = git(source.repository, "worktree", "prune")
+}
+
+// Go runs the go command in a module of the source and returns what it prints.
+func (source *Source) Go(module string, arguments ...string) (string, error) {
+	command := exec.Command("go", arguments...)
+	command.Dir = filepath.Join(source.Folder, module)
+	output, err := command.CombinedOutput()
+	if err != nil {
+		return "", &Error{"go " + arguments[0], BuildFailed, strings.TrimSpace(string(output))}
+	}
+	return string(output), nil
+}
+
+// Build builds poplarpind at a commit and returns the path of the program.
+func Build(repository, commit, folder string) (string, error) {
+	source, err := Checkout(repository, commit, folder)
+	if err != nil {
+		return "", err
+	}
+	defer source.Remove()
+	program := filepath.Join(folder, "poplarpind-"+commit)
+	_, err = source.Go("poplarpind", "build", "-buildvcs=false", "-ldflags", "-X main.version="+commit, "-o", program, ".")
+	return program, err
+}
+
+func git(repository string, arguments ...string) (string, error) {
+	output, err := exec.Command("git", append([]string{"-C", repository}, arguments...)...).CombinedOutput()
+	return strings.TrimSpace(string(output)), err
+}
--- /dev/null
+++ b/testbed/upgrade/check.go
@@ -0,0 +1,149 @@
+package upgrade
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"poplarpin.dev/platform/platformtest"
+)
+
+const (
+	budgetWindow   = 10 * time.Second
+	drainTolerance = 500 * time.Millisecond // for calls that were decided before the VM knew that the target leaves
+	maxExamples    = 3                      // requests named for one broken rule
+)
+
+// observed is what callers and targets have seen.
+type observed struct {
+	requests  []*request
+	runs      []platformtest.Run
+	allLeftAt time.Time // when all VMs knew that the target leaves; zero if it did not
+	ended     []string  // VMs whose process has ended on its own
+}
+
+// broken returns the rules that were broken, with examples.
+func (observed observed) broken() []string {
+	var found []string
+	add := func(rule string, examples []string) {
+		if len(examples) > 0 {
+			found = append(found, fmt.Sprintf("%s: %d times, %s", rule, len(examples), strings.Join(examples[:min(len(examples), maxExamples)], "; ")))
+		}
+	}
+	runs := map[string]int{}
+	for _, run := range observed.runs {
+		runs[run.RequestID]++
+	}
+	add("a request that is not idempotent ran more than once", observed.where(func(request *request) bool { return request.kind.once && runs[request.id] > 1 }))
+	add("a request that is not idempotent was refused and has run", observed.where(func(request *request) bool {
+		return request.kind.once && request.refused() && runs[request.id] > 0
+	}))
+	add("an answer of another request", observed.where(func(request *request) bool { return request.foreign }))
+	add("an answer whose parts are not those that it names", observed.where((*request).misstated))
+	add("a request that the configuration allows got 4xx", observed.where(func(request *request) bool {
+		return request.status >= 400 && request.status < 500 && !request.refused()
+	}))
+	add("a request was cut off by a planned stop", observed.where(func(request *request) bool { return request.cut }))
+	add("a target that leaves got a request", observed.afterLeaving())
+	add("more extra calls than the budget", observed.overBudget())
+	add("an account got more than its quota", observed.overQuota())
+	add("a process ended on its own", observed.ended)
+	return found
+}
+
+// where returns descriptions of the requests for which a condition holds.
+func (observed observed) where(holds func(request *request) bool) []string {
+	var found []string
+	for _, request := range observed.requests {
+		if holds(request) {
+			found = append(found, fmt.Sprintf("%s (%s, %s, VM %s, status %d)", request.id, request.kind.name, request.phase, request.vm.VM, request.status))
+		}
+	}
+	return found
+}
+
+// misstated reports whether a successful answer does not have one record of each target that it names, greatest first, and count the rest as missing.
+func (request *request) misstated() bool {
+	if !request.served() || request.foreign {
+		return false
+	}
+	parts := 1
+	if request.kind.name == "gather" {
+		parts = 2
+		if request.missing != fmt.Sprint(parts-len(request.targets)) {
+			return true
+		}
+	}
+	var records []string
+	for _, target := range request.targets {
+		records = append(records, fmt.Sprintf("%-16s", target))
+	}
+	slices.SortFunc(records, func(a, b string) int { return strings.Compare(b, a) })
+	return len(records) > parts || request.body != strings.Join(records, "")
+}
+
+func (observed observed) afterLeaving() []string {
+	var found []string
+	for _, run := range observed.runs {
+		if !observed.allLeftAt.IsZero() && run.Target == leavingTarget && run.At.After(observed.allLeftAt.Add(drainTolerance)) {
+			found = append(found, fmt.Sprintf("%s %s after all VMs knew", run.RequestID, run.At.Sub(observed.allLeftAt).Round(time.Millisecond)))
+		}
+	}
+	return found
+}
+
+// overBudget returns the services that got more extra calls in a window than the deployment allows.
+func (observed observed) overBudget() []string {
+	found := map[string]string{}
+	for i, first := range observed.runs {
+		requests, runs := map[string]bool{}, 0
+		for _, run := range observed.runs[i:] {
+			if run.At.Sub(first.At) > budgetWindow {
+				break
+			}
+			if run.Service == first.Service {
+				requests[run.RequestID], runs = true, runs+1
+			}
+		}
+		if extra := runs - len(requests); float64(extra) > bounds.RetryRatio*float64(len(requests))+bounds.RetrySlack {
+			found[first.Service] = fmt.Sprintf("%s: %d for %d requests", first.Service, extra, len(requests))
+		}
+	}
+	return slices.Sorted(maps.Values(found))
+}
+
+// quotaRuns returns the times at which requests of the account with a quota first ran.
+func (observed observed) quotaRuns() []time.Time {
+	limited := map[string]bool{}
+	for _, request := range observed.requests {
+		if request.kind.key == quotaKey {
+			limited[request.id] = true
+		}
+	}
+	var times []time.Time
+	for _, run := range observed.runs {
+		if limited[run.RequestID] {
+			times = append(times, run.At)
+			delete(limited, run.RequestID)
+		}
+	}
+	return times
+}
+
+// overQuota returns the windows in which the account got more than its quota.
+func (observed observed) overQuota() []string {
+	allowed := (quotaPerSecond*bounds.QuotaWindow.Seconds()+quotaBurst)*(1+bounds.QuotaOvershoot) + bounds.QuotaSlack
+	var found []string
+	times := observed.quotaRuns()
+	for first, last := 0, 0; last < len(times); last++ {
+		for times[last].Sub(times[first]) > bounds.QuotaWindow {
+			first++
+		}
+		if used := last - first + 1; float64(used) > allowed {
+			found = append(found, fmt.Sprintf("%d of %.0f in %s", used, allowed, bounds.QuotaWindow))
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/testbed/upgrade/fleet.go
@@ -0,0 +1,136 @@
+package upgrade
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"poplarpin.dev/platform/platformtest"
+)
+
+const (
+	freeKey         = "key-free" // of an account without a quota
+	quotaKey        = "key-bulk" // of an account with one
+	quotaPerSecond  = 20
+	quotaBurst      = 10
+	vmMemoryMB      = 184
+	targetLatency   = 10 * time.Millisecond
+	idleConnections = 100 // of clients to one VM
+	waitTimeout     = 60 * time.Second
+	waitInterval    = 50 * time.Millisecond
+	leavingTarget   = "s1-a" // leaves during the upgrade
+	strandedVM      = "c1"   // loses its links to the targets during the upgrade
+)
+
+// bounds are those that the deployment states.
+var bounds = platformtest.Bounds{GracePeriod: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 20,
+	QuotaWindow: 2 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 10}
+
+// deployment is a fleet of entry VMs with its store and targets.
+type deployment struct {
+	t        platformtest.T
+	store    *platformtest.Store
+	targets  map[string]*platformtest.Target
+	recorder *platformtest.Recorder
+	links    []*platformtest.Link // of the VM that is stranded
+	vms      []*vm
+}
+
+// newDeployment starts the store and the targets; no VM runs yet. The VM that is stranded is alone in its failure domain, so that it learns the
+// addresses of its links from the store only.
+func newDeployment(t platformtest.T, folder string) (*deployment, error) {
+	deployment := &deployment{t: t, store: platformtest.NewStore(t), targets: map[string]*platformtest.Target{}, recorder: &platformtest.Recorder{}}
+	for _, service := range []string{"s1", "s2", "one"} {
+		for _, domain := range []string{"a", "b"} {
+			id := service + "-" + domain
+			target := platformtest.NewTarget(t, id)
+			deployment.recorder.Record(target, service, targetLatency)
+			deployment.store.Put("servers", id, target.Spec(service, domain, "ready"))
+			deployment.targets[id] = target
+		}
+	}
+	deployment.store.Put("config", "main", configuration(1, false))
+	for _, id := range slices.Sorted(maps.Keys(deployment.targets)) {
+		deployment.links = append(deployment.links, platformtest.NewLink(t, deployment.targets[id]))
+	}
+	behind := deployment.store.Behind(t, deployment.links...)
+	for _, name := range []string{"a1", "a2", "b1", "b2", strandedVM} {
+		addresses, err := platformtest.FreeAddresses()
+		if err != nil {
+			return nil, err
+		}
+		process := platformtest.Process{VM: name, FailureDomain: name[:1], StoreAddress: deployment.store.Address(), Addresses: addresses, MemoryMB: vmMemoryMB, Bounds: bounds}
+		if name == strandedVM {
+			process.StoreAddress = behind
+		}
+		deployment.vms = append(deployment.vms, &vm{Process: process, folder: folder, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}})
+	}
+	return deployment, nil
+}
+
+// configuration returns the configuration of the deployment, with one more route if added is set.
+func configuration(version int, added bool) map[string]any {
+	configuration := platformtest.Config(version)
+	routes := configuration["routes"].([]map[string]any)
+	for _, name := range []string{"q", "n"} {
+		if name == "n" && !added {
+			continue
+		}
+		route := platformtest.PublicRoute(name, "/"+name+"/", "one")
+		route["public"] = false
+		routes = append(routes, route)
+	}
+	configuration["routes"] = routes
+	configuration["tenants"] = []map[string]any{
+		{"name": "free", "api_keys": []string{freeKey}},
+		{"name": "bulk", "api_keys": []string{quotaKey}, "rate_per_s": quotaPerSecond, "burst": quotaBurst},
+	}
+	return configuration
+}
+
+// await waits until a condition holds for each of some VMs.
+func await(what string, vms []*vm, holds func(vm *vm) bool) error {
+	for end := time.Now().Add(waitTimeout); ; time.Sleep(waitInterval) {
+		i := slices.IndexFunc(vms, func(vm *vm) bool { return !holds(vm) })
+		if i < 0 {
+			return nil
+		}
+		if time.Now().After(end) {
+			return &Error{"wait", FleetFailed, fmt.Sprintf("%s at VM %s within %s", what, vms[i].VM, waitTimeout)}
+		}
+	}
+}
+
+// startAll starts all VMs with one program and waits until they are ready and know each other.
+func (deployment *deployment) startAll(program string) error {
+	for _, vm := range deployment.vms {
+		if err := vm.start(deployment.t, program); err != nil {
+			return err
+		}
+		deployment.t.Cleanup(vm.kill)
+	}
+	if err := await("ready", deployment.vms, (*vm).isReady); err != nil {
+		return err
+	}
+	return await("the list of VMs", deployment.vms, func(asked *vm) bool {
+		dump := asked.dump()
+		return !slices.ContainsFunc(deployment.vms, func(other *vm) bool { return other != asked && dump.state(other.VM) == "" })
+	})
+}
+
+// replace stops a VM as planned and starts a program in its place.
+func (deployment *deployment) replace(replaced *vm, program string) error {
+	replaced.stop()
+	return deployment.restart(replaced, program)
+}
+
+// restart starts a program on a VM whose process has ended, and waits until it is ready.
+func (deployment *deployment) restart(restarted *vm, program string) error {
+	restarted.ready.Store(false)
+	if err := restarted.start(deployment.t, program); err != nil {
+		return err
+	}
+	return await("ready again", []*vm{restarted}, (*vm).isReady)
+}
