A better source of store updates is asked before it replaces one that works

A VM whose source says that it has no store takes the next one, and two seconds later goes back to the first without asking, gets no message with the store from it, watches the store after 0.5 s, and so on.

Change: while the source's messages arrive, a better one is only subscribed to (Plan.Candidate); it becomes the source with its first message that says that it has the store. One that says that it has not is asked again after 2 s.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -33,6 +33,7 @@
 type Plan struct {
 	WatchStore bool   // watch the store itself
 	Source     string // peer that sends store updates; empty for none
+	Candidate  string // better source that is asked whether it has the store, while updates of Source arrive; empty for none
 }
 
 // Follower selects the source for one VM. In each failure domain the VM with the most processor cores watches the store and the others
@@ -45,6 +46,7 @@
 	remote            []string // peers of other failure domains
 	plan              Plan
 	sourceSince       time.Time // when the source was selected
+	candidateSince    time.Time // when the candidate was selected
 	lastMessage       time.Time // last message of a source that has the store; zero for none
 	lastUpdate        time.Time // when such a message last arrived or this VM last watched the store
 	awaitsFirst       bool      // the VM was restarted, and neither a source that has the store nor the store has answered since
@@ -90,9 +92,17 @@
 	}
 }
 
-// HeardFrom records a message of a peer that says whether the peer has the store. Messages of peers other than the source are ignored.
+// HeardFrom records a message of a peer that says whether the peer has the store. Messages of peers other than the source and the candidate
+// are ignored. A candidate that has the store becomes the source.
 func (follower *Follower) HeardFrom(now time.Time, source string, storeReachable bool) {
-	if source != follower.plan.Source {
+	switch {
+	case source == follower.plan.Source:
+	case source != follower.plan.Candidate:
+		return
+	case storeReachable:
+		follower.plan.Source, follower.plan.Candidate, follower.sourceSince = source, "", now
+	default:
+		follower.avoidedUntil[source] = now.Add(avoidWithoutStore)
 		return
 	}
 	if storeReachable {
@@ -111,8 +121,12 @@
 
 // LinkLost records that the link to a peer was closed. If the peer is the source, it is avoided for a time.
 func (follower *Follower) LinkLost(now time.Time, peer string) {
-	if peer == follower.plan.Source {
+	switch peer {
+	case "":
+	case follower.plan.Source:
 		follower.avoidSource(now)
+	case follower.plan.Candidate:
+		follower.avoid(now, peer)
 	}
 }
 
@@ -135,11 +149,16 @@
 	}
 }
 
-// avoidSource removes the source and avoids it for a time that doubles with each consecutive failure, up to maxAvoid.
+// avoidSource removes the source and avoids it for a time.
 func (follower *Follower) avoidSource(now time.Time) {
-	source := follower.plan.Source
-	follower.avoidSpans[source] = min(max(minAvoid, 2*follower.avoidSpans[source]), maxAvoid)
-	follower.dropSource(now, follower.avoidSpans[source])
+	follower.avoid(now, follower.plan.Source)
+	follower.plan.Source, follower.lastMessage = "", time.Time{}
+}
+
+// avoid avoids a peer for a time that doubles with each consecutive failure, up to maxAvoid.
+func (follower *Follower) avoid(now time.Time, peer string) {
+	follower.avoidSpans[peer] = min(max(minAvoid, 2*follower.avoidSpans[peer]), maxAvoid)
+	follower.avoidedUntil[peer] = now.Add(follower.avoidSpans[peer])
 }
 
 // dropSource removes the source and avoids it for a time.
@@ -164,9 +183,7 @@
 	if follower.plan.Source != "" && min(now.Sub(follower.sourceSince), now.Sub(follower.lastMessage)) > sourceTimeout {
 		follower.avoidSource(now)
 	}
-	if source := follower.chooseSource(now); source != follower.plan.Source {
-		follower.plan.Source, follower.sourceSince, follower.lastMessage = source, now, time.Time{}
-	}
+	follower.tickSource(now)
 	// The store is watched if there is no higher-ranked source or if no message of the source arrives; a VM that watches continues until
 	// one arrives.
 	grace := firstMessageGrace
@@ -182,8 +199,26 @@
 	return follower.plan
 }
 
-// chooseSource returns the best source. A source whose messages arrive is replaced only when a better one is no longer avoided; a VM
-// without the store keeps it in any case. Peers of lower rank or of other failure domains are sources only while this VM's store calls
+// tickSource chooses the source. One whose messages arrive is replaced by a better one only when that has said that it has the store: most often
+// the better one was the source before, and still lacks it. A candidate that says nothing of the store is avoided for a time.
+func (follower *Follower) tickSource(now time.Time) {
+	if follower.plan.Candidate != "" && now.Sub(follower.candidateSince) > sourceTimeout {
+		follower.avoid(now, follower.plan.Candidate)
+	}
+	best := follower.chooseSource(now)
+	candidate := ""
+	if best != "" && best != follower.plan.Source && follower.plan.Source != "" && !follower.lastMessage.IsZero() {
+		best, candidate = follower.plan.Source, best
+	}
+	if best != follower.plan.Source {
+		follower.plan.Source, follower.sourceSince, follower.lastMessage = best, now, time.Time{}
+	}
+	if candidate != follower.plan.Candidate {
+		follower.plan.Candidate, follower.candidateSince = candidate, now
+	}
+}
+
+// chooseSource returns the best source. A VM without the store keeps one whose messages arrive in any case. Peers of lower rank or of other failure domains are sources only while this VM's store calls
 // fail, for longer than storeFailureGrace.
 func (follower *Follower) chooseSource(now time.Time) string {
 	if !follower.storeFailingSince.IsZero() && follower.plan.Source != "" && !follower.lastMessage.IsZero() {
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -60,12 +60,13 @@
 		plan := gateway.follower.Tick(now)
 		gateway.plan = plan
 		source, _ := gateway.fleet.Endpoint(plan.Source)
+		candidate, _ := gateway.fleet.Endpoint(plan.Candidate)
 		revisions := gateway.revisions()
 		gateway.refreshEvacuations(now, "hold ended")
 		gateway.sendHeartbeats(now)
 		gateway.mu.Unlock()
 		if plan != before {
-			gateway.log.Info("source of store updates changed", zap.Bool("watchStore", plan.WatchStore), zap.String("source", plan.Source),
+			gateway.log.Info("source of store updates changed", zap.Bool("watchStore", plan.WatchStore), zap.String("source", plan.Source), zap.String("candidate", plan.Candidate),
 				zap.Int64("config", revisions.Config), zap.Int64("targets", revisions.Servers))
 		}
 		if plan.WatchStore && cancel == nil {
@@ -74,6 +75,9 @@
 			cancel()
 			cancel = nil
 		}
+		if plan.Candidate != "" && plan.Candidate != before.Candidate {
+			gateway.mesh.Notify(plan.Candidate, candidate.Address, peer.Message{Method: rpc.MethodSubscribe, Params: revisions})
+		}
 		if plan.Source != "" && (plan.Source != before.Source || unsent.Swap(false) || now.Sub(subscribedAt) >= subscribeInterval) {
 			subscribedAt = now
 			gateway.mesh.Notify(plan.Source, source.Address, peer.Message{Method: rpc.MethodSubscribe, Params: revisions, OnUnsent: func(peer.Kind) { unsent.Store(true) }})
