A VM that the store turns away pings it until it answers, instead of three loops of calls

Cause: after a failed call each loop (configuration, targets, evacuations, saved quarantines) calls again by itself at the full price, up to ten calls a second at a VM that the store turns away.

Change: loops wait together for a ping, which costs a tenth of a call, with the backoff that they had. The failing loops resume at its first answer.

--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -42,6 +42,7 @@
 	era                 *platform.Era // of the store
 	table               atomic.Pointer[route.Table]
 	currentStoreAddress atomic.Pointer[string]
+	storeProbe          storeProbe
 	currentSeeds        atomic.Pointer[[]string]
 	stopping            atomic.Bool
 	isolated            atomic.Bool               // cut off from targets that most recent requests need; other VMs may still reach them
--- a/poplarpind/gateway/quarantine.go
+++ b/poplarpind/gateway/quarantine.go
@@ -63,7 +63,7 @@
 			gateway.restoreQuarantines(ctx, store, objects)
 			return
 		}
-		sleep(ctx, loadRetryInterval)
+		gateway.awaitStore(ctx, store, loadRetryInterval)
 	}
 }
 
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"expvar"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -76,7 +75,7 @@
 		if platform.KindOf(err) == platform.Compacted {
 			known = platform.Position{}
 		}
-		sleep(ctx, backoff/2+rand.N(backoff/2))
+		gateway.awaitStore(ctx, store, backoff)
 		backoff = min(2*backoff, gateway.backoffLimit())
 	}
 }
