One log line says which observations of a message changed where calls go

Change: one line a message, "observations by peer changed target selection", with the targets and their ratios.

--- a/poplarpind/gateway/share.go
+++ b/poplarpind/gateway/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -117,15 +118,20 @@
 	_, subscribed := gateway.subscribers[from]
 	// Only what a subscriber reports is forwarded, and never what this VM's own source reports, so that no observation circulates.
 	forward := subscribed && gateway.plan.WatchStore && from != gateway.plan.Source
+	var changed []string
+	var ratios []float64
 	for _, observation := range message.Observations {
 		if gateway.fleet.ApplyObservation(now, observation) {
-			gateway.log.Info("observation by peer changed target selection", zap.String("target", observation.Endpoint),
-				zap.Float64("latencyRatio", observation.LatencyRatio), zap.String("peer", from))
+			changed, ratios = append(changed, observation.Endpoint), append(ratios, math.Round(10*observation.LatencyRatio)/10)
 		}
 		if forward && len(gateway.pendingObservations) < maxForwardedObservations {
 			gateway.pendingObservations = append(gateway.pendingObservations, reportedObservation{observation, from})
 		}
 	}
+	if len(changed) > 0 {
+		gateway.log.Info("observations by peer changed target selection", zap.Strings("targets", changed), zap.Float64s("latencyRatios", ratios),
+			zap.String("peer", from))
+	}
 	forwardHints := forward || gateway.isElsewhere(from)
 	for _, target := range gateway.applyHints(now, from, message) {
 		if forwardHints && len(gateway.pendingHints) < maxForwardedObservations {
