--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -10,7 +10,7 @@
 
 const (
 	sourceTimeout     = 1200 * time.Millisecond // three heartbeats without a message from a source that has the store
-	firstMessageGrace = time.Second             // for the first message of a new source, which may have to watch the store first, before this VM does
+	firstMessageGrace = 500 * time.Millisecond  // for the first message of a new source, before the store is watched as well
 	// For the first message after a restart: until then the VM refuses the requests of clients that know it. A source that runs answers
 	// within some round trips, and each VM that reads the store itself costs it two calls.
 	restartGrace = 100 * time.Millisecond
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -157,6 +157,15 @@
 				follower.HeardFrom(now, plan.Source, false)
 			case 4:
 				follower.StoreResult(now, rapid.Bool().Draw(t, "good"))
+			case 5:
+				if plan.Candidate != "" {
+					follower.HeardFrom(now, plan.Candidate, true)
+					lastUpdate = now
+				}
+			case 6:
+				follower.HeardFrom(now, plan.Candidate, false)
+			case 7:
+				follower.LinkLost(now, plan.Candidate)
 			}
 		}
 	})
--- a/model/ablation.sh
+++ b/model/ablation.sh
@@ -37,7 +37,7 @@
   esac
 }
 
-ablation hedges core/fanout/calls.go 's/if call.ended \|\| call.hedged \|\| !run.mayHedge\(\) \{/if true {/'
+ablation hedges core/fanout/calls.go 's/if call.ended \|\| call.hedged \{/if true {/'
 ablation hedge-after-three-medians core/fanout/calls.go 's/return min\(baseline.P95\(\), time.Duration\(slowCallFactor\*float64\(baseline.Median\(\)\)\)\)/return baseline.P95()/'
 ablation hedge-before-objective core/fanout/calls.go 's/if !run.answerBy.IsZero\(\) \{\n\t\tif latest/if false {\n\t\tif latest/'
 ablation early-hedge-by-report core/fanout/reports.go 's/(func \(run \*Run\) earlyHedgeAt\([^\n]*\{\n)/$1\tif baseline != nil {\n\t\treturn time.Time{}, false\n\t}\n/'
@@ -81,6 +81,8 @@
 ablation tcp-user-timeout poplarpind/http1/pool.go 's/, Control: setTCPUserTimeout\}/, Control: noOption}/; s/\z/\nfunc noOption(string, string, syscall.RawConn) error { _ = setTCPUserTimeout; return nil }\n/'
 ablation garbage-collection-at-100 poplarpind/gateway/run.go 's/gcPercent           = 100 /gcPercent           = 400 /'
 ablation memory-limit poplarpind/gateway/run.go 's/if settings.MemoryBytes > 0 \{/if false {/'
+ablation source-candidate core/follow/follow.go 's/best, candidate = follower.plan.Source, best/candidate = ""/'
+ablation store-probe poplarpind/gateway/watch.go 's/gateway.awaitStore\(ctx, store, backoff\)/sleep(ctx, backoff)/'
 
 case $mode in
   apply) [ "$passed" = 1 ] || { echo "no mechanism $wanted"; exit 1; } ;;
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -134,6 +134,7 @@
 mutant "later field rejected" member message.go 's/json.Unmarshal\(data, \(\*plain\)\(message\)\)/func() error { decoder := json.NewDecoder(bytes.NewReader(data)); decoder.DisallowUnknownFields(); return decoder.Decode((*plain)(message)) }()/; s/import \(/import (\n\t"bytes"/'
 mutant_of poplarpind "capability not needed" gateway relay.go 's/needs = rpc.NamedTargets/needs = ""/' TestStrandedVMBesideOlderBuild
 mutant_of poplarpind "capability not checked" peer link.go 's/if !link.peer.Can\(message.Needs\) \{/if false {/' TestCapabilities
+mutant "better source taken unasked" follow follow.go 's/best, candidate = follower.plan.Source, best/candidate = ""/'
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 
 echo "$passed passed, $failed failed"
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -75,7 +75,6 @@
 	pendingHints        []reportedHint            // not yet sent to other VMs
 	pendingSuspects     []reportedSuspect         // not yet sent to other VMs
 	suspects            *poison.Tracker           // requests that may crash targets
-	quarantinesLoadedAt time.Time                 // when the saved quarantines were last read; zero for never
 	lastQueryID         int64                     // of the queries that this VM sends to relays
 	relayedCalls        map[string]relayedCall    // outgoing: calls of this VM that peers relay, by query ID
 	relayJobs           map[string]*job           // incoming: requests that this VM relays for peers, by peer and query ID
--- a/poplarpind/gateway/quarantine.go
+++ b/poplarpind/gateway/quarantine.go
@@ -12,10 +12,9 @@
 )
 
 const (
-	saveInterval       = time.Second      // between two attempts to save quarantines
-	loadRetryInterval  = time.Second      // after a failed read of the saved quarantines
-	loadInterval       = 10 * time.Second // between two reads by a VM that begins to watch the store again; other VMs tell it of new quarantines
-	quarantineKeepTime = time.Hour        // after its end, until its object is deleted; clocks may differ
+	saveInterval       = time.Second // between two attempts to save quarantines
+	loadRetryInterval  = time.Second // after a failed read of the saved quarantines
+	quarantineKeepTime = time.Hour   // after its end, until its object is deleted; clocks may differ
 )
 
 // saveQuarantines writes the quarantines that this VM has begun or ended to the store, until the store has them.
@@ -54,14 +53,8 @@
 	return nil
 }
 
-// loadQuarantines reads the saved quarantines once, loadInterval after the last time at the earliest, and deletes those that ended long ago.
+// loadQuarantines reads the saved quarantines once, and deletes those that ended long ago.
 func (gateway *Gateway) loadQuarantines(ctx context.Context) {
-	gateway.mu.Lock()
-	loadedAt := gateway.quarantinesLoadedAt
-	gateway.mu.Unlock()
-	if !loadedAt.IsZero() {
-		sleep(ctx, time.Until(loadedAt.Add(loadInterval)))
-	}
 	store := gateway.newStore(platform.QuarantinesKind)
 	defer store.Close()
 	for ctx.Err() == nil {
@@ -76,9 +69,6 @@
 
 func (gateway *Gateway) restoreQuarantines(ctx context.Context, store *platform.Store, objects []platform.Object) {
 	now := time.Now()
-	gateway.mu.Lock()
-	gateway.quarantinesLoadedAt = now
-	gateway.mu.Unlock()
 	for _, object := range objects {
 		quarantine, err := platform.DecodeQuarantine(object)
 		switch {
