--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -218,8 +218,8 @@
 	}
 }
 
-// chooseSource returns the best source. A VM without the store keeps one whose messages arrive in any case. Peers of lower rank or of other failure domains are sources only while this VM's store calls
-// fail, for longer than storeFailureGrace.
+// chooseSource returns the best source. A VM without the store keeps one whose messages arrive in any case. Peers of lower rank or of other
+// failure domains are sources only while this VM's store calls fail, for longer than storeFailureGrace.
 func (follower *Follower) chooseSource(now time.Time) string {
 	if !follower.storeFailingSince.IsZero() && follower.plan.Source != "" && !follower.lastMessage.IsZero() {
 		return follower.plan.Source
