--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,7 @@
 	cd core && $(GO) test -fuzz FuzzParseNote -fuzztime 30s ./release
 	cd core && $(GO) test -fuzz FuzzMessage -fuzztime 30s ./member
 	cd core && $(GO) test -fuzz FuzzRequest -fuzztime 30s ./api
+	cd core && $(GO) test -fuzz FuzzMessages -fuzztime 30s ./rpc
 	cd platform && $(GO) test -fuzz FuzzDecoders -fuzztime 30s .
 	cd platform && $(GO) test -fuzz FuzzRequest -fuzztime 30s .
 	cd poplarpind && $(GO) test -fuzz FuzzResponse -fuzztime 30s ./http1
--- a/testbed/upgrade/check.go
+++ b/testbed/upgrade/check.go
@@ -32,13 +32,10 @@
 			found = append(found, fmt.Sprintf("%s: %d times, %s", rule, len(examples), strings.Join(examples[:min(len(examples), maxExamples)], "; ")))
 		}
 	}
-	runs := map[string]int{}
-	for _, run := range observed.runs {
-		runs[run.RequestID]++
-	}
-	add("a request that is not idempotent ran more than once", observed.where(func(request *request) bool { return request.kind.once && runs[request.id] > 1 }))
+	runs := observed.runsByID()
+	add("a request that is not idempotent ran more than once", observed.where(func(request *request) bool { return request.ranTwice(runs[request.id]) }))
 	add("a request that is not idempotent was refused and has run", observed.where(func(request *request) bool {
-		return request.kind.once && request.refused() && runs[request.id] > 0
+		return request.falselyRefused(runs[request.id])
 	}))
 	add("an answer of another request", observed.where(func(request *request) bool { return request.foreign }))
 	add("an answer whose parts are not those that it names", observed.where((*request).misstated))
@@ -53,6 +50,23 @@
 	return found
 }
 
+// runsByID returns how often each request ran.
+func (observed observed) runsByID() map[string]int {
+	runs := map[string]int{}
+	for _, run := range observed.runs {
+		runs[run.RequestID]++
+	}
+	return runs
+}
+
+// ranTwice reports whether a request that is not idempotent ran more than once.
+func (request *request) ranTwice(runs int) bool { return request.kind.once && runs > 1 }
+
+// falselyRefused reports whether the answer to a request that is not idempotent says that it has not run although it has.
+func (request *request) falselyRefused(runs int) bool {
+	return request.kind.once && request.refused() && runs > 0
+}
+
 // where returns descriptions of the requests for which a condition holds.
 func (observed observed) where(holds func(request *request) bool) []string {
 	var found []string
--- a/testbed/upgrade/upgrade.go
+++ b/testbed/upgrade/upgrade.go
@@ -27,6 +27,8 @@
 type Phase struct {
 	Name                                                        string
 	Sent, Served, Partial, Late, OverQuota, Refused, Unanswered int
+	QuotaUsed                                                   int // requests of the account with a quota that ran
+	Twice, FalselyRefused                                       int // requests that are not idempotent: ran more than once, or ran although "not run" was said
 }
 
 // Report says how an upgrade went.
@@ -81,7 +83,7 @@
 			observed.ended = append(observed.ended, vm.VM)
 		}
 	}
-	report.Phases, report.Broken = phases(load.requests), observed.broken()
+	report.Phases, report.Broken = observed.phases(), observed.broken()
 	return report, nil
 }
 
@@ -159,8 +161,8 @@
 }
 
 // phases counts the requests by phase, in the order in which the phases began.
-func phases(requests []*request) []Phase {
-	ordered := slices.Clone(requests)
+func (observed observed) phases() []Phase {
+	ordered, runs := slices.Clone(observed.requests), observed.runsByID()
 	slices.SortFunc(ordered, func(a, b *request) int { return a.started.Compare(b.started) })
 	var phases []Phase
 	for _, request := range ordered {
@@ -168,13 +170,23 @@
 		if i < 0 {
 			i, phases = len(phases), append(phases, Phase{Name: request.phase})
 		}
-		phases[i].count(request)
+		phases[i].count(request, runs[request.id])
 	}
 	return phases
 }
 
-func (phase *Phase) count(request *request) {
+// count adds a request and the number of its runs.
+func (phase *Phase) count(request *request, runs int) {
 	phase.Sent++
+	if request.kind.key == quotaKey && runs > 0 {
+		phase.QuotaUsed++
+	}
+	if request.ranTwice(runs) {
+		phase.Twice++
+	}
+	if request.falselyRefused(runs) {
+		phase.FalselyRefused++
+	}
 	switch {
 	case request.served():
 		phase.Served++
@@ -196,9 +208,10 @@
 // Print writes the report as text.
 func (report Report) Print(writer io.Writer) error {
 	table := tabwriter.NewWriter(writer, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "phase\tsent\tserved\tpartial\tlate\tover quota\trefused\tunanswered")
+	fmt.Fprintln(table, "phase\tsent\tserved\tpartial\tlate\tquota used\tover quota\trefused\tunanswered\ttwice\tfalse not run")
 	for _, phase := range report.Phases {
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", phase.Name, phase.Sent, phase.Served, phase.Partial, phase.Late, phase.OverQuota, phase.Refused, phase.Unanswered)
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", phase.Name, phase.Sent, phase.Served, phase.Partial, phase.Late,
+			phase.QuotaUsed, phase.OverQuota, phase.Refused, phase.Unanswered, phase.Twice, phase.FalselyRefused)
 	}
 	if err := table.Flush(); err != nil {
 		return err
