--- a/core/place/path.go
+++ b/core/place/path.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	maxRelayCandidates = 32               // VMs of one failure domain that are compared for one call
-	incapableTime      = 10 * time.Second // for which a VM whose build lacks a capability is left alone
+	maxRelayCandidates = 32                     // at most this many VMs of one failure domain are compared for one call
+	incapableTime      = 10 * time.Second       // a VM whose build lacks a capability is left alone for this time
+	minDownTime        = 300 * time.Millisecond // a path whose calls fail is left alone for this time at first
+	maxDownTime        = 3 * time.Second        // a path whose calls fail is left alone for this time at most
+	failuresLimit      = 3                      // a path is down after this many failures without an answer in between
 )
 
 // pathState is what the calls on one path have shown of an endpoint.
