Comments beside constants are sentences that say what the value bounds

Cause: half sentences such as "of the same news to other VMs", "between two of them" and "without news" name no subject.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -8,18 +8,18 @@
 )
 
 const (
-	maxTriesPerPart    = 5                     // calls of one part, including those that were not processed
-	refusedRetryDelay  = 12 * time.Millisecond // before resending a part that no other target can take; doubles with each further call of the part
-	coverageTolerance  = 1e-9                  // for shares without an exact binary representation
+	maxTriesPerPart    = 5                     // a part is called at most this often, calls that were not processed included
+	refusedRetryDelay  = 12 * time.Millisecond // a part that no other target can take is sent again after this time, which doubles with each further call of the part
+	coverageTolerance  = 1e-9                  // covers shares without an exact binary representation
 	minHedgeDelay      = 4 * time.Millisecond
-	slowCallFactor     = 3.0                    // multiple of the median that hardly a call to a healthy target exceeds
-	shortCallMedian    = 15 * time.Millisecond  // below this median latency, letting a call complete costs the target less than a new connection
+	slowCallFactor     = 3.0                    // hardly a call to a healthy target takes longer than this many medians
+	shortCallMedian    = 15 * time.Millisecond  // below this median, letting a call complete costs the target less than a new connection
 	minCongestionParts = 4                      // with fewer parts, a slow half is no evidence of congestion
 	congestionDivisor  = 2                      // healthy targets answer half of the parts within objective/congestionDivisor
 	startupDivisor     = 4                      // a starting VM may use 1/startupDivisor of its share of the slack
-	assumedVMs         = 100                    // assumed to share the slack until SetVMs is called
+	assumedVMs         = 100                    // this many VMs share the slack until SetVMs is called
 	minTimeLeft        = 10 * time.Millisecond  // no new calls are made this close to the deadline
-	noTargetRetryAfter = 300 * time.Millisecond // sent to clients if too few parts have a target: no rate of ends says when one appears
+	noTargetRetryAfter = 300 * time.Millisecond // clients are told to come back after this time if too few parts have a target
 )
 
 // startCall sends a part to the best target other than that of the last call and those that may have processed the part or could not be
--- a/core/fanout/forward_limit.go
+++ b/core/fanout/forward_limit.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	forwardShare = 0.5                    // of a VM's processor that it spends on calls for VMs that do not reach targets
-	forwardBurst = 250 * time.Millisecond // of those calls that it makes at once
+	forwardShare = 0.5                    // a VM spends this share of its processor on calls for VMs that do not reach targets
+	forwardBurst = 250 * time.Millisecond // a VM may make the calls of this time at once
 )
 
 // ForwardLimit bounds the calls that a VM makes to targets which other VMs do not reach, so that its own callers keep their share.
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -9,17 +9,17 @@
 )
 
 const (
-	sourceTimeout     = 1200 * time.Millisecond // three heartbeats without a message from a source that has the store
-	firstMessageGrace = 500 * time.Millisecond  // for the first message of a new source, before the store is watched as well
+	sourceTimeout     = 1200 * time.Millisecond // a source is left after this time without a message that says that it has the store: three heartbeats
+	firstMessageGrace = 500 * time.Millisecond  // a new source may take this time for its first message before the VM watches the store as well
 	// For the first message after a restart: until then the VM refuses the requests of clients that know it. A source that runs answers
 	// within some round trips, and each VM that reads the store itself costs it two calls.
 	restartGrace = 100 * time.Millisecond
 	// With one tick more this is two thirds of the 3 s in which a change must be in force.
-	noUpdateTimeout   = 1600 * time.Millisecond // without any update before the store is watched, even with a new source
-	minAvoid          = 4 * time.Second         // before a failed source is tried again; doubled each time up to maxAvoid
-	avoidWithoutStore = 2 * time.Second         // before a source without the store is tried again, which costs only a message
-	maxAvoid          = 8 * time.Second         // a VM that finds no source watches the store, whose calls cost more than a message to a source
-	storeFailureGrace = 500 * time.Millisecond  // of failing store calls before a lower-ranked or remote source is sought as well
+	noUpdateTimeout   = 1600 * time.Millisecond // the VM watches the store after this time without any update, even with a new source
+	minAvoid          = 4 * time.Second         // a failed source is tried again after this time at first
+	avoidWithoutStore = 2 * time.Second         // a source without the store is asked again after this time, at the cost of a message
+	maxAvoid          = 8 * time.Second         // a failed source is tried again after this time at the latest, as a VM without a source watches the store
+	storeFailureGrace = 500 * time.Millisecond  // a source of lower rank or of another failure domain is sought after the VM's store calls have failed for this time
 )
 
 // Peer is an entry VM.
--- a/core/place/baseline.go
+++ b/core/place/baseline.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	windows                = 4    // histograms that percentiles are computed over
-	windowCalls            = 1000 // calls after which the oldest histogram is dropped
-	minSamples             = 40   // calls below which a percentile is not meaningful
-	refreshInterval        = 50   // calls between two computations of the percentiles
-	p95Quantile            = 95.0 // percentile that P95 returns; calls slower than this are worth hedging
+	windows                = 4    // percentiles are computed over this many histograms
+	windowCalls            = 1000 // the oldest histogram is dropped after this many calls
+	minSamples             = 40   // percentiles of fewer calls than this are not used
+	refreshInterval        = 50   // percentiles are computed again after this many calls
+	p95Quantile            = 95.0 // P95 returns this percentile; calls slower than it are worth hedging
 	maxLatencyMicroseconds = 60_000_000
-	medianDivisor          = 8                     // of the route's objective: the median assumed until enough calls are recorded
-	p95Divisor             = 3                     // of the route's objective: the 95th percentile assumed until then
-	defaultMedian          = 20 * time.Millisecond // assumed for routes without an objective
+	medianDivisor          = 8                     // the route's objective divided by this is the median until enough calls are recorded
+	p95Divisor             = 3                     // the route's objective divided by this is the 95th percentile until enough calls are recorded
+	defaultMedian          = 20 * time.Millisecond // the median of a route without an objective until enough calls are recorded
 )
 
 // Baseline tracks the usual latency of the calls of one route.
--- a/core/place/cold.go
+++ b/core/place/cold.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	coldWindow      = time.Second // in which calls to a cold target are counted
-	coldLimitShare  = 0.8         // of the limit that all VMs together use; the rest covers VMs with different lists of VMs
+	coldWindow      = time.Second // calls to a cold target are counted over this time
+	coldLimitShare  = 0.8         // all VMs together use this share of the limit; the rest covers VMs with different lists of VMs
 	maxColdDuration = 5 * time.Minute
 )
 
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	cutOffAfter        = 400 * time.Millisecond // without any answer before a failure domain is cut off; pauses of one target are shorter
-	suspectAfter       = 120 * time.Millisecond // without any answer before a failure domain is probed
-	suspectProbes      = 2                      // endpoints probed at a time; that many failed probes show a failure domain to be cut off
-	callCPUTime        = 120 * time.Microsecond // time of one core for one call to a target; see docs/CAPACITY.md
-	offloadCoresFactor = 2.0                    // multiple of this VM's cores from which relaying through a peer is worth the extra hop
-	similarCostFactor  = 1.7                    // cost ratio within which failure domains are equally good
-	cutOffMinCalls     = 6                      // unanswered calls before a failure domain is cut off
+	cutOffAfter        = 400 * time.Millisecond // a failure domain is cut off after this time without any answer; pauses of one target are shorter
+	suspectAfter       = 120 * time.Millisecond // a failure domain is probed after this time without any answer
+	suspectProbes      = 2                      // this many endpoints are probed at a time; a failure domain is cut off if all these probes fail
+	callCPUTime        = 120 * time.Microsecond // a call to a target takes this time of one core; see docs/CAPACITY.md
+	offloadCoresFactor = 2.0                    // relaying through a peer is worth the extra hop if it has this many times this VM's cores
+	similarCostFactor  = 1.7                    // failure domains are equally good if their costs differ by this factor at most
+	cutOffMinCalls     = 6                      // a failure domain is cut off only after this many unanswered calls
 )
 
 // endpointGroup is what this VM reaches on one path: the targets of a failure domain, or its entry VMs.
--- a/core/place/leaving.go
+++ b/core/place/leaving.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	defaultDrainDelay = 2 * time.Second        // assumed where the settings have no drain delay
-	departedStateTTL  = 10 * time.Minute       // for which the state of a removed incarnation is kept, longer than any pause
-	maxHintedPause    = time.Second            // for which another VM's hint lowers the preference for a paused target
-	leavingPenalty    = 5 * time.Second        // below downPenalty: a leaving target is preferred to one that is down
-	hintedPenalty     = 400 * time.Millisecond // above deprioritizedPenalty: the target asked for a pause
-	maxHintMillis     = 1_000_000_000          // of a time in a hint
+	defaultDrainDelay = 2 * time.Second        // the drain delay where the settings have none
+	departedStateTTL  = 10 * time.Minute       // the state of a removed incarnation is kept for this time, longer than any pause
+	maxHintedPause    = time.Second            // another VM's hint lowers the preference for a paused target for this time at most
+	leavingPenalty    = 5 * time.Second        // added to the cost of a leaving target; below downPenalty, as it is preferred to one that is down
+	hintedPenalty     = 400 * time.Millisecond // added to the cost of a target that is said to have asked for a pause; above deprioritizedPenalty
+	maxHintMillis     = 1_000_000_000          // hints with a longer time than this are invalid
 )
 
 // LeavingHint tells other VMs that a target is leaving.
--- a/core/place/limit.go
+++ b/core/place/limit.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	callsPerSharer = 1.0                    // calls a second of a limit for each VM that has a share; fewer VMs share a lower limit
-	minCallLimit   = 0.25                   // calls a second to a target with a lower limit, which show when the limit ends
-	limitBurst     = 500 * time.Millisecond // of a VM's share that it may use at once
-	limitRefresh   = 2 * time.Second        // between two hints that a limit still holds
-	limitSilence   = 10 * time.Second       // without news of a limit, after which VMs without a share try the target one after another
-	newVMShare     = 0.5                    // of its share that a new VM uses while the others may not count it
-	limitTolerance = 0.1                    // relative change of a limit that other VMs hear of at once
+	callsPerSharer = 1.0                    // a limit is divided among so many VMs that each may make this many calls a second
+	minCallLimit   = 0.25                   // targets with a lower limit get this many calls a second, which show when the limit ends
+	limitBurst     = 500 * time.Millisecond // a VM may use its share of this time at once
+	limitRefresh   = 2 * time.Second        // other VMs hear again after this time that a limit still holds
+	limitSilence   = 10 * time.Second       // after this time without news of a limit, VMs without a share try the target one after another
+	newVMShare     = 0.5                    // a new VM uses this part of its share while the others may not count it
+	limitTolerance = 0.1                    // other VMs hear at once of a limit that has changed by more than this part
 )
 
 // MaxCallLimit is the highest limit that counts, in requests a second; a higher one is cut to it.
--- a/core/place/observation.go
+++ b/core/place/observation.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	slowRatio              = 2.0 // latency ratio from which a call is shared with other VMs
-	suspectSlowness        = 1.3 // slowness from which every answer is shared, as it may show that the target has recovered
-	maxPendingObservations = 256 // until TakeObservations; further ones are dropped, since they add little
+	slowRatio              = 2.0 // a call is shared with other VMs from this latency ratio on
+	suspectSlowness        = 1.3 // every answer of an endpoint with this slowness is shared, as it may show that the target has recovered
+	maxPendingObservations = 256 // at most this many observations wait for TakeObservations; more add little and are dropped
 )
 
 // Observation is the latency of one call to a target, shared with other VMs that call the same target.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	warmupFactor     = 1.6                     // ratio of the latency of a target that is warming up to that of a warm one, as the users specify it
-	lapseGracePeriod = 2200 * time.Millisecond // for a lapsed entry to reappear after a store outage, which takes about two seconds
+	warmupFactor     = 1.6                     // a target that is warming up takes this many times its usual latency, as the users specify it
+	lapseGracePeriod = 2200 * time.Millisecond // a lapsed entry may reappear within this time after a store outage
 )
 
 // State says whether an endpoint accepts new calls.
--- a/core/place/report.go
+++ b/core/place/report.go
@@ -5,9 +5,9 @@
 )
 
 const (
-	reportLifetime  = 250 * time.Millisecond // in which the weight of a load report falls from 1 to 0
-	slowPacePercent = 200                    // reported pace from which calls are hedged early
-	maxStateChanges = 256                    // until TakeStateChanges; further ones are dropped
+	reportLifetime  = 250 * time.Millisecond // the weight of a load report falls from 1 to 0 over this time
+	slowPacePercent = 200                    // calls to a target that reports this pace are hedged early
+	maxStateChanges = 256                    // at most this many changes wait for TakeStateChanges; more are dropped
 )
 
 // LoadReport is what a target says of its load in an answer.
--- a/core/place/vms.go
+++ b/core/place/vms.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	listOldAfter  = 10 * time.Second       // age from which the list of VMs may lack some
-	oldListFactor = 1.25                   // on the number of VMs while the list may lack some
-	newVMWait     = 15 * time.Second       // until all others count a new VM: listOldAfter and the age of the stale lists that they read
-	removedVMTTL  = 10 * time.Second       // for which a VM that left the list still counts, as it may still send calls
-	ownRankTTL    = 200 * time.Millisecond // hashing the names of all VMs at each call would take too much of a small VM's processor
+	listOldAfter  = 10 * time.Second       // a list of VMs that is older than this may lack some
+	oldListFactor = 1.25                   // multiplies the number of VMs while the list may lack some
+	newVMWait     = 15 * time.Second       // a new VM counts for all others after this time: listOldAfter and the age of the stale lists that they read
+	removedVMTTL  = 10 * time.Second       // a VM that has left the list still counts for this time, as it may still send calls
+	ownRankTTL    = 200 * time.Millisecond // a rank is computed again after this time, as hashing all names at each call would take too much of a small VM's processor
 )
 
 // vmList is the list of the VMs among which the calls to a target are divided.
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -7,21 +7,21 @@
 )
 
 const (
-	minTargets      = 3           // different targets that must have crashed under a request, without an answer since
-	minRounds       = 2           // attempts one after the other in which they crashed: when many targets crash at once, all that they run looks guilty
-	roundGap        = time.Second // from a crash to the call of the next round
-	firstQuarantine = 10 * time.Minute
-	maxQuarantine   = time.Hour
-	suspectTTL      = 10 * time.Minute // without news
-	quarantineTTL   = 2 * time.Hour    // after a quarantine, for which the next one is longer
-	clearedTTL      = 10 * time.Second // for which an answer outweighs older reports of other VMs
-	maxSuspects     = 1024             // the one without news for the longest time makes room
-	maxCrashes      = 16               // kept of one request
-	maxTells        = 5                // of the same news to other VMs, as messages get lost
-	fewTells        = 2                // of a suspect without minTargets: most of these are innocent
-	maxNews         = 256              // until TakeNews; further ones are dropped
-	tellInterval    = time.Second      // between two of them
-	maxEvents       = 256              // until TakeEvents; further ones are dropped
+	minTargets      = 3                // a request is treated with caution once it has crashed this many different targets since its last answer
+	minRounds       = 2                // a request is quarantined once its targets have crashed in this many attempts, one after the other: when many targets crash at once, all their requests look guilty
+	roundGap        = time.Second      // a call starts a new round if it is sent this long after the last crash
+	firstQuarantine = 10 * time.Minute // the first quarantine of a request lasts this long
+	maxQuarantine   = time.Hour        // no quarantine lasts longer
+	suspectTTL      = 10 * time.Minute // a suspect is forgotten after this time without news
+	quarantineTTL   = 2 * time.Hour    // a quarantine that follows within this time of the last one lasts longer
+	clearedTTL      = 10 * time.Second // an answer outweighs older reports of other VMs for this time
+	maxSuspects     = 1024             // at most this many suspects are kept; the one without news for the longest time makes room
+	maxCrashes      = 16               // at most this many crashes of one request are kept
+	maxTells        = 5                // the same news is told to other VMs at most this often, as messages get lost
+	fewTells        = 2                // news of a suspect with fewer than minTargets crashes is told at most this often, as most such requests are innocent
+	maxNews         = 256              // at most this many news wait for TakeNews; more are dropped
+	tellInterval    = time.Second      // the same news is told again after this time at the earliest
+	maxEvents       = 256              // at most this many events wait for TakeEvents; more are dropped
 )
 
 // Crash is the end of a target while it ran a request.
--- a/core/poison/report.go
+++ b/core/poison/report.go
@@ -9,11 +9,11 @@
 const (
 	maxAgeMillis    = 24 * 3600 * 1000
 	maxTargetBytes  = 512
-	maxReportTarget = 4 * maxCrashes // crashes of one report
+	maxReportTarget = 4 * maxCrashes // a report names at most this many crashes
 
-	recentTime       = time.Minute // since the last news of a recent suspect
+	recentTime       = time.Minute // a suspect counts as recent for this time after its last news
 	maxRecentReports = 64
-	maxQuarantines   = 16 // of one message; the next one has others
+	maxQuarantines   = 16 // a message names at most this many quarantines; the next one names others
 )
 
 // CrashReport is a Crash as VMs exchange it.
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -15,13 +15,13 @@
 )
 
 const (
-	watcherPeersInterval    = 4 * time.Second        // between two reads by VMs that watch the store; a stale read costs a tenth of a List call
-	subscriberPeersInterval = 20 * time.Second       // between two reads by VMs that get their updates from another
-	peersRetryInterval      = time.Second            // after a failed read
-	initialReads            = 2                      // reads in quick succession at startup, when all VMs may be starting
-	peerSlots               = 16                     // concurrent requests that an entry VM relays without slowing down
-	deregisterTimeout       = time.Second            // for removing this VM's entry on shutdown
-	registrationWait        = 300 * time.Millisecond // after registering, for VMs that start at the same time to register too
+	watcherPeersInterval    = 4 * time.Second        // VMs that watch the store read the list of VMs this often; a stale read costs a tenth of a List call
+	subscriberPeersInterval = 20 * time.Second       // VMs that get their updates from another read the list of VMs this often
+	peersRetryInterval      = time.Second            // a failed read of the list of VMs is repeated after this time
+	initialReads            = 2                      // the first reads follow each other quickly, as all VMs may be starting
+	peerSlots               = 16                     // an entry VM relays this many requests at the same time without slowing down
+	deregisterTimeout       = time.Second            // removing this VM's entry on shutdown takes this time at most
+	registrationWait        = 300 * time.Millisecond // VMs that start at the same time as this one have registered after this time
 )
 
 // maintainPeers registers this VM in the store and keeps the list of its peers current.
--- a/poplarpind/gateway/poison.go
+++ b/poplarpind/gateway/poison.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	crashCheckTimeout = 200 * time.Millisecond // for connecting to a target that broke off a connection
-	crashWitnesses    = 3                      // other targets that are connected to before a refused connection counts as a crash
+	crashCheckTimeout = 200 * time.Millisecond // connecting to a target that broke off a connection takes this time at most
+	crashWitnesses    = 3                      // a refused connection counts as a crash only if the VM connects to one of this many other targets
 	quarantinedReason = "the request has crashed the servers that ran it"
 )
 
--- a/poplarpind/gateway/probe.go
+++ b/poplarpind/gateway/probe.go
@@ -13,13 +13,13 @@
 )
 
 const (
-	probeInterval   = 250 * time.Millisecond // between two probes of failure domains that seem cut off
-	probeTimeout    = 200 * time.Millisecond // for connecting to one of their endpoints
-	suspectInterval = 50 * time.Millisecond  // between two looks at failure domains with unanswered calls; an idle VM does not wake up for it
-	suspectTimeout  = 120 * time.Millisecond // for connecting to an endpoint that does not answer: several round trips between regions
-	requestsDecay   = 0.95                   // applied to the request counts at each probe: half after 3.4 s
-	minRequests     = 0.1                    // a route below this counts as unused
-	minServedShare  = 0.5                    // of the recent requests; a VM that can serve these stays in rotation though all other failure domains seem cut off
+	probeInterval   = 250 * time.Millisecond // failure domains that seem cut off are probed this often
+	probeTimeout    = 200 * time.Millisecond // a probe of a failure domain that is cut off takes this time at most
+	suspectInterval = 50 * time.Millisecond  // failure domains with unanswered calls are looked at this often; an idle VM does not wake up for it
+	suspectTimeout  = 120 * time.Millisecond // a probe of an endpoint that does not answer takes this time at most: several round trips between regions
+	requestsDecay   = 0.95                   // multiplies the request counts at each probe, which halves them in 3.4 s
+	minRequests     = 0.1                    // a route with a lower count is unused
+	minServedShare  = 0.5                    // a VM that can serve this share of the recent requests stays in rotation though all other failure domains seem cut off
 )
 
 // probe checks failure domains that seem cut off, and takes this VM out of the load balancer's rotation while it is isolated:
--- a/poplarpind/gateway/quarantine.go
+++ b/poplarpind/gateway/quarantine.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	saveInterval       = time.Second // between two attempts to save quarantines
-	loadRetryInterval  = time.Second // after a failed read of the saved quarantines
-	quarantineKeepTime = time.Hour   // after its end, until its object is deleted; clocks may differ
+	saveInterval       = time.Second // unsaved quarantines are written this often
+	loadRetryInterval  = time.Second // a failed read of the saved quarantines is repeated after this time
+	quarantineKeepTime = time.Hour   // a quarantine's object is deleted this time after its end, as clocks may differ
 )
 
 // saveQuarantines writes the quarantines that this VM has begun or ended to the store, until the store has them.
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -14,15 +14,15 @@
 )
 
 const (
-	syncInterval      = 200 * time.Millisecond  // between two choices of the source of store updates
-	startSyncInterval = 50 * time.Millisecond   // the same until a configuration and the targets are known
-	firstPeersTimeout = 800 * time.Millisecond  // for the list of entry VMs at startup
-	subscribeInterval = time.Second             // between two subscribe messages to the same source
-	subscriptionTTL   = 2500 * time.Millisecond // for which a subscribe message keeps the subscription alive
-	heartbeatInterval = 400 * time.Millisecond  // to subscribers that got no update meanwhile
-	storePingInterval = 400 * time.Millisecond  // while there are subscribers; a ping costs a tenth of a List call
-	storePingTimeout  = 400 * time.Millisecond
-	storeAnswerTTL    = 1200 * time.Millisecond // for which the VM counts as connected to the store after an answer
+	syncInterval      = 200 * time.Millisecond  // the source of store updates is chosen this often
+	startSyncInterval = 50 * time.Millisecond   // the source is chosen this often until a configuration and the targets are known
+	firstPeersTimeout = 800 * time.Millisecond  // the VM waits this long for the list of entry VMs when it starts
+	subscribeInterval = time.Second             // a subscribe message to the same source is repeated after this time
+	subscriptionTTL   = 2500 * time.Millisecond // a subscribe message keeps the subscription alive for this time
+	heartbeatInterval = 400 * time.Millisecond  // a subscriber without an update gets a heartbeat after this time
+	storePingInterval = 400 * time.Millisecond  // the store is pinged this often while there are subscribers; a ping costs a tenth of a List call
+	storePingTimeout  = 400 * time.Millisecond  // a ping of the store takes this time at most
+	storeAnswerTTL    = 1200 * time.Millisecond // the VM counts as connected to the store for this time after an answer
 )
 
 // subscriber is a VM that gets store updates from this one.
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -13,19 +13,19 @@
 )
 
 const (
-	maxWatchTimeout   = 25 * time.Second       // of one watch call without a change
-	watchWindowShare  = 0.6                    // of the stability window; a longer watch may miss a change when the store compacts its history
-	minTargetsPause   = 250 * time.Millisecond // between two watches of targets, so that one call returns several changes
-	maxTargetsPause   = 500 * time.Millisecond
-	targetsPauseShare = 0.1                    // of the time within which a draining target must get no more calls
-	alonePauseFactor  = 2                      // for a VM without subscribers
-	configWatchPause  = 50 * time.Millisecond  // between two watches of the configuration
-	minBackoff        = 100 * time.Millisecond // after a failed store call
-	maxBackoff        = 400 * time.Millisecond // a tenth of the 4 s after which a VM that was cut off counts as connected again
-	maxBackoffFactor  = 4                      // for VMs that rank low as watchers, so that an outage does not make every VM call the store
-	emptyKindPause    = time.Second            // before a kind that the store answered with 404 is requested again
-	outageFailures    = 2                      // consecutive failed calls that count as an outage, during which entries may lapse
-	expireInterval    = time.Second            // between two removals of targets whose grace period has passed; they get no calls from its end on
+	maxWatchTimeout   = 25 * time.Second       // a watch call without a change ends after this time at the latest
+	watchWindowShare  = 0.6                    // a watch call lasts this share of the stability window at most; a longer one may miss a change when the store compacts its history
+	minTargetsPause   = 250 * time.Millisecond // the pause between two watches of targets lasts this time at least, so that one call returns several changes
+	maxTargetsPause   = 500 * time.Millisecond // the pause between two watches of targets lasts this time at most
+	targetsPauseShare = 0.1                    // the pause is this share of the time within which a draining target must get no more calls
+	alonePauseFactor  = 2                      // multiplies the pause of a VM without subscribers
+	configWatchPause  = 50 * time.Millisecond  // the pause between two watches of the configuration
+	minBackoff        = 100 * time.Millisecond // the backoff after the first failed store call
+	maxBackoff        = 400 * time.Millisecond // the longest backoff: a tenth of the 4 s after which a VM that was cut off counts as connected again
+	maxBackoffFactor  = 4                      // multiplies maxBackoff for VMs that rank low as watchers, so that an outage does not make every VM call the store
+	emptyKindPause    = time.Second            // a kind that the store answered with 404 is requested again after this time
+	outageFailures    = 2                      // this many failed calls in a row count as an outage, during which entries may lapse
+	expireInterval    = time.Second            // targets whose grace period has passed are removed this often; they get no calls from its end on
 )
 
 var storeCalls = expvar.NewMap("storeCalls")
--- a/poplarpind/peer/frame.go
+++ b/poplarpind/peer/frame.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	maxHelloBytes = 4 << 10  // of a message before the handshake, when anybody may have opened the link
-	maxFrameBytes = 16 << 20 // of a message: the entries of 19,000 targets take about 6 MB
+	maxHelloBytes = 4 << 10  // a message before the handshake is this long at most, as anybody may have opened the link
+	maxFrameBytes = 16 << 20 // a message is this long at most: the entries of 19,000 targets take about 6 MB
 )
 
 // frameCodec reads and writes the messages of a link, each after its length. It rejects a message over its limit before it takes up memory.
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -20,16 +20,16 @@
 )
 
 const (
-	dialTimeout  = 300 * time.Millisecond
-	pingInterval = 150 * time.Millisecond // between two checks of all links; links with awaited replies are pinged at each
-	pingTimeout  = 350 * time.Millisecond // for a ping's response or a write, after which a link is given up
-	probeAfter   = time.Second            // after the last message; if nothing was received since, the link is pinged even without awaited replies
-	idleTimeout  = 2 * time.Minute        // after which a link without messages is closed
+	dialTimeout  = 300 * time.Millisecond // opening a link takes this time at most
+	pingInterval = 150 * time.Millisecond // all links are checked this often; links with awaited replies are pinged at each check
+	pingTimeout  = 350 * time.Millisecond // a link is given up if a ping or a write takes longer
+	probeAfter   = time.Second            // a link on which nothing was received since the last message is pinged after this time, even without awaited replies
+	idleTimeout  = 2 * time.Minute        // a link without messages is closed after this time
 	// A peer says its name as soon as the link is open, but a VM with a fraction of a core may be slow at it after its start.
 	handshakeTimeout = 2 * time.Second
-	acceptBackoff    = 50 * time.Millisecond  // after a failure to accept a link, for instance for lack of file descriptors
-	redialBackoff    = 400 * time.Millisecond // after a failure, during which no new link is opened
-	queueLength      = 8192                   // messages queued for one link
+	acceptBackoff    = 50 * time.Millisecond  // no link is accepted for this time after a failure, for instance for lack of file descriptors
+	redialBackoff    = 400 * time.Millisecond // no link to a peer is opened for this time after a failure
+	queueLength      = 8192                   // at most this many messages wait for one link
 )
 
 // Kind classifies an Error.
--- a/testbed/upgrade/check.go
+++ b/testbed/upgrade/check.go
@@ -12,8 +12,8 @@
 
 const (
 	budgetWindow   = 10 * time.Second
-	drainTolerance = 500 * time.Millisecond // for calls that were decided before the VM knew that the target leaves
-	maxExamples    = 3                      // requests named for one broken rule
+	drainTolerance = 500 * time.Millisecond // a call that reaches a leaving target this soon was decided before the VM knew
+	maxExamples    = 3                      // at most this many requests are named for one broken rule
 )
 
 // observed is what callers and targets have seen.
--- a/testbed/upgrade/fleet.go
+++ b/testbed/upgrade/fleet.go
@@ -11,17 +11,17 @@
 )
 
 const (
-	freeKey         = "key-free" // of an account without a quota
-	quotaKey        = "key-bulk" // of an account with one
+	freeKey         = "key-free" // the key of an account without a quota
+	quotaKey        = "key-bulk" // the key of an account with a quota
 	quotaPerSecond  = 20
 	quotaBurst      = 10
 	vmMemoryMB      = 184
 	targetLatency   = 10 * time.Millisecond
-	idleConnections = 100 // of clients to one VM
+	idleConnections = 100 // clients keep this many idle connections to one VM
 	waitTimeout     = 60 * time.Second
 	waitInterval    = 50 * time.Millisecond
-	leavingTarget   = "s1-a" // leaves during the upgrade
-	strandedVM      = "c1"   // loses its links to the targets during the upgrade
+	leavingTarget   = "s1-a" // this target leaves during the upgrade
+	strandedVM      = "c1"   // this VM loses its links to the targets during the upgrade
 )
 
 // bounds are those that the deployment states.
--- a/testbed/upgrade/vm.go
+++ b/testbed/upgrade/vm.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	readyInterval = 50 * time.Millisecond // between two questions of the load balancer
-	callTimeout   = 2 * time.Second       // of a question to a VM
+	readyInterval = 50 * time.Millisecond // the load balancer asks each VM this often whether it is ready
+	callTimeout   = 2 * time.Second       // a question to a VM takes this time at most
 )
 
 // vm is an entry VM, whose process is replaced during an upgrade.
