--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -56,7 +56,7 @@
 	Call  int
 	VM    place.Endpoint
 	Parts []int // indices into Spec.Parts
-	// Targets are those that the relay must call, of whatever failure domain, one for each part; empty if the relay chooses.
+	// Targets names a target of any failure domain for each part, and the relay calls exactly these; empty if the relay chooses.
 	Targets []string
 	// ReportAfter is how long the relay waits for all parts before it reports the ones it has: as long as a direct call waits for a hedge.
 	ReportAfter time.Duration
--- a/core/fanout/fanout_test.go
+++ b/core/fanout/fanout_test.go
@@ -109,7 +109,7 @@
 	simulation.openCalls = slices.DeleteFunc(simulation.openCalls, func(other int) bool { return other == call })
 }
 
-// mayHaveRun records that the target of a call, or those of the parts in flight at a relay, may have processed the request.
+// mayHaveRun records that the target of a call may have processed the request, or the targets of all parts in flight at a relay.
 func (simulation *simulation) mayHaveRun(call int) {
 	if send, ok := simulation.sends[call]; ok {
 		simulation.mayHaveRunAt(send.Target.Service, send.Target.ID)
--- a/core/fanout/forward.go
+++ b/core/fanout/forward.go
@@ -21,8 +21,8 @@
 	path   place.Path
 }
 
-// choose returns the target for the next call of a part: the best one that this VM reaches itself, else one that another VM reaches. A
-// target to which this VM's own calls fail is chosen only if no other VM can be asked.
+// choose returns the target for the next call of a part: the best one that this VM reaches itself, else one that another VM reaches. If this
+// VM's own calls to a target fail, it is chosen only if no other VM can be asked.
 func (run *Run) choose(now time.Time, part *partState, exclude, excludeForwarded []string) (chosen, bool) {
 	direct, ok := run.chooseTarget(now, part.service, exclude)
 	if ok && !run.shared.Fleet.Down(now, direct.ID) {
@@ -134,9 +134,8 @@
 	}
 }
 
-// tried returns the targets that the next call of a part must not go to, for calls of this VM and for forwarded ones: those that may have
-// processed the part, have it in flight or could not be reached on that path. A target that refused the part may be called again, except by
-// the call after the refusal.
+// tried returns the targets that the next call of a part must not go to, for calls of this VM and for forwarded ones: a target that may have
+// processed the part, has it in flight or could not be reached on that path. After a refusal, only the next call must go elsewhere.
 func (run *Run) tried(part *partState) (direct, forwarded []string) {
 	for i, earlier := range part.calls {
 		last := i == len(part.calls)-1
@@ -167,7 +166,7 @@
 	return direct, forwarded
 }
 
-// targetOf returns the target of a call for a part, which must not be one that a relay chose.
+// targetOf returns the target of a call for a part; the call must not be relayed to a target of the relay's choice.
 func (call *call) targetOf(part *partState) string {
 	if forwarded := call.forwarded[part.index]; forwarded != nil {
 		return forwarded.target.ID
--- a/core/fanout/forward_limit.go
+++ b/core/fanout/forward_limit.go
@@ -13,7 +13,7 @@
 	forwardBurst = 250 * time.Millisecond // a VM may make the calls of this time at once
 )
 
-// ForwardLimit bounds the calls that a VM makes to targets which other VMs do not reach, so that its own callers keep their share.
+// ForwardLimit bounds the calls that a VM makes for VMs that do not reach the targets, so that its own callers keep their share.
 type ForwardLimit struct{ calls *rate.Limiter }
 
 // NewForwardLimit returns the limit of a VM with this number of processor cores, 0 for unknown.
--- a/core/fanout/forward_test.go
+++ b/core/fanout/forward_test.go
@@ -25,7 +25,7 @@
 	return shared
 }
 
-// relaysOf returns the messages to other VMs among some actions, of which there must be no others.
+// relaysOf returns some actions, all of which must be messages to other VMs.
 func relaysOf(t *testing.T, actions []fanout.Action) []fanout.Relay {
 	t.Helper()
 	var relays []fanout.Relay
@@ -188,8 +188,8 @@
 	})
 }
 
-// TestForwardedRun guards against a relay that calls other targets than those named, and against one that answers for targets which it
-// does not reach, so that it is asked again and again.
+// TestForwardedRun guards against a relay that calls another target than the named one, and against a relay that answers for targets out of
+// its reach, so that it is asked again and again.
 func TestForwardedRun(t *testing.T) {
 	services := serviceNames(2)
 	newRun := func(fleet *place.Fleet, targets ...string) *fanout.RelayRun {
@@ -220,7 +220,7 @@
 	})
 }
 
-// TestForwardLimit guards against stranded VMs that use up the processor of those that serve for them.
+// TestForwardLimit guards against stranded VMs that use up the processor of the VMs that serve for them.
 func TestForwardLimit(t *testing.T) {
 	limit, allowed := fanout.NewForwardLimit(0.2), 0
 	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(time.Millisecond) {
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -184,7 +184,7 @@
 	return merged, append(actions, run.finishIfDone(now)...)
 }
 
-// recordReport updates what the fleet knows of a relay and of the targets that it called.
+// recordReport updates the fleet's view of a relay and of the targets that it called.
 func (call *call) recordReport(now time.Time, fleet *place.Fleet, report Report) {
 	if call.forwarded != nil && report.Final && len(call.forwarded) == len(report.Missing) && !slices.ContainsFunc(report.Missing, made) {
 		call.attempt.InvalidAnswer(now) // the relay has made no call
--- a/core/fanout/relay_run.go
+++ b/core/fanout/relay_run.go
@@ -54,7 +54,7 @@
 	Services    []string      // of the parts
 	Targets     []string      // that must be called, one for each part; empty if the relay chooses
 	ReportAfter time.Duration // until the early report
-	Once        bool          // the request is not idempotent; there is no early report, on which a VM of build e92619e sends a second call
+	Once        bool          // the request is not idempotent; there is no early report, as a VM of build e92619e would send a second call
 }
 
 // NewRelayRun returns a relay run that has not started.
@@ -70,8 +70,8 @@
 	return relayRun
 }
 
-// Start calls a target for each part that has one which this VM may call, or refuses the request if it reaches no target at all. Call indices
-// are part indices.
+// Start calls a target for each part, if this VM may call one, or refuses the request if it reaches no target at all. Call indices are part
+// indices.
 func (relayRun *RelayRun) Start(now time.Time) []Action {
 	if relayRun.fleet.Stranded(now) {
 		relayRun.ended = true
--- a/core/fleetload/fleet_load_test.go
+++ b/core/fleetload/fleet_load_test.go
@@ -471,7 +471,7 @@
 	}
 }
 
-// count adds what the client gets to a result.
+// count adds the client's credit and the outcome to a result.
 func (request *simRequest) count(result *classResult, response fanout.Response) {
 	result.requests++
 	for cause, count := range request.decision.MissingCauses() {
--- a/core/fleetload/stranded_load_test.go
+++ b/core/fleetload/stranded_load_test.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	strandedGrace = 2 * time.Second // from the cut until requests at stranded VMs are judged
-	dialTime      = time.Second     // after which a connection that hangs is given up
+	strandedGrace = 2 * time.Second // requests at stranded VMs are judged from this time after the cut
+	dialTime      = time.Second     // a connection that hangs is given up after this time
 )
 
 // strandedSpan cuts the links of some VMs to all targets for a time; their calls hang, or are refused at once.
@@ -59,7 +59,7 @@
 	}
 }
 
-// strandedLoads are loads with half of the VMs, or those of a failure domain, stranded for eight seconds.
+// strandedLoads are loads in which half of the VMs, or a whole failure domain of them, are stranded for eight seconds.
 func strandedLoads(load func() fleetLoad) map[string]fleetLoad {
 	loads := map[string]fleetLoad{}
 	for name, span := range map[string]strandedSpan{
@@ -74,7 +74,7 @@
 	return loads
 }
 
-// checkReached plays a load and checks what callers of stranded VMs and of the others get.
+// checkReached plays a load and checks the credit of callers at stranded VMs and at the others.
 func checkReached(t *testing.T, load fleetLoad, seeds int, check func(t *testing.T, result *classResult)) {
 	t.Helper()
 	for seed := range seeds {
--- a/core/follow/outage_test.go
+++ b/core/follow/outage_test.go
@@ -58,7 +58,7 @@
 	advance(outage, turnedAway)
 	average := float64(watched) / float64(outage)
 	t.Logf("%.1f of %d VMs watch the store on average", average, domainVMs)
-	assert.Assert(t, average <= 4) // the one that has it, and those that have found nothing else yet
+	assert.Assert(t, average <= 4) // the VM that has the store, and the VMs that still look for a source
 	advance(10*time.Second, nil)
 	watched = 0
 	advance(6*time.Second, nil)
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -162,8 +162,8 @@
 	}
 }
 
-// failedPaths returns the paths on which a failed call shows that the endpoint may be down. A failure at a relay, which can be the only one
-// that calls the endpoint, shows it for both; a failure of this VM's own call may be due to its own connection.
+// failedPaths returns the paths on which the endpoint may be down after a failed call. A failure at a relay counts for both, as the relay may
+// be the only VM that calls the endpoint; a failure of this VM's own call may be due to its own connection.
 func (attempt *Attempt) failedPaths() []*pathState {
 	paths := &attempt.endpoint.paths
 	if attempt.path == Relayed {
@@ -209,7 +209,7 @@
 // OnlyInFlight reports whether no other call is in flight at the endpoint, so that the outcome of this one is the first to show a recovery.
 func (attempt *Attempt) OnlyInFlight() bool { return len(attempt.endpoint.attempts) == 1 }
 
-// overdue returns the longest time by which a call in flight on a path exceeds the delay that shows a stuck endpoint.
+// overdue returns by how much the slowest call in flight on a path exceeds the delay that shows a stuck endpoint.
 func (endpoint *trackedEndpoint) overdue(now time.Time, path Path) time.Duration {
 	worst := time.Duration(0)
 	for _, attempt := range endpoint.attempts {
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -31,7 +31,7 @@
 type costs struct {
 	baseline      *Baseline
 	path          Path
-	failureDomain string // in which endpoints cost least
+	failureDomain string // its endpoints cost least
 }
 
 // ownCosts returns the costs of this VM's own calls on a route.
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -18,7 +18,7 @@
 	cutOffMinCalls     = 6                      // a failure domain is cut off only after this many unanswered calls
 )
 
-// endpointGroup is what this VM reaches on one path: the targets of a failure domain, or its entry VMs.
+// endpointGroup names the endpoints of a failure domain that this VM reaches on one path: its targets or its entry VMs.
 type endpointGroup struct {
 	failureDomain string
 	vms           bool
@@ -43,7 +43,7 @@
 	probedAt        time.Time // of the last probes while it was suspected; zero for none
 }
 
-// reachabilityOf returns the reachability of a group, which starts as reachable.
+// reachabilityOf returns the reachability of a group; a new group is reachable.
 func (fleet *Fleet) reachabilityOf(group endpointGroup) *reachability {
 	found, ok := fleet.groups[group]
 	if !ok {
@@ -178,7 +178,7 @@
 	}
 }
 
-// CutOffDomains returns the number of failure domains whose targets seem cut off from this VM, and of those whose other VMs do.
+// CutOffDomains returns how many failure domains seem cut off from this VM, counted by their targets and by their other VMs.
 func (fleet *Fleet) CutOffDomains(now time.Time) (targets, vms int) {
 	for group, reachability := range fleet.groups {
 		switch {
--- a/core/place/path.go
+++ b/core/place/path.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Path is a way on which calls of this VM reach an endpoint. What one path shows says nothing about the other.
+// Path is a way on which calls of this VM reach an endpoint. Calls on one path say nothing about the other.
 type Path int
 
 // The paths to endpoints.
@@ -23,7 +23,7 @@
 	failuresLimit      = 3                      // a path is down after this many failures without an answer in between
 )
 
-// pathState is what the calls on one path have shown of an endpoint.
+// pathState is the state of an endpoint as the calls on one path show it.
 type pathState struct {
 	downUntil  time.Time
 	downTime   time.Duration
@@ -200,7 +200,7 @@
 	return stranded
 }
 
-// Witnesses returns the addresses of up to count other targets of a target's failure domain, those that answered this VM last first. If this
+// Witnesses returns the addresses of up to count other targets of a target's failure domain, the most recent answers first. If this
 // VM can connect to none of them, a connection that fails shows nothing about the target.
 func (fleet *Fleet) Witnesses(now time.Time, id string, count int) []string {
 	suspect, ok := fleet.endpoints[id]
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -65,7 +65,7 @@
 	baselines     map[string]*Baseline
 	observations  []Observation                  // not yet shared with other VMs
 	departed      map[incarnation]*reportedState // of targets whose entry was removed or replaced
-	maxDrainDelay time.Duration                  // within which a leaving target must get no more requests
+	maxDrainDelay time.Duration                  // a leaving target must get no more requests after this time
 	hints         []string                       // targets whose leaving or pause is not yet shared with other VMs
 	stateChanges  []StateChange                  // not yet taken
 	vms           vmList
--- a/core/rpc/capability.go
+++ b/core/rpc/capability.go
@@ -15,7 +15,7 @@
 // OwnCapabilities returns the capabilities of this build.
 func OwnCapabilities() []Capability { return []Capability{NamedTargets} }
 
-// Hello names the VM at the other end of a link, and says what its build understands. The first builds send neither a build nor capabilities.
+// Hello names the VM at the other end of a link, its build and its capabilities. The first builds send neither build nor capabilities.
 type Hello struct {
 	VM           string       `json:"vm"`
 	Incarnation  int64        `json:"incarnation"`
--- a/core/rpc/gather.go
+++ b/core/rpc/gather.go
@@ -14,7 +14,7 @@
 	MethodGatherCancel = "gatherCancel" // notification: GatherCancel
 )
 
-// MaxForwardedBody bounds the body of a request or response in a message of relaying, which is larger in JSON.
+// MaxForwardedBody bounds the body of a request or response in a message of relaying, before its encoding as JSON.
 const MaxForwardedBody = 8 << 20
 
 // Gather asks an entry VM to call targets of its failure domain, or the targets that it names, for some parts of a request. The receiver
--- a/poplarpind/gateway/corpus_test.go
+++ b/poplarpind/gateway/corpus_test.go
@@ -14,7 +14,7 @@
 	"poplarpin.dev/poplarpind/peer"
 )
 
-// TestStateOfLandedBuilds guards against a VM that starts beside VMs of an earlier build and cannot use what they tell it.
+// TestStateOfLandedBuilds guards against a VM that starts beside VMs of an earlier build and cannot use their state.
 func TestStateOfLandedBuilds(t *testing.T) {
 	for _, build := range []string{"0b73695", "3db0f72", "0fcc62c", "e92619e"} {
 		t.Run(build, func(t *testing.T) {
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -142,7 +142,7 @@
 	gateway.budgets.SetVMs(time.Now(), len(peers)+1)
 }
 
-// Greeted implements peer.Handler; it records the build of a peer, which may change with each of its restarts.
+// Greeted implements peer.Handler; it records the build of a peer, as each restart of the peer may change it.
 func (gateway *Gateway) Greeted(hello rpc.Hello) {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -326,7 +326,7 @@
 	return result
 }
 
-// inTermsOf replaces what the build of a peer does not know in a result for it.
+// inTermsOf replaces the outcomes in a result that the build of a peer does not know.
 func (gateway *Gateway) inTermsOf(peer string, result rpc.GatherResult) rpc.GatherResult {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -167,8 +167,8 @@
 	gateway.currentSeeds.Store(&settings.Seeds)
 }
 
-// shutdown stops gracefully: it waits until the load balancer has removed this VM, then finishes the requests in flight, also those of peers
-// that cannot be repeated.
+// shutdown stops gracefully: it waits until the load balancer has removed this VM, then finishes the requests in flight of its clients, and
+// of peers where they are not idempotent.
 func (gateway *Gateway) shutdown(clients *http.Server) {
 	grace := gateway.settings.Bounds.GracePeriod
 	if grace <= 0 {
--- a/poplarpind/gateway/store_probe.go
+++ b/poplarpind/gateway/store_probe.go
@@ -15,8 +15,8 @@
 	ended chan struct{} // closed at the end of the probe in progress; nil without one
 }
 
-// awaitStore waits after a failed call of the store until it answers a ping, for backoff at least. Loops that wait at the same time share the
-// pings, each of which costs a tenth of a call.
+// awaitStore waits after a failed call of the store until it answers a ping. Loops that wait at the same time share the pings; a ping costs a
+// tenth of a call.
 func (gateway *Gateway) awaitStore(ctx context.Context, store *platform.Store, backoff time.Duration) {
 	probe := &gateway.storeProbe
 	probe.mu.Lock()
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -68,7 +68,7 @@
 
 // Handler handles the messages of peers; it must not block.
 type Handler interface {
-	Greeted(hello rpc.Hello) // a peer has said what its build understands, on a link that either side has opened
+	Greeted(hello rpc.Hello) // a peer has named its capabilities, on a link that either side has opened
 	Notify(from string, reply Reply, method string, params json.RawMessage) error
 	Call(ctx context.Context, from string, method string, params json.RawMessage) (any, error)
 	LinkDown(name string) // a link on which messages were sent has been closed
--- a/testbed/upgrade.go
+++ b/testbed/upgrade.go
@@ -19,7 +19,7 @@
 	Repository string        `help:"Repository with the commits." default:"." type:"path"`
 }
 
-// Run plays the upgrades and prints what callers got; it fails if a rule was broken.
+// Run plays the upgrades and prints their reports; it fails if a rule was broken.
 func (command *upgradeCommand) Run(globals *globals) error {
 	folder, err := upgrade.NewFolder()
 	if err != nil {
@@ -66,7 +66,7 @@
 	return commit
 }
 
-// corpusCommand records what the build of a commit sends, stores and shows, as test data of the builds that may run beside it.
+// corpusCommand records messages, objects, state and dump of a landed build, as test data of the builds that may run beside it.
 type corpusCommand struct {
 	Commit     string `arg:"" help:"Commit of a landed build."`
 	Repository string `help:"Repository with the commit, whose test data is written." default:"." type:"path"`
--- a/testbed/upgrade/build.go
+++ b/testbed/upgrade/build.go
@@ -34,7 +34,7 @@
 	_, _ = git(source.repository, "worktree", "prune")
 }
 
-// Go runs the go command in a module of the source and returns what it prints.
+// Go runs the go command in a module of the source and returns its output.
 func (source *Source) Go(module string, arguments ...string) (string, error) {
 	command := exec.Command("go", arguments...)
 	command.Dir = filepath.Join(source.Folder, module)
--- a/testbed/upgrade/check.go
+++ b/testbed/upgrade/check.go
@@ -16,7 +16,7 @@
 	maxExamples    = 3                      // at most this many requests are named for one broken rule
 )
 
-// observed is what callers and targets have seen.
+// observed holds all observations of callers and targets.
 type observed struct {
 	requests  []*request
 	runs      []platformtest.Run
--- a/testbed/upgrade/corpus.go
+++ b/testbed/upgrade/corpus.go
@@ -30,8 +30,7 @@
 // crashPath is the path of requests that crash the targets of the recorded build.
 const crashPath = "/g/crash"
 
-// Record writes what the build of a commit sends to other VMs, keeps in the store and shows to operators to the test data of the modules that
-// read it.
+// Record writes messages, objects, state and dump of a build to the test data of the modules that read them.
 func Record(repository, commit, folder string) error {
 	source, err := Checkout(repository, commit, folder)
 	if err != nil {
--- a/testbed/upgrade/doc.go
+++ b/testbed/upgrade/doc.go
@@ -1,3 +1,3 @@
-// Package upgrade replaces the VMs of a fleet of real processes by those of another build, one after the other and under load, and checks what
-// callers and targets see of it.
+// Package upgrade replaces the VMs of a fleet of real processes by VMs of another build, one after the other and under load, and checks the
+// promises with the eyes of callers and targets.
 package upgrade
--- a/testbed/upgrade/fleet.go
+++ b/testbed/upgrade/fleet.go
@@ -24,7 +24,7 @@
 	strandedVM      = "c1"   // this VM loses its links to the targets during the upgrade
 )
 
-// bounds are those that the deployment states.
+// bounds are the bounds of the deployment.
 var bounds = platformtest.Bounds{GracePeriod: 3 * time.Second, RetryRatio: 0.2, RetrySlack: 20,
 	QuotaWindow: 2 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 10}
 
--- a/testbed/upgrade/load.go
+++ b/testbed/upgrade/load.go
@@ -29,7 +29,7 @@
 	fromAdded bool // sent only once all VMs have the added route
 }
 
-// kinds are the requests of the load; those of the account come at twice its quota.
+// kinds are the requests of the load; the account with a quota sends twice that.
 var kinds = []requestKind{
 	{name: "gather", method: http.MethodGet, path: "/g/x", interval: 20 * time.Millisecond, key: freeKey},
 	{name: "once", method: http.MethodPost, path: "/o/x", interval: 20 * time.Millisecond, once: true, key: freeKey},
@@ -54,7 +54,7 @@
 	timedOut bool
 }
 
-// load sends requests at fixed rates, whatever becomes of those before, to the VMs that are ready.
+// load sends requests at fixed rates to the VMs that are ready, without waiting for earlier answers.
 type load struct {
 	t        platformtest.T
 	vms      []*vm
--- a/testbed/upgrade/upgrade.go
+++ b/testbed/upgrade/upgrade.go
@@ -14,7 +14,7 @@
 	"poplarpin.dev/platform/platformtest"
 )
 
-// Plan says which upgrade is played.
+// Plan describes an upgrade.
 type Plan struct {
 	From, To string // programs
 	Rollback bool   // half-way, the VMs that were replaced get the first program again
@@ -23,7 +23,7 @@
 	Folder   string // for settings and logs
 }
 
-// Phase is what callers got in one phase of an upgrade.
+// Phase counts the requests of one phase of an upgrade by their ends.
 type Phase struct {
 	Name                                                        string
 	Sent, Served, Partial, Late, OverQuota, Refused, Unanswered int
@@ -53,7 +53,7 @@
 	return report, err
 }
 
-// play starts the fleet and its load, replaces the VMs and checks what was seen.
+// play starts the fleet and its load, replaces the VMs and checks the promises.
 func (deployment *deployment) play(plan Plan) (Report, error) {
 	random := rand.New(rand.NewPCG(plan.Seed, 0))
 	load := &load{t: deployment.t, vms: deployment.vms, random: random}
@@ -87,7 +87,7 @@
 	return report, nil
 }
 
-// replaceAll replaces the VMs in a random order, with a pause half-way for what goes wrong meanwhile. It returns when all VMs knew that a target leaves.
+// replaceAll replaces the VMs in a random order, with a pause half-way for faults. It returns when all VMs knew that a target leaves.
 func (deployment *deployment) replaceAll(plan Plan, random *rand.Rand, load *load) (time.Time, error) {
 	time.Sleep(plan.Phase)
 	order := slices.Clone(deployment.vms)
--- a/testbed/upgrade/vm.go
+++ b/testbed/upgrade/vm.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// dump is what the checks need of a VM's dump, which all builds write.
+// dump is the part of a VM's dump that the checks need; all builds write it.
 type dump struct {
 	Build     string `json:"build"`
 	Version   int64  `json:"version"`
--- a/testbed/upgrade_test.go
+++ b/testbed/upgrade_test.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// TestUnknownCommit guards against an error that does not say which commit the history lacks.
+// TestUnknownCommit guards against an error that does not name the missing commit.
 func TestUnknownCommit(t *testing.T) {
 	_, err := upgrade.Build("..", "0000000", t.TempDir())
 	assert.ErrorContains(t, err, "0000000 is not in the history")
