A message says itself which capability its receiver needs

Cause: the rule stood at the one caller that forwards calls; another sender of a Gather could forget it. Change: Gather.Needs states it beside the fields, and a link asks each message. A request that runs once needs the capability too, which all senders' messages had through their targets.

--- a/core/rpc/corpus_test.go
+++ b/core/rpc/corpus_test.go
@@ -116,6 +116,13 @@
 	})
 }
 
+// TestNeeds guards against a message to a VM of an earlier build that ignores the targets or calls them more than once.
+func TestNeeds(t *testing.T) {
+	assert.Equal(t, rpc.Gather{}.Needs(), rpc.Capability(""))
+	assert.Equal(t, rpc.Gather{Targets: []string{"i-1"}}.Needs(), rpc.NamedTargets)
+	assert.Equal(t, rpc.Gather{Once: true}.Needs(), rpc.NamedTargets)
+}
+
 // TestRecordedBuilds guards against a recorded build that no test reads.
 func TestRecordedBuilds(t *testing.T) {
 	entries, err := os.ReadDir(filepath.Join("testdata", "builds"))
--- a/core/rpc/gather.go
+++ b/core/rpc/gather.go
@@ -60,6 +60,14 @@
 	QueryID string `json:"query"`
 }
 
+// Needs returns the capability that the receiver must have, "" for none: without it, named targets and Once mean nothing to it.
+func (gather Gather) Needs() Capability {
+	if len(gather.Targets) > 0 || gather.Once {
+		return NamedTargets
+	}
+	return ""
+}
+
 // Validate checks a decoded request.
 func (gather Gather) Validate() error {
 	if gather.QueryID == "" || gather.Route == "" || gather.RequestID == "" || gather.Method == "" || len(gather.Head) == 0 {
--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -44,7 +44,7 @@
 	for {
 		select {
 		case message := <-link.queue:
-			if !link.peer.Can(message.Needs) {
+			if !link.peer.Can(message.needs()) {
 				message.unsent(Incapable)
 				continue
 			}
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -103,12 +103,19 @@
 	return time.Since(mesh.failedAt[name]) > redialBackoff
 }
 
-// Message is a notification to a peer.
+// Message is a notification to a peer. Params that need a capability have a method Needs, and go only to peers that have it.
 type Message struct {
 	Method   string
 	Params   any
-	Needs    rpc.Capability // peers without it do not get the message; empty if all builds understand it
-	OnUnsent func(Kind)     // called if the message was certainly not sent, with the reason; nil if that does not matter
+	OnUnsent func(Kind) // called if the message was certainly not sent, with the reason; nil if that does not matter
+}
+
+// needs returns the capability that the message needs, "" for none.
+func (message Message) needs() rpc.Capability {
+	if params, ok := message.Params.(interface{ Needs() rpc.Capability }); ok {
+		return params.Needs()
+	}
+	return ""
 }
 
 func (message Message) unsent(kind Kind) {
--- a/poplarpind/peer/peer_test.go
+++ b/poplarpind/peer/peer_test.go
@@ -214,15 +214,18 @@
 
 // TestCapabilities guards against a message to a VM whose build does not understand it.
 func TestCapabilities(t *testing.T) {
+	named := rpc.Gather{Targets: []string{"i-1"}}
 	for name, test := range map[string]struct {
-		peer  []rpc.Capability
-		needs rpc.Capability
-		sent  bool
+		peer   []rpc.Capability
+		params any
+		sent   bool
 	}{
-		"an older build gets messages that all builds understand": {sent: true},
-		"an older build does not get a newer message":             {needs: rpc.NamedTargets},
-		"a build that understands a message gets it":              {peer: []rpc.Capability{rpc.NamedTargets}, needs: rpc.NamedTargets, sent: true},
-		"an unknown capability does not stand for another":        {peer: []rpc.Capability{"later"}, needs: rpc.NamedTargets},
+		"an older build gets messages that all builds understand": {params: rpc.Gather{}, sent: true},
+		"an older build does not get a newer message":             {params: named},
+		"a build that understands a message gets it":              {peer: []rpc.Capability{rpc.NamedTargets}, params: named, sent: true},
+		"an unknown capability does not stand for another":        {peer: []rpc.Capability{"later"}, params: named},
+		"a request that runs once is a newer message":             {params: rpc.Gather{Once: true}},
+		"a message without capabilities goes to all builds":       {params: struct{}{}, sent: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -233,7 +236,7 @@
 			client := peer.New(rpc.Hello{VM: "a", Build: "1", Capabilities: rpc.OwnCapabilities()}, sender, nil)
 			t.Cleanup(func() { client.Close(); server.Close(); _ = listener.Close() })
 			var unsent atomic.Pointer[peer.Kind]
-			client.Notify("b", listener.Addr().String(), peer.Message{Method: rpc.MethodGather, Params: struct{}{}, Needs: test.needs,
+			client.Notify("b", listener.Addr().String(), peer.Message{Method: rpc.MethodGather, Params: test.params,
 				OnUnsent: func(kind peer.Kind) { unsent.Store(&kind) }})
 			waitFor(t, "the end of the message", func() bool { return receiver.notified.Load() > 0 || unsent.Load() != nil })
 			assert.Equal(t, unsent.Load() == nil, test.sent)
