--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -102,7 +102,7 @@
 	case storeReachable:
 		follower.plan.Source, follower.plan.Candidate, follower.sourceSince = source, "", now
 	default:
-		follower.avoidedUntil[source] = now.Add(avoidWithoutStore)
+		follower.avoidFor(now, source, avoidWithoutStore)
 		return
 	}
 	if storeReachable {
@@ -112,7 +112,8 @@
 		// A new source may still be taking over the watch of the store. If this VM cannot reach the store either, a source of lower rank or
 		// of another failure domain is needed.
 		if follower.storeFailingSince.IsZero() {
-			follower.dropSource(now, avoidWithoutStore)
+			follower.avoidFor(now, source, avoidWithoutStore)
+			follower.dropSource()
 		} else {
 			follower.avoidSource(now)
 		}
@@ -152,18 +153,21 @@
 // avoidSource removes the source and avoids it for a time.
 func (follower *Follower) avoidSource(now time.Time) {
 	follower.avoid(now, follower.plan.Source)
-	follower.plan.Source, follower.lastMessage = "", time.Time{}
+	follower.dropSource()
 }
 
 // avoid avoids a peer for a time that doubles with each consecutive failure, up to maxAvoid.
 func (follower *Follower) avoid(now time.Time, peer string) {
 	follower.avoidSpans[peer] = min(max(minAvoid, 2*follower.avoidSpans[peer]), maxAvoid)
-	follower.avoidedUntil[peer] = now.Add(follower.avoidSpans[peer])
+	follower.avoidFor(now, peer, follower.avoidSpans[peer])
+}
+
+func (follower *Follower) avoidFor(now time.Time, peer string, span time.Duration) {
+	follower.avoidedUntil[peer] = now.Add(span)
 }
 
-// dropSource removes the source and avoids it for a time.
-func (follower *Follower) dropSource(now time.Time, span time.Duration) {
-	follower.avoidedUntil[follower.plan.Source] = now.Add(span)
+// dropSource removes the source.
+func (follower *Follower) dropSource() {
 	follower.plan.Source, follower.lastMessage = "", time.Time{}
 }
 
