Loops that wait for the store share their pings by singleflight

Cause: the probe had its own lock and channel for what a library does. Change: golang.org/x/sync/singleflight; no change of behaviour. Result: TestCallsWhileTurnedAway and the other tests of the store pass.

--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"poplarpin.dev/core/admit"
 	"poplarpin.dev/core/fanout"
@@ -42,7 +43,7 @@
 	era                 *platform.Era // of the store
 	table               atomic.Pointer[route.Table]
 	currentStoreAddress atomic.Pointer[string]
-	storeProbe          storeProbe
+	storeProbe          singleflight.Group // pings a store that does not answer
 	currentSeeds        atomic.Pointer[[]string]
 	stopping            atomic.Bool
 	isolated            atomic.Bool               // cut off from targets that most recent requests need; other VMs may still reach them
