Tests of processes take their addresses from the fakes

Cause: process_test.go chose free ports in a way of its own, among those that the kernel gives to outgoing connections. Change: platformtest.FreeAddresses.

--- a/poplarpind/process_test.go
+++ b/poplarpind/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -42,29 +41,16 @@
 // startProcess starts an entry VM with the memory of the smallest one and waits until it is ready.
 func startProcess(t *testing.T, binary string, store *platformtest.Store) *process {
 	t.Helper()
-	ports := freePorts(t, 4)
-	address := func(i int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(ports[i])) }
+	addresses, err := platformtest.FreeAddresses()
+	assert.NilError(t, err)
 	data := platformtest.Process{VM: "vm-a1", FailureDomain: "a", StoreAddress: store.Address(), MemoryMB: memoryMB,
-		Addresses: platformtest.Addresses{Clients: address(0), Ready: address(1), Peers: address(2), InternalPort: ports[3]},
-		Bounds:    platformtest.Bounds{RetryRatio: 0.2, RetrySlack: 50}}.Settings(t)
+		Addresses: addresses, Bounds: platformtest.Bounds{RetryRatio: 0.2, RetrySlack: 50}}.Settings(t)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(path, data, 0o600))
 	command := exec.Command(binary)
 	command.Env = append(os.Environ(), "POPLARPIN_NODE_FILE="+path)
-	started := &process{command: command, url: "http://" + address(0)}
-	return started.start(t, "http://"+address(1)+"/ready")
-}
-
-func freePorts(t *testing.T, count int) []int {
-	t.Helper()
-	ports := make([]int, count)
-	for i := range ports {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer listener.Close() // only at the end, so that the ports differ
-		ports[i] = listener.Addr().(*net.TCPAddr).Port
-	}
-	return ports
+	started := &process{command: command, url: "http://" + addresses.Clients}
+	return started.start(t, "http://"+addresses.Ready+platformtest.ReadyPath)
 }
 
 func (process *process) start(t *testing.T, readyURL string) *process {
