testbed upgrade speaks of accounts and targets, and starts processes as the other fleets do

Cause: names of the users' pages (kinds of objects, fields of accounts, the header of keys, the settings' variable) stood in testbed; processes, waits and the build of a commit were written again beside testbed/fleet. Change: platformtest has Account, SetAccounts, AddRoute, SetKey, PutConfig and PutTarget; fleet.StartProcess, LimitCores, Await and LastOutput serve both; Source.Program builds. A wait for one VM after the other, with the VM's last output in its error.

--- a/poplarpind/process_test.go
+++ b/poplarpind/process_test.go
@@ -48,7 +48,7 @@
 	path := filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(path, data, 0o600))
 	command := exec.Command(binary)
-	command.Env = append(os.Environ(), "POPLARPIN_NODE_FILE="+path)
+	command.Env = append(os.Environ(), platformtest.SettingsVariable+"="+path)
 	started := &process{command: command, url: "http://" + addresses.Clients}
 	return started.start(t, "http://"+addresses.Ready+platformtest.ReadyPath)
 }
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -100,7 +100,7 @@
 	}
 	if err := fleet.awaitReady(func() bool { return fleet.Admin(http.MethodGet, "/counters", nil, nil) == nil }); err != nil {
 		fleet.Stop()
-		return nil, fmt.Errorf("stand-ins: %w; last output: %s", err, fleet.lastOutput("standin.log"))
+		return nil, fmt.Errorf("stand-ins: %w; last output: %s", err, LastOutput(filepath.Join(fleet.options.Folder, "standin.log")))
 	}
 	for _, vm := range fleet.VMs {
 		if err := fleet.Launch(vm); err != nil {
@@ -121,20 +121,33 @@
 	return path, os.WriteFile(path, data, 0o600)
 }
 
-// startProcess starts a program with its output appended to a log file. The kernel kills it when this process ends.
+// startProcess starts a program with its output appended to a log file in the fleet's folder.
 func (fleet *Fleet) startProcess(program, argument, log string) (*exec.Cmd, error) {
-	file, err := os.OpenFile(filepath.Join(fleet.options.Folder, log), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	command := exec.Command(filepath.Join(fleet.options.Bin, program), argument)
+	if program == "poplarpind" {
+		LimitCores(command)
+	}
+	file, err := StartProcess(command, filepath.Join(fleet.options.Folder, log))
+	if file != nil {
+		fleet.logs = append(fleet.logs, file)
+	}
+	return command, err
+}
+
+// LimitCores gives the process of an entry VM, which has not started, the cores of a VM.
+func LimitCores(command *exec.Cmd) {
+	command.Env = append(command.Environ(), "GOMAXPROCS="+coresPerVM)
+}
+
+// StartProcess starts a process with its output appended to a log file, which it returns. The kernel kills the process when this one ends.
+func StartProcess(command *exec.Cmd, log string) (*os.File, error) {
+	file, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
-	fleet.logs = append(fleet.logs, file)
-	command := exec.Command(filepath.Join(fleet.options.Bin, program), argument)
 	command.Stdout, command.Stderr = file, file
-	if program == "poplarpind" {
-		command.Env = append(os.Environ(), "GOMAXPROCS="+coresPerVM)
-	}
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	return command, command.Start()
+	return file, command.Start()
 }
 
 // Launch starts an entry VM, or restarts one that has ended; a restarted VM keeps nothing from its last run.
@@ -216,9 +229,9 @@
 
 const maxOutputBytes = 500 // of a process, in an error
 
-// lastOutput returns the end of a log file.
-func (fleet *Fleet) lastOutput(log string) string {
-	data, err := os.ReadFile(filepath.Join(fleet.options.Folder, log))
+// LastOutput returns the end of a log file.
+func LastOutput(log string) string {
+	data, err := os.ReadFile(log)
 	if err != nil {
 		return err.Error()
 	}
--- a/testbed/upgrade/build.go
+++ b/testbed/upgrade/build.go
@@ -14,6 +14,7 @@
 type Source struct {
 	Folder     string
 	repository string
+	commit     string
 }
 
 // Checkout checks a commit of a repository's history out into a new folder.
@@ -21,7 +22,7 @@
 	if output, err := git(repository, "rev-parse", "--quiet", "--verify", commit+"^{commit}"); err != nil {
 		return nil, &Error{"checkout", UnknownCommit, commit + " is not in the history of this repository; a shallow clone has only part of it" + output}
 	}
-	source := &Source{Folder: filepath.Join(folder, "source-"+commit), repository: repository}
+	source := &Source{Folder: filepath.Join(folder, "source-"+commit), repository: repository, commit: commit}
 	if output, err := git(repository, "worktree", "add", "--detach", "--force", source.Folder, commit); err != nil {
 		return nil, &Error{"checkout", BuildFailed, output}
 	}
@@ -45,16 +46,21 @@
 	return string(output), nil
 }
 
-// Build builds poplarpind at a commit and returns the path of the program.
+// Program builds poplarpind beside the source and returns the path of the program.
+func (source *Source) Program() (string, error) {
+	program := filepath.Join(filepath.Dir(source.Folder), "poplarpind-"+source.commit)
+	_, err := source.Go("poplarpind", "build", "-buildvcs=false", "-ldflags", "-X main.version="+source.commit, "-o", program, ".")
+	return program, err
+}
+
+// Build builds poplarpind at a commit in a folder and returns the path of the program.
 func Build(repository, commit, folder string) (string, error) {
 	source, err := Checkout(repository, commit, folder)
 	if err != nil {
 		return "", err
 	}
 	defer source.Remove()
-	program := filepath.Join(folder, "poplarpind-"+commit)
-	_, err = source.Go("poplarpind", "build", "-buildvcs=false", "-ldflags", "-X main.version="+commit, "-o", program, ".")
-	return program, err
+	return source.Program()
 }
 
 func git(repository string, arguments ...string) (string, error) {
--- a/testbed/upgrade/fleet.go
+++ b/testbed/upgrade/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"poplarpin.dev/platform/platformtest"
+	"poplarpin.dev/testbed/fleet"
 )
 
 const (
@@ -19,7 +20,6 @@
 	targetLatency   = 10 * time.Millisecond
 	idleConnections = 100 // clients keep this many idle connections to one VM
 	waitTimeout     = 60 * time.Second
-	waitInterval    = 50 * time.Millisecond
 	leavingTarget   = "s1-a" // this target leaves during the upgrade
 	strandedVM      = "c1"   // this VM loses its links to the targets during the upgrade
 )
@@ -47,11 +47,11 @@
 			id := service + "-" + domain
 			target := platformtest.NewTarget(t, id)
 			deployment.recorder.Record(target, service, targetLatency)
-			deployment.store.Put("servers", id, target.Spec(service, domain, "ready"))
+			deployment.store.PutTarget(target, service, domain, "ready")
 			deployment.targets[id] = target
 		}
 	}
-	deployment.store.Put("config", "main", configuration(1, false))
+	deployment.store.PutConfig(configuration(1, false))
 	for _, id := range slices.Sorted(maps.Keys(deployment.targets)) {
 		deployment.links = append(deployment.links, platformtest.NewLink(t, deployment.targets[id]))
 	}
@@ -73,34 +73,23 @@
 // configuration returns the configuration of the deployment, with one more route if added is set.
 func configuration(version int, added bool) map[string]any {
 	configuration := platformtest.Config(version)
-	routes := configuration["routes"].([]map[string]any)
-	for _, name := range []string{"q", "n"} {
-		if name == "n" && !added {
-			continue
-		}
-		route := platformtest.PublicRoute(name, "/"+name+"/", "one")
-		route["public"] = false
-		routes = append(routes, route)
-	}
-	configuration["routes"] = routes
-	configuration["tenants"] = []map[string]any{
-		{"name": "free", "api_keys": []string{freeKey}},
-		{"name": "bulk", "api_keys": []string{quotaKey}, "rate_per_s": quotaPerSecond, "burst": quotaBurst},
+	platformtest.AddRoute(configuration, "q", "/q/", "one")
+	if added {
+		platformtest.AddRoute(configuration, "n", "/n/", "one")
 	}
+	platformtest.SetAccounts(configuration, platformtest.Account{Name: "free", Key: freeKey},
+		platformtest.Account{Name: "bulk", Key: quotaKey, PerSecond: quotaPerSecond, Burst: quotaBurst})
 	return configuration
 }
 
-// await waits until a condition holds for each of some VMs.
+// await waits until a condition holds for one VM after the other.
 func await(what string, vms []*vm, holds func(vm *vm) bool) error {
-	for end := time.Now().Add(waitTimeout); ; time.Sleep(waitInterval) {
-		i := slices.IndexFunc(vms, func(vm *vm) bool { return !holds(vm) })
-		if i < 0 {
-			return nil
-		}
-		if time.Now().After(end) {
-			return &Error{"wait", FleetFailed, fmt.Sprintf("%s at VM %s within %s", what, vms[i].VM, waitTimeout)}
+	for _, vm := range vms {
+		if err := fleet.Await(waitTimeout, func() bool { return holds(vm) }); err != nil {
+			return &Error{"wait", FleetFailed, fmt.Sprintf("%s at VM %s: %s; last output: %s", what, vm.VM, err, fleet.LastOutput(vm.log()))}
 		}
 	}
+	return nil
 }
 
 // startAll starts all VMs with one program and waits until they are ready and know each other.
--- a/testbed/upgrade/load.go
+++ b/testbed/upgrade/load.go
@@ -23,7 +23,7 @@
 	name      string
 	method    string
 	path      string
-	key       string // of a client account; empty for none
+	key       string // of a client account
 	interval  time.Duration
 	once      bool // not idempotent
 	fromAdded bool // sent only once all VMs have the added route
@@ -114,9 +114,7 @@
 	kind := request.kind
 	message := platformtest.NewRequest(load.t, kind.method, "http://"+request.vm.Clients+kind.path, []byte("body"))
 	platformtest.SetTimeout(message, clientTimeout)
-	if kind.key != "" {
-		message.Header.Set("Authorization", "Bearer "+kind.key)
-	}
+	platformtest.SetKey(message, kind.key)
 	request.id = platformtest.RequestID(message)
 	client := *request.vm.client
 	client.Timeout = clientTimeout
--- a/testbed/upgrade/upgrade.go
+++ b/testbed/upgrade/upgrade.go
@@ -133,12 +133,12 @@
 func (deployment *deployment) disturb(plan Plan, random *rand.Rand, load *load, programs map[*vm]string) (allLeftAt time.Time, err error) {
 	load.setPhase("mixed")
 	time.Sleep(plan.Phase)
-	deployment.store.Put("config", "main", configuration(2, true))
+	deployment.store.PutConfig(configuration(2, true))
 	if err := await("the configuration", deployment.vms, func(vm *vm) bool { return vm.dump().Version == 2 }); err != nil {
 		return allLeftAt, err
 	}
 	load.added.Store(true)
-	deployment.store.Put("servers", leavingTarget, deployment.targets[leavingTarget].Spec("s1", "a", "draining"))
+	deployment.store.PutTarget(deployment.targets[leavingTarget], "s1", "a", "draining")
 	if err := await("the leaving target", deployment.vms, func(vm *vm) bool { return vm.dump().state(leavingTarget) == "draining" }); err != nil {
 		return allLeftAt, err
 	}
--- a/testbed/upgrade/vm.go
+++ b/testbed/upgrade/vm.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"poplarpin.dev/platform/platformtest"
+	"poplarpin.dev/testbed/fleet"
 )
 
 const (
@@ -24,7 +25,6 @@
 	folder   string
 	client   *http.Client
 	process  *exec.Cmd
-	log      *os.File
 	exited   chan struct{}
 	planned  atomic.Bool // the process is being stopped, or was killed on purpose
 	ended    atomic.Bool // the process has ended on its own
@@ -38,33 +38,29 @@
 	if err := os.WriteFile(path, vm.Settings(t), 0o600); err != nil {
 		return err
 	}
-	if vm.log == nil {
-		file, err := os.OpenFile(filepath.Join(vm.folder, vm.VM+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-		if err != nil {
-			return err
-		}
-		vm.log = file
-		t.Cleanup(func() { _ = file.Close() })
-	}
 	vm.planned.Store(false)
 	vm.stopping.Store(false)
 	command := exec.Command(program)
-	command.Env = append(os.Environ(), "POPLARPIN_NODE_FILE="+path, "GOMAXPROCS=2")
-	command.Stdout, command.Stderr = vm.log, vm.log
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := command.Start(); err != nil {
+	command.Env = append(os.Environ(), platformtest.SettingsVariable+"="+path)
+	fleet.LimitCores(command)
+	log, err := fleet.StartProcess(command, vm.log())
+	if err != nil {
 		return err
 	}
 	exited := make(chan struct{})
 	vm.process, vm.exited = command, exited
 	go func() {
 		_ = command.Wait()
+		_ = log.Close()
 		vm.ended.Store(vm.ended.Load() || !vm.planned.Load())
 		close(exited)
 	}()
 	return nil
 }
 
+// log returns the path of the log of the VM's processes.
+func (vm *vm) log() string { return filepath.Join(vm.folder, vm.VM+".log") }
+
 // stop ends the process as planned work does.
 func (vm *vm) stop() {
 	vm.planned.Store(true)
