Recordings of landed builds are read in one way, and listed once

Change: core/corpustest runs a subtest for each recording of a package; TestLandedBuildsAreRecorded (testbed) requires that each package has exactly the builds of upgrade.Landed, which replaces TestRecordedBuilds and the lists. Messages with a later field are tried for all builds, not only the last.

--- a/core/rpc/corpus_test.go
+++ b/core/rpc/corpus_test.go
@@ -2,22 +2,16 @@
 
 import (
 	"encoding/json"
-	"os"
-	"path/filepath"
-	"slices"
-	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"poplarpin.dev/core/api"
+	"poplarpin.dev/core/corpustest"
 	"poplarpin.dev/core/member"
 	"poplarpin.dev/core/rpc"
 )
 
-// landedBuilds are the builds that may run beside this one. The command "testbed corpus COMMIT" records one.
-var landedBuilds = []string{"0b73695", "3db0f72", "0fcc62c", "e92619e"}
-
 // newMessages returns an empty message of each kind.
 func newMessages() map[string]any {
 	return map[string]any{
@@ -30,13 +24,11 @@
 	}
 }
 
-// recorded returns the messages of a build.
-func recorded(t testing.TB, build string) map[string]json.RawMessage {
+// decodeMessages returns the recorded messages of a build by their kind.
+func decodeMessages(t testing.TB, recording []byte) map[string]json.RawMessage {
 	t.Helper()
-	data, err := os.ReadFile(filepath.Join("testdata", "builds", build+".json"))
-	assert.NilError(t, err)
 	var messages map[string]json.RawMessage
-	assert.NilError(t, json.Unmarshal(data, &messages))
+	assert.NilError(t, json.Unmarshal(recording, &messages))
 	return messages
 }
 
@@ -50,32 +42,33 @@
 
 // TestMessagesOfLandedBuilds guards against a field of a VM of an earlier build that this one does not read, or reads with another meaning.
 func TestMessagesOfLandedBuilds(t *testing.T) {
-	for _, build := range landedBuilds {
-		t.Run(build, func(t *testing.T) {
-			messages := recorded(t, build)
-			for kind, message := range newMessages() {
-				t.Run(kind, func(t *testing.T) {
-					assert.Assert(t, messages[kind] != nil, "no such message was recorded")
-					assert.NilError(t, json.Unmarshal(messages[kind], message))
-					assert.NilError(t, validate(message))
-					assertKept(t, messages[kind], encode(t, message))
-				})
-			}
-		})
-	}
+	corpustest.Run(t, func(t *testing.T, _ string, recording []byte) {
+		messages := decodeMessages(t, recording)
+		for kind, message := range newMessages() {
+			t.Run(kind, func(t *testing.T) {
+				assert.Assert(t, messages[kind] != nil, "no such message was recorded")
+				assert.NilError(t, json.Unmarshal(messages[kind], message))
+				assert.NilError(t, validate(message))
+				assertKept(t, messages[kind], encode(t, message))
+			})
+		}
+	})
 }
 
 // TestMessagesOfLaterBuilds guards against a message that is rejected because a later build has added a field to it.
 func TestMessagesOfLaterBuilds(t *testing.T) {
-	for kind, message := range newMessages() {
-		t.Run(kind, func(t *testing.T) {
-			var fields map[string]any
-			assert.NilError(t, json.Unmarshal(recorded(t, landedBuilds[len(landedBuilds)-1])[kind], &fields))
-			fields["laterField"] = []int{1}
-			assert.NilError(t, json.Unmarshal(encode(t, fields), message))
-			assert.NilError(t, validate(message))
-		})
-	}
+	corpustest.Run(t, func(t *testing.T, _ string, recording []byte) {
+		messages := decodeMessages(t, recording)
+		for kind, message := range newMessages() {
+			t.Run(kind, func(t *testing.T) {
+				var fields map[string]any
+				assert.NilError(t, json.Unmarshal(messages[kind], &fields))
+				fields["laterField"] = []int{1}
+				assert.NilError(t, json.Unmarshal(encode(t, fields), message))
+				assert.NilError(t, validate(message))
+			})
+		}
+	})
 }
 
 func encode(t *testing.T, value any) []byte {
@@ -99,8 +92,8 @@
 
 // FuzzMessages guards against a message that passes its check and is another one after it has been passed on.
 func FuzzMessages(f *testing.F) {
-	for _, build := range landedBuilds {
-		for kind, message := range recorded(f, build) {
+	for _, recording := range corpustest.Builds(f) {
+		for kind, message := range decodeMessages(f, recording) {
 			f.Add(kind, []byte(message))
 		}
 	}
@@ -122,12 +115,3 @@
 	assert.Equal(t, rpc.Gather{Targets: []string{"i-1"}}.Needs(), rpc.NamedTargets)
 	assert.Equal(t, rpc.Gather{Once: true}.Needs(), rpc.NamedTargets)
 }
-
-// TestRecordedBuilds guards against a recorded build that no test reads.
-func TestRecordedBuilds(t *testing.T) {
-	entries, err := os.ReadDir(filepath.Join("testdata", "builds"))
-	assert.NilError(t, err)
-	for _, entry := range entries {
-		assert.Assert(t, slices.Contains(landedBuilds, strings.TrimSuffix(entry.Name(), ".json")), entry.Name())
-	}
-}
--- a/testbed/upgrade/corpus.go
+++ b/testbed/upgrade/corpus.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"time"
 
+	"poplarpin.dev/core/corpustest"
 	"poplarpin.dev/platform"
 	"poplarpin.dev/platform/platformtest"
 )
@@ -30,6 +31,16 @@
 // crashPath is the path of requests that crash the targets of the recorded build.
 const crashPath = "/g/crash"
 
+// RecordedModules are the folders of the packages that read recordings: of messages, objects, state and dump.
+var RecordedModules = []string{messagesModule, objectsModule, stateModule, dumpModule}
+
+const (
+	messagesModule = "core/rpc"
+	objectsModule  = "platform"
+	stateModule    = "poplarpind/gateway"
+	dumpModule     = "poplarpin/inspect"
+)
+
 // Record writes messages, objects, state and dump of a build to the test data of the modules that read them.
 func Record(repository, commit, folder string) error {
 	source, err := Checkout(repository, commit, folder)
@@ -37,8 +48,8 @@
 		return err
 	}
 	defer source.Remove()
-	program := filepath.Join(folder, "poplarpind-"+commit)
-	if _, err := source.Go("poplarpind", "build", "-buildvcs=false", "-ldflags", "-X main.version="+commit, "-o", program, "."); err != nil {
+	program, err := source.Program()
+	if err != nil {
 		return err
 	}
 	command := filepath.Join(source.Folder, "poplarpind", "corpus")
@@ -52,13 +63,13 @@
 	if err != nil {
 		return err
 	}
-	recorded := map[string][]byte{"core/rpc": []byte(messages)}
+	recorded := map[string][]byte{messagesModule: []byte(messages)}
 	scope := &scope{}
 	if err := scope.run(func() error { return recordProcess(scope, program, folder, recorded) }); err != nil {
 		return err
 	}
 	for module, data := range recorded {
-		path := filepath.Join(repository, module, "testdata", "builds", commit+".json")
+		path := filepath.Join(repository, module, corpustest.Folder, commit+".json")
 		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
 			return err
 		}
@@ -87,7 +98,7 @@
 	}
 	for range crashingRequests {
 		request := platformtest.NewRequest(t, http.MethodGet, "http://"+vm.Clients+crashPath, nil)
-		request.Header.Set("Authorization", "Bearer "+freeKey)
+		platformtest.SetKey(request, freeKey)
 		if response, err := vm.client.Do(request); err == nil {
 			_ = response.Body.Close()
 		}
@@ -98,10 +109,10 @@
 	for _, kind := range []string{platform.VMsKind, platform.QuarantinesKind} {
 		objects[kind] = deployment.store.Specs(kind)
 	}
-	if recorded["platform"], err = json.MarshalIndent(objects, "", " "); err != nil {
+	if recorded[objectsModule], err = json.MarshalIndent(objects, "", " "); err != nil {
 		return err
 	}
-	for module, path := range map[string]string{"poplarpind/gateway": "/state", "poplarpin/inspect": "/debug/dump"} {
+	for module, path := range map[string]string{stateModule: "/state", dumpModule: "/debug/dump"} {
 		response, err := http.Get("http://" + vm.Peers + path)
 		if err != nil {
 			return err
--- a/testbed/upgrade_test.go
+++ b/testbed/upgrade_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"bytes"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"poplarpin.dev/core/corpustest"
 	"poplarpin.dev/testbed/upgrade"
 )
 
@@ -45,6 +48,19 @@
 	}
 }
 
+// TestLandedBuildsAreRecorded guards against a landed build, or a recording of another one, that the tests of the modules leave out.
+func TestLandedBuildsAreRecorded(t *testing.T) {
+	for _, module := range upgrade.RecordedModules {
+		entries, err := os.ReadDir(filepath.Join("..", module, corpustest.Folder))
+		assert.NilError(t, err)
+		var recorded []string
+		for _, entry := range entries {
+			recorded = append(recorded, strings.TrimSuffix(entry.Name(), ".json"))
+		}
+		assert.DeepEqual(t, recorded, slices.Sorted(slices.Values(upgrade.Landed)))
+	}
+}
+
 // TestUnknownCommit guards against an error that does not name the missing commit.
 func TestUnknownCommit(t *testing.T) {
 	_, err := upgrade.Build("..", "0000000", t.TempDir())
