--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -295,6 +295,8 @@
 	delete(gateway.relayJobs, key)
 	gateway.mu.Unlock()
 	if job != nil {
+		gateway.log.Info("relayed request cancelled", zap.String("request", truncate(job.request.ID)), zap.String("peer", from),
+			zap.Duration("elapsed", time.Since(job.started)), zap.Int("answeredParts", job.relayRun.AnsweredParts()))
 		gateway.step(job, func(now time.Time) []fanout.Action { return job.relayRun.Abort(now) })
 		job.releaseResponses()
 	}
