A silent link is given up however often messages are sent on it

Cause: a link without awaited replies was pinged a second after the last message. Change: the second counts from the first message after which nothing was received. Result: the new case of TestSilence waited 20 s in vain on the old code and passes.

--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -14,21 +14,21 @@
 
 // link is a connection that this VM has opened to a peer.
 type link struct {
-	mesh         *Mesh
-	name         string
-	address      string
-	queue        chan Message
-	peer         rpc.Hello     // set before ready is closed
-	ready        chan struct{} // closed once rpc is set or opening has failed
-	rpc          *jsonrpc2.Conn
-	conn         net.Conn
-	done         chan struct{}
-	mu           sync.Mutex
-	closed       bool // no message is queued and no connection is opened any more
-	lastSent     time.Time
-	lastReceived time.Time // when anything arrived on it
-	lastPing     time.Time
-	hasSent      bool
+	mesh        *Mesh
+	name        string
+	address     string
+	queue       chan Message
+	peer        rpc.Hello     // set before ready is closed
+	ready       chan struct{} // closed once rpc is set or opening has failed
+	rpc         *jsonrpc2.Conn
+	conn        net.Conn
+	done        chan struct{}
+	mu          sync.Mutex
+	closed      bool // no message is queued and no connection is opened any more
+	lastSent    time.Time
+	silentSince time.Time // when the first message was sent since anything arrived; zero without one
+	lastPing    time.Time
+	hasSent     bool
 }
 
 // run opens the connection and sends the queued messages until the link is closed.
@@ -118,7 +118,7 @@
 }
 
 // check closes an idle link and pings one that may have failed silently: at each check while replies are awaited on it;
-// otherwise once probeAfter has passed since the last message, if nothing was received after it, and then every probeAfter.
+// otherwise once nothing has been received for probeAfter after a message, and then every probeAfter.
 func (link *link) check(now time.Time) {
 	select {
 	case <-link.ready:
@@ -128,7 +128,7 @@
 	awaitsReply := link.mesh.handler.AwaitsReply(link.name)
 	link.mu.Lock()
 	idle := now.Sub(link.lastSent) > idleTimeout
-	due := awaitsReply || link.lastSent.After(link.lastReceived) && min(now.Sub(link.lastSent), now.Sub(link.lastPing)) > probeAfter
+	due := awaitsReply || !link.silentSince.IsZero() && min(now.Sub(link.silentSince), now.Sub(link.lastPing)) > probeAfter
 	if due {
 		link.lastPing = now
 	}
@@ -155,13 +155,16 @@
 	link.mu.Lock()
 	defer link.mu.Unlock()
 	link.lastSent, link.hasSent = time.Now(), true
+	if link.silentSince.IsZero() {
+		link.silentSince = link.lastSent
+	}
 }
 
 // markReceived records that data has arrived, which shows that the link works.
 func (link *link) markReceived() {
 	link.mu.Lock()
 	defer link.mu.Unlock()
-	link.lastReceived = time.Now()
+	link.silentSince = time.Time{}
 }
 
 func (link *link) idle() time.Duration {
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -23,7 +23,7 @@
 	dialTimeout  = 300 * time.Millisecond // opening a link takes this time at most
 	pingInterval = 150 * time.Millisecond // all links are checked this often; links with awaited replies are pinged at each check
 	pingTimeout  = 350 * time.Millisecond // a link is given up if a ping or a write takes longer
-	probeAfter   = time.Second            // a link on which nothing was received since the last message is pinged after this time, even without awaited replies
+	probeAfter   = time.Second            // a link is pinged this long after a message if nothing was received since, even without awaited replies
 	idleTimeout  = 2 * time.Minute        // a link without messages is closed after this time
 	// A peer says its name as soon as the link is open, but a VM with a fraction of a core may be slow at it after its start.
 	handshakeTimeout = 2 * time.Second
--- a/poplarpind/peer/peer_test.go
+++ b/poplarpind/peer/peer_test.go
@@ -141,6 +141,16 @@
 		notify(mesh, proxy)
 		waitFor(t, "the end of the link", func() bool { return sender.linksLost.Load() == 1 })
 	})
+	t.Run("a silent link is closed although messages without a reply are sent on it all the time", func(t *testing.T) {
+		mesh, sender, receiver, proxy := newPair(t, false)
+		notify(mesh, proxy)
+		waitFor(t, "the message", func() bool { return receiver.notified.Load() == 1 })
+		proxy.silent.Store(true)
+		waitFor(t, "the end of the link", func() bool {
+			notify(mesh, proxy)
+			return sender.linksLost.Load() > 0
+		})
+	})
 	t.Run("a link whose messages were answered is not pinged", func(t *testing.T) {
 		mesh, sender, _, proxy := newPair(t, true)
 		notify(mesh, proxy)
