The silence of a link is noticed soon after a message that starts work

Cause: a request to a relay must arrive soon or not at all. Change: Message.Prompt: after such a message the link is pinged at each check until anything is received. A request to a relay is prompt.

--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -50,7 +50,7 @@
 		Timeout:     config.Duration(max(time.Until(job.deadline), time.Millisecond)),
 		ReportAfter: config.Duration(relay.ReportAfter),
 	}
-	gateway.mesh.Notify(relay.VM.ID, relay.VM.Address, peer.Message{Method: rpc.MethodGather, Params: message, OnUnsent: func(reason peer.Kind) {
+	gateway.mesh.Notify(relay.VM.ID, relay.VM.Address, peer.Message{Method: rpc.MethodGather, Params: message, Prompt: true, OnUnsent: func(reason peer.Kind) {
 		gateway.endRelay(queryID, relay.VM.ID, gateway.unsentOutcome(relay.VM.ID, reason))
 	}})
 }
--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -27,6 +27,7 @@
 	closed      bool // no message is queued and no connection is opened any more
 	lastSent    time.Time
 	silentSince time.Time // when the first message was sent since anything arrived; zero without one
+	promptSent  bool      // one of the messages since silentSince is prompt
 	lastPing    time.Time
 	hasSent     bool
 }
@@ -48,7 +49,7 @@
 				message.unsent(Incapable)
 				continue
 			}
-			link.markSent()
+			link.markSent(message.Prompt)
 			sentMessages.Add(message.Method, 1)
 			if err := link.rpc.Notify(ctx, message.Method, message.Params); err != nil {
 				link.close()
@@ -117,7 +118,7 @@
 	}
 }
 
-// check closes an idle link and pings one that may have failed silently: at each check while replies are awaited on it;
+// check closes an idle link and pings one that may have failed silently: at each check while replies are awaited on it or after a prompt message;
 // otherwise once nothing has been received for probeAfter after a message, and then every probeAfter.
 func (link *link) check(now time.Time) {
 	select {
@@ -128,7 +129,7 @@
 	awaitsReply := link.mesh.handler.AwaitsReply(link.name)
 	link.mu.Lock()
 	idle := now.Sub(link.lastSent) > idleTimeout
-	due := awaitsReply || !link.silentSince.IsZero() && min(now.Sub(link.silentSince), now.Sub(link.lastPing)) > probeAfter
+	due := awaitsReply || link.promptSent || !link.silentSince.IsZero() && min(now.Sub(link.silentSince), now.Sub(link.lastPing)) > probeAfter
 	if due {
 		link.lastPing = now
 	}
@@ -151,20 +152,21 @@
 }
 
 // markSent records that a message is being sent.
-func (link *link) markSent() {
+func (link *link) markSent(prompt bool) {
 	link.mu.Lock()
 	defer link.mu.Unlock()
 	link.lastSent, link.hasSent = time.Now(), true
 	if link.silentSince.IsZero() {
 		link.silentSince = link.lastSent
 	}
+	link.promptSent = link.promptSent || prompt
 }
 
 // markReceived records that data has arrived, which shows that the link works.
 func (link *link) markReceived() {
 	link.mu.Lock()
 	defer link.mu.Unlock()
-	link.silentSince = time.Time{}
+	link.silentSince, link.promptSent = time.Time{}, false
 }
 
 func (link *link) idle() time.Duration {
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -21,7 +21,7 @@
 
 const (
 	dialTimeout  = 300 * time.Millisecond // opening a link takes this time at most
-	pingInterval = 150 * time.Millisecond // all links are checked this often; links with awaited replies are pinged at each check
+	pingInterval = 150 * time.Millisecond // all links are checked this often; links with awaited replies or prompt messages are pinged at each check
 	pingTimeout  = 350 * time.Millisecond // a link is given up if a ping or a write takes longer
 	probeAfter   = time.Second            // a link is pinged this long after a message if nothing was received since, even without awaited replies
 	idleTimeout  = 2 * time.Minute        // a link without messages is closed after this time
@@ -107,6 +107,7 @@
 type Message struct {
 	Method   string
 	Params   any
+	Prompt   bool       // it must arrive soon or not at all, so that the silence of the link is to be noticed soon after it
 	OnUnsent func(Kind) // called if the message was certainly not sent, with the reason; nil if that does not matter
 }
 
@@ -152,7 +153,7 @@
 	if link.rpc == nil {
 		return &Error{method, Unreachable, "no link to " + name}
 	}
-	link.markSent()
+	link.markSent(false)
 	if err := link.rpc.Call(ctx, method, params, result); err != nil {
 		return &Error{method, Broken, err.Error()}
 	}
--- a/poplarpind/peer/peer_test.go
+++ b/poplarpind/peer/peer_test.go
@@ -21,6 +21,7 @@
 type handler struct {
 	notified    atomic.Int64
 	linksLost   atomic.Int64
+	firstLost   atomic.Pointer[string]    // name of the peer whose link was lost first
 	greeting    atomic.Pointer[rpc.Hello] // the last one
 	awaitsReply atomic.Bool
 	replies     bool
@@ -40,7 +41,10 @@
 
 func (handler *handler) Greeted(hello rpc.Hello) { handler.greeting.Store(&hello) }
 
-func (handler *handler) LinkDown(string) { handler.linksLost.Add(1) }
+func (handler *handler) LinkDown(name string) {
+	handler.firstLost.CompareAndSwap(nil, &name)
+	handler.linksLost.Add(1)
+}
 
 func (handler *handler) AwaitsReply(string) bool { return handler.awaitsReply.Load() }
 
@@ -258,3 +262,28 @@
 		})
 	}
 }
+
+// TestPromptMessage guards against a message that lies on a silent link until its reason is gone, and is then delivered: nobody awaits the reply
+// any more, so that the silence counts for little.
+func TestPromptMessage(t *testing.T) {
+	sender := &handler{}
+	mesh := peer.New(rpc.Hello{VM: "a"}, sender, nil)
+	t.Cleanup(mesh.Close)
+	for _, name := range []string{"b", "c"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		receiver := &handler{}
+		server := peer.New(rpc.Hello{VM: name}, receiver, nil)
+		go server.Serve(listener)
+		t.Cleanup(func() { server.Close(); _ = listener.Close() })
+		proxy := newProxy(t, listener.Addr().String())
+		message := peer.Message{Method: rpc.MethodGather, Params: struct{}{}, Prompt: name == "c"}
+		mesh.Notify(name, proxy.listener.Addr().String(), message)
+		waitFor(t, "the message", func() bool { return receiver.notified.Load() == 1 })
+		proxy.silent.Store(true)
+		mesh.Notify(name, proxy.listener.Addr().String(), message)
+		time.Sleep(300 * time.Millisecond) // by which the link to b falls silent first
+	}
+	waitFor(t, "the end of a link", func() bool { return sender.linksLost.Load() > 0 })
+	assert.Equal(t, *sender.firstLost.Load(), "c")
+}
