A message that has been withdrawn while its link opens is not sent

Cause: a request to a relay whose link is not open waits up to 0.6 s in the link's queue. Change: Message.Build makes the params when the message is about to be sent, and says whether it is still wanted; requests to relays use it for their time left. The same cause elsewhere: batches to owners are prompt too; calls to targets already end in the pool's queue, and with a reset of their connection. Three mutants for the three rules of links, one each.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -133,8 +133,11 @@
 mutant "field of a message dropped" rpc gather.go 's/`json:"once,omitempty"`/`json:"-"`/'
 mutant "later field rejected" member message.go 's/json.Unmarshal\(data, \(\*plain\)\(message\)\)/func() error { decoder := json.NewDecoder(bytes.NewReader(data)); decoder.DisallowUnknownFields(); return decoder.Decode((*plain)(message)) }()/; s/import \(/import (\n\t"bytes"/'
 mutant_of core "capability not needed" rpc gather.go 's/if len\(gather.Targets\) > 0 \|\| gather.Once \{/if false {/' TestNeeds
-mutant_of poplarpind "capability not checked" peer link.go 's/if !link.peer.Can\(message.needs\(\)\) \{/if false {/' TestCapabilities
+mutant_of poplarpind "capability not checked" peer link.go 's/if !link.peer.Can\(capabilityFor\(params\)\) \{/if false {/' TestCapabilities
 mutant "better source taken unasked" follow follow.go 's/best, candidate = follower.plan.Source, best/candidate = ""/'
+mutant_of poplarpind "silence counted anew" peer link.go 's/if link.silentSince.IsZero\(\) \{/if true {/' TestSilence
+mutant_of poplarpind "prompt message not watched" peer link.go 's/awaitsReply \|\| link.promptSent/awaitsReply/' TestPromptMessage
+mutant_of poplarpind "withdrawn message sent" peer link.go 's/if !wanted \{/if false \&\& !wanted {/' TestWithdrawnWhileOpening
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 
 echo "$passed passed, $failed failed"
--- a/poplarpind/entry/route.go
+++ b/poplarpind/entry/route.go
@@ -37,7 +37,7 @@
 		go vm.owner.Run(&batch, func(result rpc.Result) { vm.deliverResult(batch.QueryID, result) })
 		return
 	}
-	vm.mesh.Notify(owner.Name, owner.Address, peer.Message{Method: rpc.MethodBatch, Params: batch, OnUnsent: func(peer.Kind) {
+	vm.mesh.Notify(owner.Name, owner.Address, peer.Message{Method: rpc.MethodBatch, Params: batch, Prompt: true, OnUnsent: func(peer.Kind) {
 		go func() {
 			for _, call := range batch.Calls {
 				vm.deliverResult(batch.QueryID, rpc.Result{CallID: call.ID, Target: call.Target, Outcome: rpc.OwnerNotReached})
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -47,12 +47,27 @@
 	message := rpc.Gather{
 		QueryID: queryID, Route: job.route.Name, ShardsDigest: shardsDigest(job.route), Parts: relay.Parts, Targets: relay.Targets, Once: !job.route.Idempotent,
 		RequestID: job.request.ID, Method: job.request.Method, Head: job.request.Head(), Body: job.request.Body,
-		Timeout:     config.Duration(max(time.Until(job.deadline), time.Millisecond)),
 		ReportAfter: config.Duration(relay.ReportAfter),
 	}
-	gateway.mesh.Notify(relay.VM.ID, relay.VM.Address, peer.Message{Method: rpc.MethodGather, Params: message, Prompt: true, OnUnsent: func(reason peer.Kind) {
-		gateway.endRelay(queryID, relay.VM.ID, gateway.unsentOutcome(relay.VM.ID, reason))
-	}})
+	gateway.mesh.Notify(relay.VM.ID, relay.VM.Address, peer.Message{
+		Method: rpc.MethodGather,
+		Prompt: true,
+		Build: func() (any, bool) {
+			message.Timeout = config.Duration(max(time.Until(job.deadline), time.Millisecond))
+			return message, gateway.isRelayed(queryID)
+		},
+		OnUnsent: func(reason peer.Kind) {
+			gateway.endRelay(queryID, relay.VM.ID, gateway.unsentOutcome(relay.VM.ID, reason))
+		},
+	})
+}
+
+// isRelayed reports whether the results of a query that a peer relays are still awaited.
+func (gateway *Gateway) isRelayed(queryID string) bool {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	_, ok := gateway.relayedCalls[queryID]
+	return ok
 }
 
 // unsentOutcome returns the outcome of a relayed call whose message was not sent.
--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -45,13 +45,17 @@
 	for {
 		select {
 		case message := <-link.queue:
-			if !link.peer.Can(message.needs()) {
+			params, wanted := message.params()
+			if !wanted {
+				continue
+			}
+			if !link.peer.Can(capabilityFor(params)) {
 				message.unsent(Incapable)
 				continue
 			}
 			link.markSent(message.Prompt)
 			sentMessages.Add(message.Method, 1)
-			if err := link.rpc.Notify(ctx, message.Method, message.Params); err != nil {
+			if err := link.rpc.Notify(ctx, message.Method, params); err != nil {
 				link.close()
 				return
 			}
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -107,14 +107,23 @@
 type Message struct {
 	Method   string
 	Params   any
-	Prompt   bool       // it must arrive soon or not at all, so that the silence of the link is to be noticed soon after it
-	OnUnsent func(Kind) // called if the message was certainly not sent, with the reason; nil if that does not matter
+	Build    func() (params any, wanted bool) // called instead of Params when the message is about to be sent; nil if Params does not age
+	Prompt   bool                             // it must arrive soon or not at all, so that the silence of the link is to be noticed soon after it
+	OnUnsent func(Kind)                       // called if the message was certainly not sent, with the reason; nil if that does not matter
 }
 
-// needs returns the capability that the message needs, "" for none.
-func (message Message) needs() rpc.Capability {
-	if params, ok := message.Params.(interface{ Needs() rpc.Capability }); ok {
-		return params.Needs()
+// params returns the params to be sent, and reports whether the message is still wanted.
+func (message Message) params() (any, bool) {
+	if message.Build == nil {
+		return message.Params, true
+	}
+	return message.Build()
+}
+
+// capabilityFor returns the capability that a receiver of the params needs, "" for none.
+func capabilityFor(params any) rpc.Capability {
+	if demanding, ok := params.(interface{ Needs() rpc.Capability }); ok {
+		return demanding.Needs()
 	}
 	return ""
 }
--- a/poplarpind/peer/peer_test.go
+++ b/poplarpind/peer/peer_test.go
@@ -20,6 +20,7 @@
 // handler counts notifications and lost links, and replies to notifications if replies is set.
 type handler struct {
 	notified    atomic.Int64
+	lastMethod  atomic.Value // of a notification
 	linksLost   atomic.Int64
 	firstLost   atomic.Pointer[string]    // name of the peer whose link was lost first
 	greeting    atomic.Pointer[rpc.Hello] // the last one
@@ -29,6 +30,7 @@
 
 func (handler *handler) Notify(_ string, reply peer.Reply, method string, _ json.RawMessage) error {
 	handler.notified.Add(1)
+	handler.lastMethod.Store(method)
 	if reply != nil && handler.replies {
 		reply(method, struct{}{})
 	}
@@ -287,3 +289,24 @@
 	waitFor(t, "the end of a link", func() bool { return sender.linksLost.Load() > 0 })
 	assert.Equal(t, *sender.firstLost.Load(), "c")
 }
+
+// TestWithdrawnWhileOpening guards against a message that waits for its link to open and is sent although its sender has given it up.
+func TestWithdrawnWhileOpening(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	receiver := &handler{}
+	server := peer.New(rpc.Hello{VM: "b"}, receiver, nil)
+	mesh := peer.New(rpc.Hello{VM: "a"}, &handler{}, nil)
+	t.Cleanup(func() { mesh.Close(); server.Close(); _ = listener.Close() })
+	var withdrawn atomic.Bool
+	var ended atomic.Int64 // messages that were certainly not sent
+	notify := func(method string, build func() (any, bool)) {
+		mesh.Notify("b", listener.Addr().String(), peer.Message{Method: method, Build: build, OnUnsent: func(peer.Kind) { ended.Add(1) }})
+	}
+	notify(rpc.MethodGather, func() (any, bool) { return struct{}{}, !withdrawn.Load() })
+	notify(rpc.MethodGatherCancel, func() (any, bool) { return struct{}{}, true })
+	withdrawn.Store(true)
+	go server.Serve(listener) // until now the link could not open
+	waitFor(t, "the end of the second message", func() bool { return receiver.lastMethod.Load() == rpc.MethodGatherCancel || ended.Load() > 0 })
+	assert.Assert(t, receiver.notified.Load() <= 1)
+}
