A request whose client has left before it was taken up calls nothing

Cause: a VM that is short of processor reads a request after its client has closed the connection. Change: the state of the client's connection, which is read with its round trip anyhow, tells. The request ends with a log line of its own.

--- a/poplarpind/gateway/client_conn.go
+++ b/poplarpind/gateway/client_conn.go
@@ -11,6 +11,12 @@
 	"poplarpin.dev/core/fanout"
 )
 
+// States of a TCP connection, which package unix does not name.
+const (
+	tcpClose     = 7 // the other end has reset it
+	tcpCloseWait = 8 // the other end has closed it
+)
+
 // clientConnKey is the context key under which a request finds its clientConn.
 type clientConnKey struct{}
 
@@ -25,30 +31,40 @@
 	return context.WithValue(ctx, clientConnKey{}, &clientConn{conn: conn})
 }
 
-// nextClientPath returns the network path of the next request on the connection that the context belongs to.
-func nextClientPath(ctx context.Context) fanout.ClientPath {
+// client is the client of a request, as its connection shows it when the request is taken up.
+type client struct {
+	path fanout.ClientPath
+	left bool // it has closed the connection
+}
+
+// nextClient returns the client of the next request on the connection that the context belongs to.
+func nextClient(ctx context.Context) client {
 	clientConn, ok := ctx.Value(clientConnKey{}).(*clientConn)
 	if !ok {
-		return fanout.ClientPath{}
+		return client{}
+	}
+	info := tcpInfo(clientConn.conn)
+	return client{
+		path: fanout.ClientPath{RoundTrip: time.Duration(info.Rtt) * time.Microsecond, NewConnection: clientConn.requests.Add(1) == 1},
+		left: info.State == tcpCloseWait || info.State == tcpClose,
 	}
-	return fanout.ClientPath{RoundTrip: roundTrip(clientConn.conn), NewConnection: clientConn.requests.Add(1) == 1}
 }
 
-// roundTrip returns the round trip that the kernel has measured on a TCP connection, 0 if it knows none.
-func roundTrip(conn net.Conn) time.Duration {
+// tcpInfo returns what the kernel knows of a TCP connection, the zero value if it knows nothing.
+func tcpInfo(conn net.Conn) unix.TCPInfo {
+	var info unix.TCPInfo
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
-		return 0
+		return info
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return 0 // the connection is closed
+		return info // the connection is closed
 	}
-	var measured time.Duration
 	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			measured = time.Duration(info.Rtt) * time.Microsecond
+		if read, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info = *read
 		}
 	})
-	return measured
+	return info
 }
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -46,6 +46,12 @@
 			zap.String("host", truncate(request.Host)), zap.String("path", truncate(request.Path)))
 		return platform.NoRoute{}
 	}
+	client := nextClient(ctx)
+	if client.left {
+		requestCounts.Add("clientLeft", 1)
+		gateway.log.Info("client left before its request was taken up", zap.String("request", truncate(request.ID)), zap.String("route", matched.Name))
+		return nil
+	}
 	if waited := gateway.pauses.Waited(time.Now()); mayBeLate(request, matched, waited) {
 		requestCounts.Add("waited", 1)
 		gateway.log.Info("request refused", zap.String("request", truncate(request.ID)), zap.String("route", matched.Name),
@@ -73,7 +79,7 @@
 			zap.Int64("version", table.Version), zap.String("reason", overloadedReason), zap.Duration("retryAfter", retryAfter))
 		return platform.Refusal{RetryAfter: retryAfter, Reason: overloadedReason}
 	}
-	job := gateway.newJob(request, matched, account, nextClientPath(ctx), table.Version, verdict.Cautious)
+	job := gateway.newJob(request, matched, account, client.path, table.Version, verdict.Cautious)
 	job.limiter, job.token = limiter, token
 	defer gateway.release(job)
 	context.AfterFunc(ctx, job.releaseResponses) // the context ends once the answer has been written
