A connection to an earlier address of a target is not used

A target that starts again under its id at another address is the same case: calls went to the connection of its earlier address, and were lost if that end is silent. Ruled out: a response that reached another call; the connection that answered was the other server's. Change: an idle connection is used only for calls to its address; others are closed.

--- a/poplarpind/http1/conn.go
+++ b/poplarpind/http1/conn.go
@@ -14,6 +14,7 @@
 type conn struct {
 	pool        *Pool
 	target      string
+	address     string
 	netConn     net.Conn
 	source      *limitedReader // of reader
 	reader      *bufio.Reader
@@ -35,9 +36,9 @@
 	responding bool   // a part of the response to the current call has arrived
 }
 
-func newConn(pool *Pool, target string, netConn net.Conn) *conn {
+func newConn(pool *Pool, target, address string, netConn net.Conn) *conn {
 	source := &limitedReader{netConn, maxHeadBytes}
-	return &conn{pool: pool, target: target, netConn: netConn, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+	return &conn{pool: pool, target: target, address: address, netConn: netConn, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 // usable reports whether an idle connection may carry a call: the target has certainly not closed it for being idle yet.
--- a/poplarpind/http1/pool.go
+++ b/poplarpind/http1/pool.go
@@ -62,7 +62,7 @@
 // Call is one request to a target.
 type Call struct {
 	Target      string // id of the target; connections are pooled by it
-	Address     string
+	Address     string // of the target, which may have another one after a restart
 	Method      string
 	Encode      func() []byte // encodes the request when it is sent, which may be later if a connection must be opened first
 	FreshConn   bool          // must not use a connection that the target may have closed in the meantime
@@ -159,7 +159,7 @@
 		conns = &targetConns{}
 		pool.targets[call.Target] = conns
 	}
-	if conn := conns.takeIdle(now, call.FreshConn); conn != nil {
+	if conn := conns.takeIdle(now, call.Address, call.FreshConn); conn != nil {
 		pool.mu.Unlock()
 		conn.begin(exchange)
 		return exchange, nil
@@ -180,16 +180,17 @@
 	return exchange, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if none is usable. If fresh is set, the connection
-// must not have been idle for longer than maxFreshIdle.
-func (targetConns *targetConns) takeIdle(now time.Time, fresh bool) *conn {
+// takeIdle removes and returns the most recently used idle connection to an address of the target, or nil if none is usable. If fresh is
+// set, the connection must not have been idle for longer than maxFreshIdle. Connections to an earlier address of the target are closed.
+func (targetConns *targetConns) takeIdle(now time.Time, address string, fresh bool) *conn {
 	for len(targetConns.idle) > 0 {
 		last := targetConns.idle[len(targetConns.idle)-1]
-		if fresh && now.Sub(last.idleSince) > maxFreshIdle {
+		current := last.address == address
+		if current && fresh && now.Sub(last.idleSince) > maxFreshIdle {
 			return nil
 		}
 		targetConns.idle = targetConns.idle[:len(targetConns.idle)-1]
-		if last.usable(now) {
+		if current && last.usable(now) {
 			return last
 		}
 		go last.close()
@@ -214,7 +215,7 @@
 		exchange.end(nil, &Error{"dial", kind, err.Error()})
 		return
 	}
-	conn := pool.add(exchange.call.Target, netConn)
+	conn := pool.add(exchange.call.Target, exchange.call.Address, netConn)
 	if exchange.isAbandoned() {
 		conn.close()
 		pool.remove(conn)
@@ -236,9 +237,9 @@
 	return optionErr
 }
 
-// add adds a new connection to a target, which is already counted as open.
-func (pool *Pool) add(target string, netConn net.Conn) *conn {
-	conn := newConn(pool, target, netConn)
+// add adds a new connection to an address of a target, which is already counted as open.
+func (pool *Pool) add(target, address string, netConn net.Conn) *conn {
+	conn := newConn(pool, target, address, netConn)
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	pool.conns[conn] = true
--- a/poplarpind/http1/pool_test.go
+++ b/poplarpind/http1/pool_test.go
@@ -101,6 +101,14 @@
 		}
 		assert.Equal(t, connections.Load(), int64(1))
 	})
+	t.Run("a connection to an earlier address of the target is not used", func(t *testing.T) {
+		earlier, _ := serve(t, func(int, int) []byte { return []byte(okResponse) })
+		address, _ := serve(t, func(int, int) []byte { return []byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew") })
+		pool := newPool()
+		assert.Equal(t, call(t, pool, earlier, false).body, "ok")
+		waitIdle(t, pool)
+		assert.Equal(t, call(t, pool, address, false).body, "new")
+	})
 	t.Run("a response comes with what was remembered of the one before it on the connection", func(t *testing.T) {
 		address, _ := serve(t, func(int, int) []byte { return []byte(okResponse) })
 		pool, previous := newPool(), make(chan any, 1)
