A response or body that the memory budget has ended does not count as read

Cause: TestMemoryBudget also failed with two complete responses where one fits (11 of 450 runs on 1, 2 and 6 processors). The budget ends the largest unfinished response, and its connection is closed after that; if its last bytes came in between, it counted as complete while its memory had gone to another one.

--- a/poplarpind/http1/conn.go
+++ b/poplarpind/http1/conn.go
@@ -129,7 +129,9 @@
 			return
 		}
 		response, body, err := conn.readResponse(exchange)
-		conn.pool.memory.readingEnded(exchange, err == nil)
+		if fits := conn.pool.memory.readingEnded(exchange, err == nil); err == nil && !fits {
+			err = invalid("body", memoryUsedUp)
+		}
 		if err != nil {
 			conn.fail(err)
 			return
--- a/poplarpind/http1/memory.go
+++ b/poplarpind/http1/memory.go
@@ -41,19 +41,24 @@
 	return fits
 }
 
-// readingEnded records that the response of an exchange was read or has failed. The memory of one that was read is kept until release.
-func (memory *memory) readingEnded(exchange *Exchange, read bool) {
+// readingEnded records that the response of an exchange was read or has failed, and reports whether the budget has not ended it meanwhile:
+// its last bytes may arrive while its connection is being closed. The memory of one that was read is kept until release.
+func (memory *memory) readingEnded(exchange *Exchange, read bool) bool {
 	memory.mu.Lock()
 	defer memory.mu.Unlock()
 	if exchange.buffered == nil {
-		return
+		return true
 	}
 	delete(memory.exchanges, exchange.buffered)
+	if exchange.buffered.Ended() {
+		return false
+	}
 	if read && !exchange.released {
 		memory.budget.Complete(exchange.buffered)
 	} else {
 		memory.budget.Release(exchange.buffered)
 	}
+	return true
 }
 
 // release records that the body of an exchange is no longer referenced, or will not be used once it has been read.
