Only news about targets' latency is shared among the VMs of a failure domain

Ruled out: log lines of observations (a tenth of the bytes; the messages themselves are the cost). Change: a VM that calls a target often shares only that its slowness differs from what the others take it for by the factor that moves calls to another failure domain; the VM that watches the store forwards only news in this sense, after it has applied the observations of all. Messages are as before. Result: TestCollectedObservations: 27 VMs and a healthy target of which a tenth of the calls are slow: 50 of 250 calls forwarded before, at most 2 now; a target that becomes slow: 250 and at most 25, and all VMs still leave and return to it.

--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -54,7 +54,7 @@
 	attempt := &Attempt{fleet: fleet, path: path, baseline: fleet.Baseline(route), started: now}
 	endpoint, ok := fleet.endpoints[id]
 	if !ok {
-		endpoint = &trackedEndpoint{Endpoint: Endpoint{ID: id}, slowness: 1, reported: &reportedState{}} // the endpoint was removed after it was chosen
+		endpoint = &trackedEndpoint{Endpoint: Endpoint{ID: id}, slowness: usualSlowness(), sharedSlowness: usualSlowness(), reported: &reportedState{}} // the endpoint was removed after it was chosen
 	}
 	attempt.endpoint = endpoint
 	attempt.expected = time.Duration(float64(attempt.baseline.Median()) * endpoint.expectedSlowness(now))
@@ -89,7 +89,7 @@
 
 // observe updates the endpoint's slowness with the latency of the call and records an observation for other VMs.
 func (attempt *Attempt) observe(now time.Time, latency time.Duration) {
-	attempt.fleet.recordObservation(attempt.endpoint, attempt.updateSlowness(now, latency))
+	attempt.fleet.recordObservation(now, attempt.endpoint, attempt.updateSlowness(now, latency))
 }
 
 // updateSlowness updates the endpoint's slowness with the latency of the call and returns its ratio to the baseline.
@@ -118,8 +118,8 @@
 // observeRefusal lets a target's refusal count as an answer that took refusalRatio times as long as usual, here and, by an observation, on
 // the other VMs: a refused call costs a second one, and a target that refuses part of its calls goes on doing so for a time.
 func (attempt *Attempt) observeRefusal(now time.Time) {
-	attempt.fleet.recordObservation(attempt.endpoint, refusalRatio)
-	attempt.endpoint.updateSlowness(now, max(refusalRatio, attempt.endpoint.decayedSlowness(now)))
+	attempt.endpoint.updateSlowness(now, max(refusalRatio, attempt.endpoint.slowness.at(now)))
+	attempt.fleet.recordObservation(now, attempt.endpoint, refusalRatio)
 }
 
 // Displaced records that another endpoint answers at the address.
--- a/core/place/observation_test.go
+++ b/core/place/observation_test.go
@@ -21,6 +21,14 @@
 	return place.EndpointView{}
 }
 
+// playRareCalls is playCalls with a second before each call.
+func playRareCalls(fleet *place.Fleet, now time.Time, id string, latency time.Duration, calls int) time.Time {
+	for range calls {
+		now = playCalls(fleet, now.Add(time.Second), id, latency, 1)
+	}
+	return now
+}
+
 // applyObservations applies observations of other VMs and reports whether one of them crossed the slowness threshold.
 func applyObservations(fleet *place.Fleet, now time.Time, list ...place.Observation) bool {
 	changed := false
@@ -38,7 +46,7 @@
 	})
 	t.Run("slow calls are shared once", func(t *testing.T) {
 		fleet := newFleet(target("here", "a"))
-		playCalls(fleet, start, "here", 10*median, 2)
+		playRareCalls(fleet, start, "here", 10*median, 2)
 		assert.Assert(t, fleet.HasObservations())
 		assert.Equal(t, len(fleet.TakeObservations()), 2)
 		assert.Assert(t, !fleet.HasObservations())
@@ -46,11 +54,30 @@
 	})
 	t.Run("the first fast answer of a slow target is shared", func(t *testing.T) {
 		fleet := newFleet(target("here", "a"))
-		now := playCalls(fleet, start, "here", 10*median, 3)
+		now := playRareCalls(fleet, start, "here", 10*median, 3)
 		fleet.TakeObservations()
-		playCalls(fleet, now, "here", median, 1)
+		playRareCalls(fleet, now, "here", median, 1)
 		assert.Equal(t, len(fleet.TakeObservations()), 1)
 	})
+	t.Run("a single slow call of a VM that calls the target often is not shared", func(t *testing.T) {
+		fleet := newFleet(target("here", "a"))
+		now := playCalls(fleet, start, "here", median, 5)
+		now = playCalls(fleet, now, "here", 10*median, 1)
+		playCalls(fleet, now, "here", median, 5)
+		assert.Equal(t, len(fleet.TakeObservations()), 0)
+	})
+	t.Run("a VM that calls a target often shares that it has become slow, and that it has recovered", func(t *testing.T) {
+		caller, other := newFleet(target("here", "a"), target("there", "b")), newFleet(target("here", "a"), target("there", "b"))
+		now := playCalls(caller, start, "here", median, 5)
+		for _, phase := range []struct {
+			latency time.Duration
+			want    string
+		}{{10 * median, "there"}, {median, "here"}} {
+			now = playCalls(caller, now, "here", phase.latency, 10)
+			applyObservations(other, now, caller.TakeObservations()...)
+			assertChosen(t, other, now, phase.want)
+		}
+	})
 	t.Run("two slow calls of other VMs divert calls from a target", func(t *testing.T) {
 		fleet := newFleet(target("here", "a"), target("there", "b"))
 		slow := place.Observation{Endpoint: "here", LatencyRatio: 10}
@@ -158,3 +185,62 @@
 	assert.Assert(t, shared <= vms/2, "%d late calls, %d without sharing", shared, unshared)
 	assert.Assert(t, unshared >= vms, "%d late calls without sharing", unshared)
 }
+
+// collect plays three seconds of calls of some VMs to a target and returns how many of the observations a watcher forwards to them.
+func collect(watcher *place.Fleet, vms []*place.Fleet, now time.Time, latency func(call int) time.Duration) (calls, forwarded int) {
+	const interval = 12 * time.Millisecond
+	for call := range int(3 * time.Second / interval) {
+		now = now.Add(interval)
+		caller := vms[call%len(vms)]
+		caller.StartAttempt(now, "here", route).Answered(now.Add(latency(call)))
+		calls++
+		for _, observation := range caller.TakeObservations() {
+			if _, forward := watcher.CollectObservation(now, observation); !forward {
+				continue
+			}
+			forwarded++
+			for _, vm := range vms {
+				if vm != caller {
+					vm.ApplyObservation(now, observation)
+				}
+			}
+		}
+	}
+	return calls, forwarded
+}
+
+// TestCollectedObservations guards against a flood of observations: in a failure domain of 27 VMs that call each target three times a second, a
+// tenth of the calls to healthy targets take three times as long as usual, and each observation goes to 26 VMs. What all VMs should hear is
+// that a target has become slow, and that it has recovered.
+func TestCollectedObservations(t *testing.T) {
+	newDomain := func() (watcher *place.Fleet, vms []*place.Fleet) {
+		for range 26 {
+			vms = append(vms, newFleet(target("here", "a"), target("there", "b")))
+		}
+		return newFleet(target("here", "a"), target("there", "b")), vms
+	}
+	noisy := func(call int) time.Duration {
+		if call%10 == 0 {
+			return 3 * median
+		}
+		return median
+	}
+	t.Run("slow calls to a healthy target", func(t *testing.T) {
+		watcher, vms := newDomain()
+		calls, forwarded := collect(watcher, vms, start, noisy)
+		assert.Assert(t, forwarded*100 <= calls, "%d of %d", forwarded, calls)
+	})
+	t.Run("a target that becomes slow and recovers", func(t *testing.T) {
+		watcher, vms := newDomain()
+		slow := func(int) time.Duration { return 10 * median }
+		calls, forwarded := collect(watcher, vms, start, slow)
+		assert.Assert(t, forwarded*10 <= calls, "%d of %d", forwarded, calls)
+		for _, vm := range vms {
+			assertChosen(t, vm, start.Add(3*time.Second), "there")
+		}
+		collect(watcher, vms, start.Add(3*time.Second), noisy)
+		for _, vm := range vms {
+			assertChosen(t, vm, start.Add(6*time.Second), "here")
+		}
+	})
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -40,8 +40,9 @@
 	Endpoint
 	reported           *reportedState // what this incarnation has said of itself
 	missingSince       time.Time      // when its entry lapsed or was missing from the list, if it may reappear; zero while it is listed
-	slowness           float64        // smoothed ratio of its latency to the baseline of the route
-	slownessUpdated    time.Time      // when slowness was last updated
+	slowness           slowness       // as this VM's calls and the observations of others show it
+	sharedSlowness     slowness       // as the observations show it that this VM has shared or that all VMs of its failure domain have received
+	lastOwnCall        time.Time      // end of the last call of this VM that showed a latency
 	lastSlowCall       time.Time      // when slowness was last updated with a ratio of at least suspectSlowness
 	attempts           []*Attempt
 	paths              [2]pathState
@@ -91,7 +92,7 @@
 		ok = false
 	}
 	if !ok {
-		found = &trackedEndpoint{slowness: 1, reported: fleet.takeState(endpoint)}
+		found = &trackedEndpoint{slowness: usualSlowness(), sharedSlowness: usualSlowness(), reported: fleet.takeState(endpoint)}
 		fleet.endpoints[endpoint.ID] = found
 		fleet.services[endpoint.Service] = append(fleet.services[endpoint.Service], found)
 		if i, listed := slices.BinarySearch(fleet.relayServices, endpoint.Service); endpoint.Peer && !listed {
--- a/core/place/slowness.go
+++ b/core/place/slowness.go
@@ -12,19 +12,38 @@
 	slownessDecayInterval = 400 * time.Millisecond // slownessDecay is applied once for each such time without an update
 )
 
-// decayedSlowness returns the slowness of an endpoint, which decays while no call updates it.
-func (endpoint *trackedEndpoint) decayedSlowness(now time.Time) float64 {
-	slowness := endpoint.slowness
-	if slowness > 1 {
-		idle := max(now.Sub(endpoint.slownessUpdated), 0) / slownessDecayInterval
-		slowness = 1 + (slowness-1)*math.Pow(slownessDecay, float64(idle))
+// slowness is the smoothed ratio of an endpoint's latency to the baseline of the route.
+type slowness struct {
+	value   float64
+	updated time.Time
+}
+
+// usualSlowness is that of an endpoint about which nothing is known.
+func usualSlowness() slowness { return slowness{value: 1} }
+
+// at returns the slowness at a time; it decays while no call updates it.
+func (slowness *slowness) at(now time.Time) float64 {
+	if slowness.value <= 1 {
+		return slowness.value
 	}
-	return slowness
+	idle := max(now.Sub(slowness.updated), 0) / slownessDecayInterval
+	return 1 + (slowness.value-1)*math.Pow(slownessDecay, float64(idle))
+}
+
+// update moves the slowness towards the latency ratio of one call.
+func (slowness *slowness) update(now time.Time, ratio float64) {
+	value := slowness.at(now)
+	if ratio > value {
+		value = min(value*maxSlownessChange, ratio)
+	} else {
+		value = max(value/maxSlownessChange, ratio)
+	}
+	slowness.value, slowness.updated = value, now
 }
 
 // expectedSlowness returns the expected ratio of an endpoint's latency to the baseline, warm-up included.
 func (endpoint *trackedEndpoint) expectedSlowness(now time.Time) float64 {
-	slowness := endpoint.decayedSlowness(now)
+	slowness := endpoint.slowness.at(now)
 	if now.Before(endpoint.reported.warmAt) {
 		slowness *= warmupFactor
 	}
@@ -33,13 +52,7 @@
 
 // updateSlowness moves the endpoint's slowness towards the latency ratio of one call.
 func (endpoint *trackedEndpoint) updateSlowness(now time.Time, ratio float64) {
-	slowness := endpoint.decayedSlowness(now)
-	if ratio > slowness {
-		slowness = min(slowness*maxSlownessChange, ratio)
-	} else {
-		slowness = max(slowness/maxSlownessChange, ratio)
-	}
-	endpoint.slowness, endpoint.slownessUpdated = slowness, now
+	endpoint.slowness.update(now, ratio)
 	if ratio >= suspectSlowness {
 		endpoint.lastSlowCall = now
 	}
--- a/core/place/view.go
+++ b/core/place/view.go
@@ -28,7 +28,7 @@
 	views := make([]EndpointView, 0, len(fleet.endpoints))
 	for _, endpoint := range fleet.endpoints {
 		view := EndpointView{ID: endpoint.ID, Service: endpoint.Service, State: endpoint.State, FailureDomain: endpoint.FailureDomain,
-			Slowness: endpoint.slowness, InFlight: len(endpoint.attempts), Down: endpoint.down(now, Direct), RelayedDown: endpoint.down(now, Relayed), Missing: !endpoint.missingSince.IsZero(),
+			Slowness: endpoint.slowness.value, InFlight: len(endpoint.attempts), Down: endpoint.down(now, Direct), RelayedDown: endpoint.down(now, Relayed), Missing: !endpoint.missingSince.IsZero(),
 			Leaving: endpoint.leaves(), Cold: fleet.coldLeft(now, endpoint) > 0}
 		if until := endpoint.reported.pausedUntil; now.Before(until) {
 			view.PausedUntil = &until
--- a/poplarpind/gateway/share.go
+++ b/poplarpind/gateway/share.go
@@ -109,8 +109,8 @@
 	return ok && endpoint.FailureDomain != gateway.settings.FailureDomain
 }
 
-// receiveObservations applies observations of another VM. If this VM watches the store, it also keeps those of a subscriber, to
-// forward them to the other subscribers and to its own source. Hints and suspects from another failure domain are forwarded in this one.
+// receiveObservations applies observations of another VM. If this VM watches the store, it also keeps those of a subscriber that are news to
+// the others, to forward them to the other subscribers and to its own source. Hints and suspects from another failure domain are forwarded in this one.
 func (gateway *Gateway) receiveObservations(from string, message rpc.Observations) {
 	now := time.Now()
 	gateway.mu.Lock()
@@ -121,10 +121,16 @@
 	var changed []string
 	var ratios []float64
 	for _, observation := range message.Observations {
-		if gateway.fleet.ApplyObservation(now, observation) {
+		crossed, news := false, false
+		if forward {
+			crossed, news = gateway.fleet.CollectObservation(now, observation)
+		} else {
+			crossed = gateway.fleet.ApplyObservation(now, observation)
+		}
+		if crossed {
 			changed, ratios = append(changed, observation.Endpoint), append(ratios, math.Round(10*observation.LatencyRatio)/10)
 		}
-		if forward && len(gateway.pendingObservations) < maxForwardedObservations {
+		if news && len(gateway.pendingObservations) < maxForwardedObservations {
 			gateway.pendingObservations = append(gateway.pendingObservations, reportedObservation{observation, from})
 		}
 	}
