Larger VMs make the hedges of a VM that is short of processor

Change: several hedges of a relayed call go as one message, with named targets, to a VM with at least twice the cores next to them, which calls these targets often; its report comes before the partial answer is due. Without such a VM, or for one or two parts, as before.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -132,9 +132,13 @@
 	return at
 }
 
-// hedge sends the parts of a slow call to other targets that are likely to answer sooner, as far as the budgets allow.
+// hedge sends the parts of a slow call to other targets that are likely to answer sooner, as far as the budgets allow. Larger VMs next to
+// these targets make the calls for several parts of a relayed call: that costs this VM a message instead of a call for each part, and the
+// targets no connection, as larger VMs call them often.
 func (run *Run) hedge(now time.Time, slow *call) []Action {
-	if slow.viaRelay && !run.hasCPUForHedges(now, slow) {
+	pending := run.hedgeableParts(slow)
+	offload := slow.viaRelay && pending >= minRelayedParts && run.shared.Fleet.HasLargerRelay(now)
+	if slow.viaRelay && !offload && !run.hasCPUForHedges(now, pending) {
 		run.postponeHedges(now, slow)
 		return nil
 	}
@@ -163,26 +167,43 @@
 			run.suppressedHedges++
 			continue
 		}
+		if relay, ok := run.largerRelay(now, part, alternative); offload && ok {
+			run.extraCalls++
+			run.forward(now, part, chosen{alternative.target, relay, place.Relayed})
+			continue
+		}
 		sends, _ := run.startCall(now, part, "hedge")
 		actions = append(actions, sends...)
 	}
 	return actions
 }
 
+// largerRelay returns a VM with more processor next to a target, which should make the call of a part for this one, and reports whether there
+// is one.
+func (run *Run) largerRelay(now time.Time, part *partState, chosen chosen) (place.Endpoint, bool) {
+	relay, ok := run.chooseRelay(now, part, chosen.target.FailureDomain)
+	return relay, ok && chosen.path == place.Direct && run.shared.Fleet.IsLarger(relay) && !run.shared.Fleet.Stuck(now, relay.ID)
+}
+
+// hedgeableParts returns the number of parts of a call that may be sent to a second target.
+func (run *Run) hedgeableParts(call *call) int {
+	count := 0
+	for _, part := range call.parts {
+		if run.canHedgePart(part) {
+			count++
+		}
+	}
+	return count
+}
+
 // hasCPUForHedges reports whether this VM's processor can make a call for each unanswered part of a relayed call before a partial answer is
 // due, or before the deadline if that has passed. A VM with a fraction of a core can't repeat the work of a large relay in time: its
 // hedges would delay the relay's results, which most often are about to arrive.
-func (run *Run) hasCPUForHedges(now time.Time, slow *call) bool {
+func (run *Run) hasCPUForHedges(now time.Time, pending int) bool {
 	until := run.answerBy
 	if !now.Before(until) {
 		until = run.deadline
 	}
-	pending := 0
-	for _, part := range slow.parts {
-		if run.canHedgePart(part) {
-			pending++
-		}
-	}
 	return pending <= run.shared.Fleet.CallsWithin(until.Sub(now))
 }
 
