A VM looks for a larger one only for the hedges that it offloads

Cause: review: each hedge of any VM compared up to 32 VMs a failure domain, also where none is larger. Change: the relay is chosen once the hedges are to be offloaded. Decisions are as before.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -167,9 +167,7 @@
 			run.suppressedHedges++
 			continue
 		}
-		if relay, ok := run.largerRelay(now, part, alternative); offload && ok {
-			run.extraCalls++
-			run.forward(now, part, chosen{alternative.target, relay, place.Relayed})
+		if offload && run.offloadHedge(now, part, alternative) {
 			continue
 		}
 		sends, _ := run.startCall(now, part, "hedge")
@@ -178,11 +176,18 @@
 	return actions
 }
 
-// largerRelay returns a VM with more processor next to a target, which should make the call of a part for this one, and reports whether there
-// is one.
-func (run *Run) largerRelay(now time.Time, part *partState, chosen chosen) (place.Endpoint, bool) {
-	relay, ok := run.chooseRelay(now, part, chosen.target.FailureDomain)
-	return relay, ok && chosen.path == place.Direct && run.shared.Fleet.IsLarger(relay) && !run.shared.Fleet.Stuck(now, relay.ID)
+// offloadHedge has a larger VM next to a target make the hedge of a part, and reports whether there is one that answers.
+func (run *Run) offloadHedge(now time.Time, part *partState, alternative chosen) bool {
+	if alternative.path == place.Relayed {
+		return false
+	}
+	relay, ok := run.chooseRelay(now, part, alternative.target.FailureDomain)
+	if !ok || !run.shared.Fleet.IsLarger(relay) || run.shared.Fleet.Stuck(now, relay.ID) {
+		return false
+	}
+	run.extraCalls++
+	run.forward(now, part, chosen{alternative.target, relay, place.Relayed})
+	return true
 }
 
 // hedgeableParts returns the number of parts of a call that may be sent to a second target.
