--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -132,13 +132,9 @@
 	return at
 }
 
-// hedge sends the parts of a slow call to other targets that are likely to answer sooner, as far as the budgets allow. Larger VMs next to
-// these targets make the calls for several parts of a relayed call: that costs this VM a message instead of a call for each part, and the
-// targets no connection, as larger VMs call them often.
+// hedge sends the parts of a slow call to other targets that are likely to answer sooner, as far as the budgets allow.
 func (run *Run) hedge(now time.Time, slow *call) []Action {
-	pending := run.hedgeableParts(slow)
-	offload := slow.viaRelay && pending >= minRelayedParts && run.shared.Fleet.HasLargerRelay(now)
-	if slow.viaRelay && !offload && !run.hasCPUForHedges(now, pending) {
+	if slow.viaRelay && !run.hasCPUForHedges(now, slow) {
 		run.postponeHedges(now, slow)
 		return nil
 	}
@@ -167,48 +163,26 @@
 			run.suppressedHedges++
 			continue
 		}
-		if offload && run.offloadHedge(now, part, alternative) {
-			continue
-		}
 		sends, _ := run.startCall(now, part, "hedge")
 		actions = append(actions, sends...)
 	}
 	return actions
 }
 
-// offloadHedge has a larger VM next to a target make the hedge of a part, and reports whether there is one that answers.
-func (run *Run) offloadHedge(now time.Time, part *partState, alternative chosen) bool {
-	if alternative.path == place.Relayed {
-		return false
-	}
-	relay, ok := run.chooseRelay(now, part, alternative.target.FailureDomain)
-	if !ok || !run.shared.Fleet.IsLarger(relay) || run.shared.Fleet.Stuck(now, relay.ID) {
-		return false
-	}
-	run.extraCalls++
-	run.forward(now, part, chosen{alternative.target, relay, place.Relayed})
-	return true
-}
-
-// hedgeableParts returns the number of parts of a call that may be sent to a second target.
-func (run *Run) hedgeableParts(call *call) int {
-	count := 0
-	for _, part := range call.parts {
-		if run.canHedgePart(part) {
-			count++
-		}
-	}
-	return count
-}
-
 // hasCPUForHedges reports whether this VM's processor can make a call for each unanswered part of a relayed call before a partial answer is
 // due, or before the deadline if that has passed. A VM with a fraction of a core can't repeat the work of a large relay in time: its
 // hedges would delay the relay's results, which most often are about to arrive.
-func (run *Run) hasCPUForHedges(now time.Time, pending int) bool {
+func (run *Run) hasCPUForHedges(now time.Time, slow *call) bool {
 	until := run.answerBy
 	if !now.Before(until) {
 		until = run.deadline
 	}
+	pending := 0
+	for _, part := range slow.parts {
+		if run.canHedgePart(part) {
+			pending++
+		}
+	}
 	return pending <= run.shared.Fleet.CallsWithin(until.Sub(now))
 }
 
