Revert: a call that a relay has made is shared by the relay alone

Suspected, not shown: the VM that asked a relay sees more calls late than the relay does, and that was worth sharing.

--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -87,13 +87,9 @@
 	attempt.baseline.record(latency)
 }
 
-// observe updates the endpoint's slowness with the latency of the call and records an observation for other VMs, unless a relay of this failure
-// domain has made the call: it records one itself.
+// observe updates the endpoint's slowness with the latency of the call and records an observation for other VMs.
 func (attempt *Attempt) observe(now time.Time, latency time.Duration) {
-	ratio := attempt.updateSlowness(now, latency)
-	if attempt.path == Direct || attempt.group != attempt.fleet.reachabilityOf(endpointGroup{attempt.fleet.failureDomain, true}) {
-		attempt.fleet.recordObservation(now, attempt.endpoint, ratio)
-	}
+	attempt.fleet.recordObservation(now, attempt.endpoint, attempt.updateSlowness(now, latency))
 }
 
 // updateSlowness updates the endpoint's slowness with the latency of the call and returns its ratio to the baseline.
--- a/core/place/observation.go
+++ b/core/place/observation.go
@@ -7,7 +7,7 @@
 	suspectSlowness = 1.3          // every answer of an endpoint with this slowness may be shared, as it may show that the target has recovered
 	sharedChange    = remoteFactor // slowness that differs by a smaller factor moves no calls to another failure domain
 	// A VM whose calls to a target are at most frequentInterval apart soon knows by itself whether a slow one was the first of many.
-	frequentInterval       = 500 * time.Millisecond
+	frequentInterval       = 250 * time.Millisecond
 	minShareInterval       = 50 * time.Millisecond // a target gets a few calls in this time, tens a second from all VMs
 	messageInterval        = 8 * time.Millisecond  // between messages with observations of one VM, to whichever VM
 	maxPendingObservations = 256                   // at most this many observations wait for TakeObservations; more add little and are dropped
