TestCallsWhileTurnedAway allows each kind its one call

Traced with a log of the calls: the loop of evacuations lists the store for the first time after a pause of a second, before the third ping in 44 of 60 runs beside load and after it in 16, which then failed; in all 60 that was the only call. Ruled out: a second call of a kind. Change: instead of "no call after the third ping", at most one call of each kind during the whole outage, which also bounds those before the third ping. That one is allowed: a loop learns of the outage by it.

--- a/poplarpind/gateway/store_probe_test.go
+++ b/poplarpind/gateway/store_probe_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,11 +15,13 @@
 	"poplarpin.dev/platform/platformtest"
 )
 
-// TestCallsWhileTurnedAway guards against a VM that calls a store that turns it away for each kind of objects by itself, at the full price.
+// TestCallsWhileTurnedAway guards against a VM that calls a store that turns it away for each kind of objects by itself, at the full price. A
+// kind may be called once: its loop may still have been in a pause when the store began to turn the VM away.
 func TestCallsWhileTurnedAway(t *testing.T) {
 	store, _ := newDeployment(t)
 	var turnsAway atomic.Bool
-	var calls, pings atomic.Int64
+	var pings atomic.Int64
+	var calls sync.Map // by path
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if !turnsAway.Load() {
 			store.ServeHTTP(writer, request)
@@ -27,7 +30,8 @@
 		if strings.Contains(request.URL.RawQuery, "stale_ok") {
 			pings.Add(1)
 		} else {
-			calls.Add(1)
+			count, _ := calls.LoadOrStore(request.URL.Path, &atomic.Int64{})
+			count.(*atomic.Int64).Add(1)
 		}
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}))
@@ -39,10 +43,11 @@
 	waitFor(t, "the watches", func() bool { return store.Watches("servers") > 0 && store.Watches("config") > 0 })
 	turnsAway.Store(true)
 	store.SetDown(true) // ends the watches
-	waitFor(t, "pings", func() bool { return pings.Load() >= 3 })
-	before := calls.Load()
-	waitFor(t, "more pings", func() bool { return pings.Load() >= 8 })
-	assert.Equal(t, calls.Load(), before)
+	waitFor(t, "pings", func() bool { return pings.Load() >= 8 })
+	calls.Range(func(path, count any) bool {
+		assert.Assert(t, count.(*atomic.Int64).Load() <= 1, "%s", path)
+		return true
+	})
 	store.SetDown(false)
 	turnsAway.Store(false)
 	store.Put("servers", "new", platformtest.NewTarget(t, "new").Spec("s1", "a", "ready"))
