Revert: rounds of messages with observations grow rarer with the number of subscribers

Cause: review: the same messages carry what targets say of themselves (leaving, pauses, limits) and requests that may crash targets. With 100 subscribers these would wait for 0.8 s, with 471 for 3.8 s, and the limit of a target or a quarantine could be passed meanwhile. No test or play has shown that; no test plays limits with so many subscribers.

--- a/core/place/observation.go
+++ b/core/place/observation.go
@@ -8,9 +8,7 @@
 	sharedChange    = remoteFactor // slowness that differs by a smaller factor moves no calls to another failure domain
 	// A VM whose calls to a target are at most frequentInterval apart soon knows by itself whether a slow one was the first of many.
 	frequentInterval       = 250 * time.Millisecond
-	minShareInterval       = 50 * time.Millisecond // a target gets a few calls in this time, tens a second from all VMs
-	messageInterval        = 8 * time.Millisecond  // between messages with observations of one VM, to whichever VM
-	maxPendingObservations = 256                   // at most this many observations wait for TakeObservations; more add little and are dropped
+	maxPendingObservations = 256 // at most this many observations wait for TakeObservations; more add little and are dropped
 )
 
 // Observation is the latency of one call to a target, shared with other VMs that call the same target.
@@ -46,12 +44,6 @@
 	return change >= sharedChange || change <= 1/sharedChange
 }
 
-// ShareInterval returns the time between two rounds of messages with observations of a VM that sends one to each of its subscribers: it grows
-// with their number, so that what sharing costs the VM does not.
-func ShareInterval(subscribers int) time.Duration {
-	return max(minShareInterval, time.Duration(subscribers)*messageInterval)
-}
-
 // HasObservations reports whether observations wait to be shared.
 func (fleet *Fleet) HasObservations() bool { return len(fleet.observations) > 0 }
 
--- a/poplarpind/gateway/share.go
+++ b/poplarpind/gateway/share.go
@@ -12,6 +12,10 @@
 	"poplarpin.dev/poplarpind/peer"
 )
 
+// shareInterval is the time between two messages with observations: so short that a target gets only a few calls meanwhile (tens a
+// second from all VMs), and so long that a VM sends each peer at most 20 messages a second.
+const shareInterval = 50 * time.Millisecond
+
 // Bounds of what is shared about suspects, most of which are innocent after a crash of many targets.
 const (
 	maxSharedSuspects  = 2 // in a message
@@ -36,10 +40,7 @@
 			return
 		case <-gateway.observationsReady:
 		}
-		gateway.mu.Lock()
-		interval := place.ShareInterval(len(gateway.subscribers))
-		gateway.mu.Unlock()
-		sleep(ctx, interval)
+		sleep(ctx, shareInterval)
 		gateway.mu.Lock()
 		for _, observation := range gateway.fleet.TakeObservations() {
 			gateway.pendingObservations = append(gateway.pendingObservations, reportedObservation{observation, gateway.settings.VM})
