TestObservationsOfDeadLinks calls its target rarely

Since a VM that calls a target often does not share a single slow call at all, and the test's calls follow each other at once, so that it passed without the rule as well. Change: a second passes before each cancelled call, so that the VM would share the first without the rule.

--- a/core/place/observation_test.go
+++ b/core/place/observation_test.go
@@ -133,14 +133,16 @@
 	assertChosen(t, fleet, now, "there")
 }
 
-// TestObservationsOfDeadLinks guards against targets that all VMs take for slow because the links of one of them are down.
+// TestObservationsOfDeadLinks guards against targets that all VMs take for slow because the links of one of them are down. The VM calls the
+// target rarely, so that it shares each slow call.
 func TestObservationsOfDeadLinks(t *testing.T) {
 	fleet := newFleet(target("here", "a"), target("other", "a"))
-	now := playCalls(fleet, start, "here", median, 5)
+	now := playCalls(fleet, start, "here", median, 5).Add(time.Second)
 	fleet.TakeObservations()
 	attempt := fleet.StartAttempt(now, "here", route)
 	attempt.Cancelled(now.Add(10 * median))
 	assert.Equal(t, len(fleet.TakeObservations()), 0)
+	now = now.Add(time.Second)
 	attempt = fleet.StartAttempt(now, "here", route)
 	fleet.StartAttempt(now, "other", route).Answered(now.Add(median))
 	attempt.Cancelled(now.Add(10 * median))
