Upgrade plays name the build of each VM that broke a rule, and log what it did

Change: a broken rule names the program of the VM, and the report ends with all log lines of requests that ran twice or were falsely refused.

--- a/testbed/upgrade/check.go
+++ b/testbed/upgrade/check.go
@@ -67,12 +67,25 @@
 	return request.kind.once && request.refused() && runs > 0
 }
 
+// wronglyRun returns the ids of the requests that are not idempotent and ran twice or although they were refused.
+func (observed observed) wronglyRun() []string {
+	runs := observed.runsByID()
+	var ids []string
+	for _, request := range observed.requests {
+		if request.ranTwice(runs[request.id]) || request.falselyRefused(runs[request.id]) {
+			ids = append(ids, request.id)
+		}
+	}
+	return ids
+}
+
 // where returns descriptions of the requests for which a condition holds.
 func (observed observed) where(holds func(request *request) bool) []string {
 	var found []string
 	for _, request := range observed.requests {
 		if holds(request) {
-			found = append(found, fmt.Sprintf("%s (%s, %s, VM %s, status %d)", request.id, request.kind.name, request.phase, request.vm.VM, request.status))
+			found = append(found, fmt.Sprintf("%s (%s, %s, VM %s with %s, status %d)", request.id, request.kind.name, request.phase, request.vm.VM,
+				request.program, request.status))
 		}
 	}
 	return found
--- a/testbed/upgrade/fleet.go
+++ b/testbed/upgrade/fleet.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"poplarpin.dev/platform/platformtest"
@@ -109,6 +111,23 @@
 	})
 }
 
+// linesOn returns the lines of the VMs' logs that name one of some requests.
+func (deployment *deployment) linesOn(ids []string) ([]string, error) {
+	var lines []string
+	for _, vm := range deployment.vms {
+		log, err := os.ReadFile(vm.log())
+		if err != nil {
+			return nil, err
+		}
+		for line := range strings.Lines(string(log)) {
+			if slices.ContainsFunc(ids, func(id string) bool { return strings.Contains(line, `"`+id+`"`) }) {
+				lines = append(lines, vm.VM+" "+strings.TrimSpace(line))
+			}
+		}
+	}
+	return lines, nil
+}
+
 // replace stops a VM as planned and starts a program in its place.
 func (deployment *deployment) replace(replaced *vm, program string) error {
 	replaced.stop()
--- a/testbed/upgrade/load.go
+++ b/testbed/upgrade/load.go
@@ -43,6 +43,7 @@
 	phase    string
 	id       string
 	vm       *vm
+	program  string // that ran on the VM when the request was sent
 	started  time.Time
 	latency  time.Duration
 	status   int      // 0 if there was no complete answer
@@ -100,7 +101,8 @@
 		if len(ready) == 0 {
 			continue
 		}
-		request := &request{kind: kind, phase: *load.phase.Load(), vm: ready[random.IntN(len(ready))], started: time.Now()}
+		vm := ready[random.IntN(len(ready))]
+		request := &request{kind: kind, phase: *load.phase.Load(), vm: vm, program: *vm.program.Load(), started: time.Now()}
 		load.sending.Go(func() {
 			load.send(request)
 			load.mu.Lock()
--- a/testbed/upgrade/upgrade.go
+++ b/testbed/upgrade/upgrade.go
@@ -36,6 +36,7 @@
 	Phases []Phase
 	Builds map[string]string // that each VM names at the end, by VM; empty for builds that name none
 	Broken []string          // rules, with examples
+	Log    []string          // log lines of the VMs on requests that ran twice or were falsely refused
 }
 
 // Play plays an upgrade.
@@ -84,7 +85,8 @@
 		}
 	}
 	report.Phases, report.Broken = observed.phases(), observed.broken()
-	return report, nil
+	report.Log, err = deployment.linesOn(observed.wronglyRun())
+	return report, err
 }
 
 // replaceAll replaces the VMs in a random order, with a pause half-way for faults. It returns when all VMs knew that a target leaves.
@@ -224,6 +226,9 @@
 	for _, broken := range report.Broken {
 		fmt.Fprintln(writer, "BROKEN", broken)
 	}
+	for _, line := range report.Log {
+		fmt.Fprintln(writer, line)
+	}
 	return nil
 }
 
--- a/testbed/upgrade/vm.go
+++ b/testbed/upgrade/vm.go
@@ -26,10 +26,11 @@
 	client   *http.Client
 	process  *exec.Cmd
 	exited   chan struct{}
-	planned  atomic.Bool // the process is being stopped, or was killed on purpose
-	ended    atomic.Bool // the process has ended on its own
-	stopping atomic.Bool // SIGTERM was sent
-	ready    atomic.Bool // the load balancer sends it requests
+	program  atomic.Pointer[string] // name of the program that runs now, or ran last
+	planned  atomic.Bool            // the process is being stopped, or was killed on purpose
+	ended    atomic.Bool            // the process has ended on its own
+	stopping atomic.Bool            // SIGTERM was sent
+	ready    atomic.Bool            // the load balancer sends it requests
 }
 
 // start starts a program as the VM's process.
@@ -49,6 +50,8 @@
 	}
 	exited := make(chan struct{})
 	vm.process, vm.exited = command, exited
+	name := filepath.Base(program)
+	vm.program.Store(&name)
 	go func() {
 		_ = command.Wait()
 		_ = log.Close()
