Larger VMs make the hedges of a relayed call that need new connections

Change: where at least three hedges of a relayed call need new connections, a VM with twice the cores next to those targets makes them, in one message with named targets; its report comes before the partial answer is due. Ruled out, measured and not kept, docs/design/shifted-work.md: retries as well, hedges only as far as a reckoned processor allows, no hedge that comes after the answer.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -134,7 +134,8 @@
 
 // hedge sends the parts of a slow call to other targets that are likely to answer sooner, as far as the budgets allow.
 func (run *Run) hedge(now time.Time, slow *call) []Action {
-	if slow.viaRelay && !run.hasCPUForHedges(now, slow) {
+	own, offload := run.shareHedges(now, slow)
+	if slow.viaRelay && !run.hasCPUForHedges(now, own) {
 		run.postponeHedges(now, slow)
 		return nil
 	}
@@ -163,27 +164,24 @@
 			run.suppressedHedges++
 			continue
 		}
+		if offload && run.offloadHedge(now, part, alternative) {
+			continue
+		}
 		sends, _ := run.startCall(now, part, "hedge")
 		actions = append(actions, sends...)
 	}
 	return actions
 }
 
-// hasCPUForHedges reports whether this VM's processor can make a call for each unanswered part of a relayed call before a partial answer is
-// due, or before the deadline if that has passed. A VM with a fraction of a core can't repeat the work of a large relay in time: its
-// hedges would delay the relay's results, which most often are about to arrive.
-func (run *Run) hasCPUForHedges(now time.Time, slow *call) bool {
+// hasCPUForHedges reports whether this VM's processor can make a number of calls before a partial answer is due, or before the deadline if that
+// has passed. A VM with a fraction of a core can't repeat the work of a large relay in time: its hedges would delay the relay's results,
+// which most often are about to arrive.
+func (run *Run) hasCPUForHedges(now time.Time, calls int) bool {
 	until := run.answerBy
 	if !now.Before(until) {
 		until = run.deadline
 	}
-	pending := 0
-	for _, part := range slow.parts {
-		if run.canHedgePart(part) {
-			pending++
-		}
-	}
-	return pending <= run.shared.Fleet.CallsWithin(until.Sub(now))
+	return calls <= run.shared.Fleet.CallsWithin(until.Sub(now))
 }
 
 // postponeHedges delays the hedges of a relayed call by a median call, but not beyond the time of a partial answer.
--- a/core/fanout/forward.go
+++ b/core/fanout/forward.go
@@ -8,6 +8,9 @@
 	"poplarpin.dev/core/place"
 )
 
+// reportShare is the part of the time until a partial answer is due after which a VM reports the results of calls that it makes for this one.
+const reportShare = 0.67
+
 // forwarded is a part of a relayed call whose target this VM chose. Another VM makes the call, since this one does not reach the target.
 type forwarded struct {
 	target  place.Endpoint
@@ -110,6 +113,9 @@
 			continue
 		}
 		relay := Relay{Call: call.index, VM: call.endpoint, ReportAfter: run.reportAfter(now)}
+		if left := run.answerBy.Sub(now); left > 0 { // the report should be here before a partial answer is due
+			relay.ReportAfter = min(relay.ReportAfter, max(time.Duration(reportShare*float64(left)), minHedgeDelay))
+		}
 		for _, part := range call.parts {
 			relay.Parts = append(relay.Parts, part.index)
 			relay.Targets = append(relay.Targets, call.forwarded[part.index].target.ID)
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -277,6 +277,20 @@
 	})
 }
 
+// HasLargerRelay reports whether there is an entry VM with at least offloadCoresFactor times the cores of this one that may relay calls.
+func (fleet *Fleet) HasLargerRelay(now time.Time) bool {
+	return slices.ContainsFunc(fleet.relayServices, func(service string) bool {
+		return slices.ContainsFunc(fleet.services[service], func(peer *trackedEndpoint) bool {
+			return fleet.IsLarger(peer.Endpoint) && fleet.callable(now, peer) && !peer.down(now, Direct)
+		})
+	})
+}
+
+// IsLarger reports whether an entry VM has at least offloadCoresFactor times the cores of this one.
+func (fleet *Fleet) IsLarger(vm Endpoint) bool {
+	return fleet.cores > 0 && vm.Cores >= offloadCoresFactor*fleet.cores
+}
+
 // BestFailureDomains returns the other failure domains whose endpoints of a service have about the lowest cost. If the best endpoint is
 // in this VM's own failure domain, it returns none, since calls there need no relay, or with includeOwn only the own one.
 func (fleet *Fleet) BestFailureDomains(now time.Time, service, route string, includeOwn bool) []string {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -71,6 +71,7 @@
 	stateChanges  []StateChange                  // not yet taken
 	vms           vmList
 	cold          coldLimits
+	connected     func(target string) bool // nil if no call needs a new connection
 }
 
 // New returns a fleet without endpoints for a VM with this failure domain and number of processor cores.
@@ -82,6 +83,14 @@
 		cold: coldLimits{bounds: ColdBounds{Overshoot: 1}, calls: map[string][]time.Time{}}}
 }
 
+// SetConnected sets the function that reports whether this VM has an idle connection to a target.
+func (fleet *Fleet) SetConnected(connected func(target string) bool) { fleet.connected = connected }
+
+// NeedsConnection reports whether a call of this VM to a target needs a new connection.
+func (fleet *Fleet) NeedsConnection(target string) bool {
+	return fleet.connected != nil && !fleet.connected(target)
+}
+
 // Update stores the newest entry of an endpoint and reports whether the change affects which endpoints can be called. An endpoint that
 // was restarted or moved loses its call history.
 func (fleet *Fleet) Update(now time.Time, endpoint Endpoint) bool {
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -51,6 +51,8 @@
 mutant "slowness update time not set" place slowness.go 's/slowness.value, slowness.updated = value, now/slowness.value = value/'
 mutant "every observation forwarded" place observation.go 's/forward = endpoint.differsFromShared\(now\)/forward = true/'
 mutant "frequent callers share all slow calls" place observation.go 's/callsOften := now.Sub\(endpoint.lastOwnCall\) < frequentInterval/callsOften := false/'
+mutant "hedges never made by larger VMs" fanout offload.go 's/if connections < minOffloadedHedges/if true/'
+mutant "open connections left unused" fanout offload.go 's/chosen.path == place.Direct && run.shared.Fleet.NeedsConnection\(chosen.target.ID\)/chosen.path == place.Direct/'
 mutant "hedge timed by relay baseline" fanout calls.go 's/baseline := run.shared.Fleet.Baseline\(run.spec.Route\) \/\/ of/baseline := run.shared.Fleet.Baseline(call.baselineRoute(run.spec.Route)) \/\/ of/'
 mutant "attempts behind relay not ended" fanout calls.go 's/for _, attempt := range call.targetAttempts \{\n\t\tattempt.Cancelled\(now\)\n\t\}\n//'
 mutant "report after the final one" fanout relay_run.go 's/relayRun.ended = relayRun.inFlight == 0/relayRun.ended = false/'
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -122,6 +122,7 @@
 	gateway.quotas = newQuotas(gateway)
 	gateway.pauses = pause.New(syncInterval)
 	gateway.pool = http1.New(gateway.maxConnections, memoryBudget(settings.MemoryBytes))
+	gateway.fleet.SetConnected(func(target string) bool { return gateway.pool.Idle(target) > 0 })
 	gateway.mesh = peer.New(gateway.hello, gateway, nil)
 	gateway.currentStoreAddress.Store(&settings.StoreAddress)
 	gateway.currentSeeds.Store(&settings.Seeds)
