--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -34,7 +34,7 @@
 		run.extraCalls++
 	}
 	if chosen.path == place.Relayed {
-		run.forward(now, part, chosen)
+		run.forward(now, part, chosen, TargetUnreached)
 		return nil, true
 	}
 	call := &call{index: len(run.calls), parts: onePart(part), endpoint: chosen.target, started: now,
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -50,14 +50,14 @@
 }
 
 // Relay asks a peer, of another failure domain unless calls are offloaded to a larger VM of the same one, to call the targets of its
-// failure domain for several parts; or any peer to call targets that this VM does not reach. Results come back through RelayReport and
-// RelayFailed.
+// failure domain for several parts; or any peer to call targets that this VM names. Results come back through RelayReport and RelayFailed.
 type Relay struct {
 	Call  int
 	VM    place.Endpoint
 	Parts []int // indices into Spec.Parts
 	// Targets names a target of any failure domain for each part, and the relay calls exactly these; empty if the relay chooses.
 	Targets []string
+	Reason  ForwardReason // of Targets; empty without
 	// ReportAfter is how long the relay waits for all parts before it reports the ones it has: as long as a direct call waits for a hedge.
 	ReportAfter time.Duration
 }
@@ -150,6 +150,7 @@
 	targetAttempts map[int]*place.Attempt // relayed calls only, by part: the attempt at the target that the relay must have called, see startRelay
 	forwarded      map[int]*forwarded     // relayed calls whose targets this VM chose, by part; nil for others
 	near           string                 // failure domain of the targets in forwarded
+	reason         ForwardReason          // of forwarded
 	endpoint       place.Endpoint         // the target, or the entry VM that relays
 	attempt        *place.Attempt
 	started        time.Time
--- a/core/fanout/forward.go
+++ b/core/fanout/forward.go
@@ -11,7 +11,16 @@
 // reportShare is the part of the time until a partial answer is due after which a VM reports the results of calls that it makes for this one.
 const reportShare = 0.67
 
-// forwarded is a part of a relayed call whose target this VM chose. Another VM makes the call, since this one does not reach the target.
+// ForwardReason is why another VM calls a target that this VM has chosen.
+type ForwardReason string
+
+// Reasons for forwarded calls.
+const (
+	TargetUnreached  ForwardReason = "unreached"  // this VM does not reach the target
+	ConnectionNeeded ForwardReason = "connection" // a hedge of this VM would need a new connection
+)
+
+// forwarded is a part of a relayed call whose target this VM chose.
 type forwarded struct {
 	target  place.Endpoint
 	outcome Outcome // empty while the part is in flight
@@ -88,14 +97,14 @@
 }
 
 // forward adds a part to the message that asks a VM to call a target. It is sent at the end of the step, see takeForwards.
-func (run *Run) forward(now time.Time, part *partState, chosen chosen) {
+func (run *Run) forward(now time.Time, part *partState, chosen chosen, reason ForwardReason) {
 	i := slices.IndexFunc(run.unsent, func(unsent *call) bool {
-		return unsent.endpoint.ID == chosen.relay.ID && unsent.near == chosen.target.FailureDomain
+		return unsent.endpoint.ID == chosen.relay.ID && unsent.near == chosen.target.FailureDomain && unsent.reason == reason
 	})
 	if i < 0 {
 		i = len(run.unsent)
 		call := run.newRelayedCall(now, chosen.relay)
-		call.near, call.forwarded = chosen.target.FailureDomain, map[int]*forwarded{}
+		call.near, call.reason, call.forwarded = chosen.target.FailureDomain, reason, map[int]*forwarded{}
 		run.unsent = append(run.unsent, call)
 	}
 	call := run.unsent[i]
@@ -112,7 +121,7 @@
 		if run.finished || call.ended {
 			continue
 		}
-		relay := Relay{Call: call.index, VM: call.endpoint, ReportAfter: run.reportAfter(now)}
+		relay := Relay{Call: call.index, VM: call.endpoint, Reason: call.reason, ReportAfter: run.reportAfter(now)}
 		if left := run.answerBy.Sub(now); left > 0 { // the report should be here before a partial answer is due
 			relay.ReportAfter = min(relay.ReportAfter, max(time.Duration(reportShare*float64(left)), minHedgeDelay))
 		}
--- a/core/fanout/larger_relay_test.go
+++ b/core/fanout/larger_relay_test.go
@@ -55,6 +55,7 @@
 		assert.Equal(t, sends, 0)
 		assert.Equal(t, len(relays), 1)
 		assert.Equal(t, relays[0].VM.ID, "vm-c")
+		assert.Equal(t, relays[0].Reason, fanout.ConnectionNeeded)
 		assert.Equal(t, len(relays[0].Targets), slowParts)
 		for i, part := range relays[0].Parts {
 			assert.Equal(t, relays[0].Targets[i], fmt.Sprintf("%s-c", services[part]))
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -31,8 +31,9 @@
 	callCounts.Add("relayed", 1)
 	if len(relay.Targets) > 0 {
 		callCounts.Add("forwarded", 1)
+		callCounts.Add("forwarded."+string(relay.Reason), 1)
 		gateway.log.Info("calls forwarded", zap.String("request", truncate(job.request.ID)), zap.String("relay", relay.VM.ID),
-			zap.Strings("targets", relay.Targets), zap.Duration("elapsed", time.Since(job.started)))
+			zap.String("reason", string(relay.Reason)), zap.Strings("targets", relay.Targets), zap.Duration("elapsed", time.Since(job.started)))
 	}
 	gateway.mu.Lock()
 	gateway.lastQueryID++
