Parts under way to cut-off failure domains go to targets within reach

Cause: in a cut of a failure domain, requests of VMs there are lost although targets of all shards are within reach. The first call of a part has gone to another failure domain (its own target was slow), its hedge to the third; both stay without an answer, and with two attempts allowed nothing else is called: the request ends with 504 at its deadline, or with 502 when the links are given up at 0.4 s. Change: calls to a failure domain that is found cut off, and has answered nothing since they were sent, do not count as attempts of an idempotent request, as its rules allow; parts that wait for nothing else are sent to a target within reach, within the budget of extra calls. Ruled out: the choice of the first target (the own one was slow), the budget (0 to 3 parts of these requests).

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -234,7 +234,7 @@
 	if part.possibleRuns > 0 && !run.spec.Idempotent {
 		return false
 	}
-	return part.possibleRuns < max(run.spec.MaxAttempts, 1)
+	return run.attempts(now, part) < max(run.spec.MaxAttempts, 1)
 }
 
 // cancelPart cancels the calls of a part that are no longer needed.
--- /dev/null
+++ b/core/fanout/cut_off.go
@@ -0,0 +1,82 @@
+package fanout
+
+import (
+	"slices"
+	"time"
+
+	"poplarpin.dev/core/place"
+)
+
+// A run looks at these times whether the targets that have its unanswered parts were cut off.
+const (
+	cutOffCheckDelay    = place.MinCutOffTime
+	cutOffCheckInterval = 100 * time.Millisecond
+)
+
+// attempts returns how many targets may have processed a part, or may still do so. Calls to a failure domain that was cut off before it
+// answered them do not count if the request is idempotent: both attempts of a part may be under way to where nothing runs them.
+func (run *Run) attempts(now time.Time, part *partState) int {
+	attempts := part.possibleRuns + part.inFlight
+	if !run.spec.Idempotent || attempts < run.spec.MaxAttempts {
+		return attempts
+	}
+	for _, call := range part.calls {
+		outcome, _ := call.partOutcome(part)
+		if (!call.ended && call.covers(part.index) || outcome.possiblyRan()) && call.attempt.CutOff(now) {
+			attempts--
+		}
+	}
+	return attempts
+}
+
+// replaceCutOff sends the parts whose calls in flight are all cut off to targets within reach, as far as the budgets allow.
+func (run *Run) replaceCutOff(now time.Time) []Action {
+	if now.Before(run.cutOffCheckAt) {
+		return nil
+	}
+	run.cutOffCheckAt = now.Add(cutOffCheckInterval)
+	if !run.mayHedge() || run.deadline.Sub(now) < minTimeLeft {
+		return nil
+	}
+	cutOff := func(attempt *place.Attempt) bool { return attempt.CutOff(now) }
+	var actions []Action
+	for i := range run.parts {
+		part := &run.parts[i]
+		if !part.awaitsOnly(cutOff) || part.tries >= maxTriesPerPart || run.attempts(now, part) >= run.spec.MaxAttempts {
+			continue
+		}
+		if _, ok := run.chooseUntried(now, part); !ok {
+			part.suppressed = NoAlternative
+			continue
+		}
+		if !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
+			part.suppressed = NoBudget
+			continue
+		}
+		part.suppressed = ""
+		sends, _ := run.startCall(now, part, "cutOff")
+		actions = append(actions, sends...)
+	}
+	return actions
+}
+
+// mayBeCutOff reports whether all calls in flight of some part may turn out to be cut off.
+func (run *Run) mayBeCutOff() bool {
+	return run.mayHedge() && run.shared.Fleet.MayBeCutOff() &&
+		slices.ContainsFunc(run.parts, func(part partState) bool { return part.awaitsOnly((*place.Attempt).MayBeCutOff) })
+}
+
+// awaitsOnly reports whether a part has calls in flight and a predicate holds for all of them.
+func (part *partState) awaitsOnly(holds func(*place.Attempt) bool) bool {
+	if part.answeredBy != nil || part.inFlight == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(part.calls, func(call *call) bool {
+		return !call.ended && call.covers(part.index) && !holds(call.attempt)
+	})
+}
+
+// covers reports whether a call waits for an answer for a part.
+func (call *call) covers(index int) bool {
+	return slices.ContainsFunc(call.parts, func(part *partState) bool { return part.index == index })
+}
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -176,6 +176,7 @@
 	directParts         int       // parts that were not relayed at the start
 	answeredDirectParts int       // answered parts among directParts
 	halfAnsweredAt      time.Time // when half of directParts were answered
+	cutOffCheckAt       time.Time // when unanswered parts are next looked at by replaceCutOff
 	extraCalls          int
 	suppressedHedges    int // parts of slow calls that were not hedged for lack of a good target or budget
 	missingCauses       MissingCauses
@@ -188,7 +189,8 @@
 
 // New returns a run that has not started.
 func New(spec Spec, shared SharedState, now time.Time) *Run {
-	run := &Run{spec: spec, shared: shared, started: now, deadline: now.Add(spec.Timeout), parts: make([]partState, len(spec.Parts))}
+	run := &Run{spec: spec, shared: shared, started: now, deadline: now.Add(spec.Timeout), parts: make([]partState, len(spec.Parts)),
+		cutOffCheckAt: now.Add(cutOffCheckDelay)}
 	if spec.Objective > 0 {
 		run.answerBy = now.Add(max(spec.Objective-shared.ResponseMargin, spec.Objective/2))
 	}
@@ -261,6 +263,9 @@
 	if run.spec.Gather && run.hasMinCoverage() {
 		consider(run.partialAnswerAt())
 	}
+	if run.mayBeCutOff() {
+		consider(run.cutOffCheckAt)
+	}
 	for i := range run.parts {
 		consider(run.parts[i].retryAt)
 	}
@@ -298,6 +303,7 @@
 			actions = append(actions, run.hedge(now, call)...)
 		}
 	}
+	actions = append(actions, run.replaceCutOff(now)...)
 	return append(actions, run.finishIfDone(now)...)
 }
 
--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -206,6 +206,17 @@
 	}
 }
 
+// CutOff reports whether the endpoint's group seems cut off from this VM and has answered nothing since the call was sent, so that the call
+// has most likely not arrived. It may be asked of an ended attempt too.
+func (attempt *Attempt) CutOff(now time.Time) bool {
+	return attempt.group.answers == attempt.answers && attempt.group.cutOff(now)
+}
+
+// MayBeCutOff reports whether CutOff may become true: the endpoint's group has left enough calls unanswered since.
+func (attempt *Attempt) MayBeCutOff() bool {
+	return attempt.group.answers == attempt.answers && attempt.group.mayBeCutOff()
+}
+
 // OnlyInFlight reports whether no other call is in flight at the endpoint, so that the outcome of this one is the first to show a recovery.
 func (attempt *Attempt) OnlyInFlight() bool { return len(attempt.endpoint.attempts) == 1 }
 
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -18,6 +18,10 @@
 	cutOffMinCalls     = 6                      // a failure domain is cut off only after this many unanswered calls
 )
 
+// MinCutOffTime is about the shortest time in which a failure domain is found to be cut off: probes are made after suspectAfter and fail after
+// about the same time.
+const MinCutOffTime = 2 * suspectAfter
+
 // endpointGroup names the endpoints of a failure domain that this VM reaches on one path: its targets or its entry VMs.
 type endpointGroup struct {
 	failureDomain string
@@ -83,7 +87,7 @@
 
 // unanswered reports whether the group has left at least cutOffMinCalls calls unanswered for a time.
 func (reachability *reachability) unanswered(now time.Time, span time.Duration) bool {
-	return reachability.unansweredCalls >= cutOffMinCalls && now.Sub(reachability.unansweredSince) >= span
+	return reachability.mayBeCutOff() && now.Sub(reachability.unansweredSince) >= span
 }
 
 // Reached records that a connection to a probed endpoint was established.
@@ -121,6 +125,21 @@
 	})
 }
 
+// mayBeCutOff reports whether the group has left enough calls unanswered to be cut off after some time.
+func (reachability *reachability) mayBeCutOff() bool {
+	return reachability.unansweredCalls >= cutOffMinCalls
+}
+
+// MayBeCutOff reports whether a group has left enough calls unanswered to be cut off after some time.
+func (fleet *Fleet) MayBeCutOff() bool {
+	for _, reachability := range fleet.groups {
+		if reachability.mayBeCutOff() {
+			return true
+		}
+	}
+	return false
+}
+
 // AwaitsAnswers reports whether a group that is not cut off has left enough calls unanswered to become suspect.
 func (fleet *Fleet) AwaitsAnswers(now time.Time) bool {
 	for _, reachability := range fleet.groups {
