A request whose canary was lost waits for the calls that are under way

Change: held parts are given up when nothing is in flight any more; an answer that was under way shows that the request does not crash its targets, and releases them. No target is called meanwhile, so that the quarantine's promise is as before. Test: TestCanary.

--- a/core/fanout/canary.go
+++ b/core/fanout/canary.go
@@ -1,6 +1,9 @@
 package fanout
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // holdsParts reports whether the request may crash the targets that run it, so that only one of its parts, the canary, may be sent until a
 // target has answered.
@@ -15,16 +18,13 @@
 
 // retryHeld is retry while parts are held: the canary is retried unless its target may have crashed too; all others wait.
 func (run *Run) retryHeld(now time.Time, part *partState, outcome Outcome) []Action {
-	switch {
-	case part == run.canary && outcome == Lost:
-		run.giveUpHeld()
-	case part == run.canary:
+	if part == run.canary && outcome != Lost {
 		return run.retryPart(now, part, outcome)
-	case run.canaryLost:
-		run.markExhausted(part)
-	default:
-		run.held = append(run.held, part)
 	}
+	if part == run.canary {
+		run.canary, run.canaryLost = nil, true
+	}
+	run.held = append(run.held, part)
 	return nil
 }
 
@@ -56,22 +56,28 @@
 	return sends
 }
 
-// giveUpHeld marks the canary and the held parts as exhausted: another target has crashed, or at least broken off the connection.
+// giveUpHeld marks the held parts as exhausted: another target has crashed, or at least broken off the connection.
 func (run *Run) giveUpHeld() {
-	run.markExhausted(run.canary)
 	for _, part := range run.held {
 		run.markExhausted(part)
 	}
-	run.canary, run.held, run.canaryLost = nil, nil, true
+	run.held = nil
 }
 
-// releaseHeld sends the held parts once a target has answered, and until then the next canary if there is none.
+// releaseHeld sends the held parts once a target has answered, and until then the next canary if there is none. If the canary was lost, the
+// calls in flight decide: an answer shows that the request does not crash its targets.
 func (run *Run) releaseHeld(now time.Time) []Action {
 	if len(run.held) == 0 {
 		return nil
 	}
 	if run.holdsParts() {
-		if run.canary != nil && !run.canary.exhausted {
+		switch {
+		case run.canaryLost:
+			if !slices.ContainsFunc(run.parts, func(part partState) bool { return part.inFlight > 0 }) {
+				run.giveUpHeld()
+			}
+			return nil
+		case run.canary != nil && !run.canary.exhausted:
 			return nil
 		}
 		return run.sendCanary(now)
