Dials of idempotent calls end after 100 ms

Cause: a call to a target without power waits up to a second for its connection, longer than most clients wait, and occupies an attempt of its part. Change: the dial ends after 100 ms, many round trips between regions; the kernel repeats a lost first packet after a second only. Nothing was sent, so that the part goes to another target without the budget, and the target counts as down at once. Ruled out: hedges due too late (they were due after 20 to 30 ms). TestDarkTarget gets 504 without it.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -145,6 +145,7 @@
 mutant_of poplarpind "silence counted anew" peer link.go 's/if link.silentSince.IsZero\(\) \{/if true {/' TestSilence
 mutant_of poplarpind "prompt message not watched" peer link.go 's/awaitsReply \|\| link.promptSent/awaitsReply/' TestPromptMessage
 mutant_of poplarpind "withdrawn message sent" peer link.go 's/if !wanted \{/if false \&\& !wanted {/' TestWithdrawnWhileOpening
+mutant_of poplarpind "dials outlast clients" gateway serve.go 's/idempotentDialTimeout    = 100 \* time.Millisecond/idempotentDialTimeout    = time.Second/' TestDarkTarget
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 
 echo "$passed passed, $failed failed"
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -20,6 +20,7 @@
 	noConfigurationRetry     = 200 * time.Millisecond // retry delay for clients of a VM without a configuration, which it reads within that time
 	pausedRetry              = 100 * time.Millisecond // retry delay for clients whose request may have waited while the process stood still
 	pausedReason             = "the request may have waited past its time"
+	idempotentDialTimeout    = 100 * time.Millisecond // many round trips between regions; the kernel repeats a lost first packet after a second only
 	nonIdempotentDialTimeout = 250 * time.Millisecond // short, so that the request can still run on another target
 )
 
