A VM whose budget of extra calls is spent has another VM make the call on its own

Cause: the budget of a service is cut into 83 shares of 2.2 calls in ten seconds. Change: the VM names the target and asks a VM next to it to call it on its own share of the budget (gather with `pays`, capability lendsBudget); that VM spends or answers noBudget. No share moves, so that no loss, delay, start or cut lets all VMs together spend more. Ruled out: larger shares (break the rule), shares lent in advance (135 services a VM), one holder a failure domain (one message more for each call).

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -158,6 +158,9 @@
 		if !ok || run.shared.Fleet.StuckOn(now, alternative.target.ID, alternative.path) {
 			part.suppressed = NoAlternative
 		} else if !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
+			if run.borrow(now, part) {
+				continue
+			}
 			part.suppressed = NoBudget
 		}
 		if part.suppressed != "" {
@@ -210,6 +213,9 @@
 		return nil
 	}
 	if countsAsLoad(part.lastOutcome) && !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
+		if run.borrow(now, part) {
+			return nil
+		}
 		part.suppressed = NoBudget
 		run.markExhausted(part)
 		return nil
--- a/core/fanout/cut_off.go
+++ b/core/fanout/cut_off.go
@@ -50,7 +50,9 @@
 			continue
 		}
 		if !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
-			part.suppressed = NoBudget
+			if !run.borrow(now, part) {
+				part.suppressed = NoBudget
+			}
 			continue
 		}
 		part.suppressed = ""
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -21,6 +21,7 @@
 	ConnectionLimit Outcome = "crowded"   // the target accepts no more connections; nothing was sent
 	NoCapacity      Outcome = "noRoom"    // no spare connection to the target, or a relay refused or has no target for the part; nothing was sent
 	Unreached       Outcome = "unreached" // the relay does not reach the failure domain of the target; nothing was sent
+	Unpaid          Outcome = "noBudget"  // the relay's own budget of extra calls does not allow the call; nothing was sent
 	Lost            Outcome = "lost"      // the connection broke; the call may have been processed
 	InvalidResponse Outcome = "spoilt"    // the response was unusable; the call may have been processed
 )
@@ -135,6 +136,7 @@
 	inFlight     int
 	possibleRuns int          // calls that a target may have processed
 	tries        int          // all calls, including those that were not processed
+	loans        int          // calls that other VMs were asked to make on their own budgets
 	answeredBy   *call        // the call whose result counts
 	failedCall   *call        // the call that returned an application error
 	retryAt      time.Time    // zero if no retry is scheduled
--- a/core/fanout/forward.go
+++ b/core/fanout/forward.go
@@ -18,6 +18,7 @@
 const (
 	TargetUnreached  ForwardReason = "unreached"  // this VM does not reach the target
 	ConnectionNeeded ForwardReason = "connection" // a hedge of this VM would need a new connection
+	BudgetSpent      ForwardReason = "budget"     // this VM's budget of extra calls is spent, the other VM's pays
 )
 
 // forwarded is a part of a relayed call whose target this VM chose.
@@ -47,7 +48,9 @@
 }
 
 // declined reports whether a relay did not make a call, so that another VM may be asked for the same one.
-func (outcome Outcome) declined() bool { return outcome == NoCapacity || outcome == Unreached }
+func (outcome Outcome) declined() bool {
+	return outcome == NoCapacity || outcome == Unreached || outcome == Unpaid
+}
 
 // chooseForwarded returns a target of a part and the VM that should call it.
 func (run *Run) chooseForwarded(now time.Time, part *partState, exclude []string) (chosen, bool) {
--- /dev/null
+++ b/core/fanout/loan.go
@@ -0,0 +1,32 @@
+package fanout
+
+import (
+	"time"
+
+	"poplarpin.dev/core/place"
+)
+
+// maxLoans is how many VMs are asked at most to make an extra call of a part on their own budgets.
+const maxLoans = 2
+
+// borrow has another VM next to the best target of a part make its hedge or retry, and reports whether there is one that may. That VM spends
+// its own budget or declines, so that all VMs together stay within the budget that they share, while one that is short of it uses what others
+// have left.
+func (run *Run) borrow(now time.Time, part *partState) bool {
+	if !run.spec.Idempotent || part.loans >= maxLoans {
+		return false
+	}
+	target, ok := run.chooseUntried(now, part)
+	if !ok {
+		return false
+	}
+	relay, ok := run.chooseRelay(now, part, target.target.FailureDomain)
+	if !ok || run.shared.Fleet.Stuck(now, relay.ID) {
+		return false
+	}
+	part.loans++
+	part.suppressed = ""
+	run.extraCalls++
+	run.forward(now, part, chosen{target.target, relay, place.Relayed}, BudgetSpent)
+	return true
+}
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -219,8 +219,8 @@
 	}
 }
 
-// made reports whether a relay has tried to call a target for a missing part.
-func made(missing Missing) bool { return !missing.Outcome.declined() }
+// made reports whether a relay has tried to call a target for a missing part, or would have if its budget allowed it.
+func made(missing Missing) bool { return !missing.Outcome.declined() || missing.Outcome == Unpaid }
 
 // domainOf returns the failure domain of the target of a relayed part.
 func (call *call) domainOf(part int) string {
--- a/core/fanout/relay_run.go
+++ b/core/fanout/relay_run.go
@@ -13,6 +13,7 @@
 type RelayRun struct {
 	route         string
 	fleet         *place.Fleet
+	budgets       *Budgets // that pay for the calls; nil if the requesting VM does
 	started       time.Time
 	earlyReportAt time.Time // when the available results are reported if some are missing
 	parts         []relayPart
@@ -54,12 +55,13 @@
 	Services    []string      // of the parts
 	Targets     []string      // that must be called, one for each part; empty if the relay chooses
 	ReportAfter time.Duration // until the early report
+	Budgets     *Budgets      // of this VM, which pay for the calls; nil if the requesting VM does
 	Once        bool          // the request is not idempotent; there is no early report, as a VM of build e92619e would send a second call
 }
 
 // NewRelayRun returns a relay run that has not started.
 func NewRelayRun(spec RelaySpec, fleet *place.Fleet, now time.Time) *RelayRun {
-	relayRun := &RelayRun{route: spec.Route, fleet: fleet, started: now, earlyReportAt: now.Add(spec.ReportAfter), reportedEarly: spec.Once,
+	relayRun := &RelayRun{route: spec.Route, fleet: fleet, budgets: spec.Budgets, started: now, earlyReportAt: now.Add(spec.ReportAfter), reportedEarly: spec.Once,
 		parts: make([]relayPart, len(spec.Services))}
 	for i, service := range spec.Services {
 		relayRun.parts[i].service = service
@@ -85,6 +87,10 @@
 			part.outcome = relayRun.whyNot(now, part)
 			continue
 		}
+		if relayRun.budgets != nil && !relayRun.budgets.ForService(now, part.service).Spend(now, 1) {
+			part.outcome = Unpaid
+			continue
+		}
 		part.attempt = relayRun.fleet.StartAttempt(now, target.ID, relayRun.route)
 		relayRun.inFlight++
 		actions = append(actions, Send{Call: i, Target: target, Reason: "relayed"})
--- a/core/fanout/results.go
+++ b/core/fanout/results.go
@@ -83,7 +83,7 @@
 		attempt.Unreachable(now)
 	case Lost, ConnectionLimit:
 		attempt.ConnectionBroken(now)
-	case NoCapacity, Unreached:
+	case NoCapacity, Unreached, Unpaid:
 		attempt.Discard()
 	default:
 		attempt.InvalidAnswer(now)
--- a/core/fleetload/fleet_load_test.go
+++ b/core/fleetload/fleet_load_test.go
@@ -419,7 +419,11 @@
 			run.message(relayVM, vm, func() { request.refused(relay) })
 			return
 		}
-		relayRun := fanout.NewRelayRun(fanout.RelaySpec{Route: request.class.name, Services: services, Targets: relay.Targets, ReportAfter: relay.ReportAfter}, relayVM.fleet, run.now)
+		spec := fanout.RelaySpec{Route: request.class.name, Services: services, Targets: relay.Targets, ReportAfter: relay.ReportAfter}
+		if relay.Reason == fanout.BudgetSpent {
+			spec.Budgets = relayVM.shared.Budgets
+		}
+		relayRun := fanout.NewRelayRun(spec, relayVM.fleet, run.now)
 		request.relayRuns[relay.Call] = relayRun
 		var apply func(actions []fanout.Action)
 		apply = func(actions []fanout.Action) {
--- a/core/rpc/capability.go
+++ b/core/rpc/capability.go
@@ -9,11 +9,14 @@
 // fanout.Unreached.
 const NamedTargets Capability = "namedTargets"
 
+// LendsBudget says that a VM makes the calls of a Gather with Pays only as far as its own budgets of extra calls allow.
+const LendsBudget Capability = "lendsBudget"
+
 // maxCapabilities bounds the capabilities in a greeting.
 const maxCapabilities = 256
 
 // OwnCapabilities returns the capabilities of this build.
-func OwnCapabilities() []Capability { return []Capability{NamedTargets} }
+func OwnCapabilities() []Capability { return []Capability{NamedTargets, LendsBudget} }
 
 // Hello names the VM at the other end of a link, its build and its capabilities. The first builds send neither build nor capabilities.
 type Hello struct {
--- a/core/rpc/corpus_test.go
+++ b/core/rpc/corpus_test.go
@@ -114,4 +114,5 @@
 	assert.Equal(t, rpc.Gather{}.Needs(), rpc.Capability(""))
 	assert.Equal(t, rpc.Gather{Targets: []string{"i-1"}}.Needs(), rpc.NamedTargets)
 	assert.Equal(t, rpc.Gather{Once: true}.Needs(), rpc.NamedTargets)
+	assert.Equal(t, rpc.Gather{Targets: []string{"i-1"}, Pays: true}.Needs(), rpc.LendsBudget)
 }
--- a/core/rpc/gather.go
+++ b/core/rpc/gather.go
@@ -26,6 +26,7 @@
 	Parts        []int           `json:"parts"`             // indices into the route's shards; 0 for the only part of a route that does not gather
 	Targets      []string        `json:"targets,omitempty"` // ids of the targets to call, one for each part; empty if the receiver chooses
 	Once         bool            `json:"once,omitempty"`    // the request is not idempotent
+	Pays         bool            `json:"pays,omitempty"`    // the receiver's budgets of extra calls pay for the calls, or it reports fanout.Unpaid
 	RequestID    string          `json:"id"`                // ID of the client's request
 	Method       string          `json:"method"`
 	Head         []byte          `json:"head"` // request line and the headers common to all calls
@@ -60,8 +61,11 @@
 	QueryID string `json:"query"`
 }
 
-// Needs returns the capability that the receiver must have, "" for none: without it, named targets and Once mean nothing to it.
+// Needs returns the capability that the receiver must have, "" for none: without it, named targets, Once and Pays mean nothing to it.
 func (gather Gather) Needs() Capability {
+	if gather.Pays {
+		return LendsBudget
+	}
 	if len(gather.Targets) > 0 || gather.Once {
 		return NamedTargets
 	}
@@ -76,6 +80,9 @@
 	if gather.Timeout <= 0 || gather.ReportAfter <= 0 {
 		return invalid("gather", "timeout %s and report after %s must be positive", gather.Timeout, gather.ReportAfter)
 	}
+	if gather.Pays && (len(gather.Targets) == 0 || gather.Once) {
+		return invalid("gather", "calls on the receiver's budget need named targets and an idempotent request")
+	}
 	if len(gather.Parts) == 0 || len(gather.Parts) > MaxCalls {
 		return invalid("gather", "number of parts %d is out of range", len(gather.Parts))
 	}
--- a/model/ablation.sh
+++ b/model/ablation.sh
@@ -56,6 +56,7 @@
 ablation named-limits core/place/limit.go 's/if !limit.holds \{\n\t\treturn true/if true {\n\t\treturn true/'
 ablation quarantines core/poison/poison.go 's/suspect, ok := tracker.suspects\[fingerprint\]\n\tif !ok \{\n\t\treturn Verdict/suspect, ok := tracker.suspects[fingerprint]\n\tif !ok || true {\n\t\treturn Verdict/'
 ablation cut-off-parts-replaced core/fanout/cut_off.go 's/if !part.awaitsOnly\(cutOff\) \|\|/if !part.awaitsOnly(cutOff) || true ||/; s/\t\t\tattempts--\n//'
+ablation lent-budgets core/fanout/loan.go 's/if !run.spec.Idempotent \|\|/if true ||/'
 ablation canary core/fanout/canary.go 's/return len\(run.parts\) > 1 && /return false \&\& /'
 ablation refusals-count-as-slow core/place/attempt.go 's/\tattempt.observeRefusal\(now\)\n//'
 ablation deprioritized-after-failure core/place/choose.go 's/if now.Before\(endpoint.deprioritizedUntil\) \{/if false {/'
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -86,6 +86,10 @@
 mutant "calls in flight not awaited" fanout canary.go 's/return part.inFlight > 0 \}\)/return false })/'
 mutant "cut-off attempts count" fanout cut_off.go 's/\t\t\tattempts--\n//'
 mutant "answering domain is cut off" place attempt.go 's/return attempt.group.answers == attempt.answers \&\& attempt.group.cutOff\(now\)/return attempt.group.cutOff(now)/'
+mutant "lender makes unpaid calls" fanout relay_run.go 's/if relayRun.budgets != nil \&\& /if false \&\& relayRun.budgets != nil \&\& /'
+mutant "unpaid call made without budget" fanout fanout.go 's/outcome == NoCapacity \|\| outcome == Unreached\n\}/outcome == NoCapacity || outcome == Unreached || outcome == Unpaid\n}/'
+mutant "loans without end" fanout loan.go 's/ \|\| part.loans >= maxLoans//'
+mutant "loan sent to older builds" rpc gather.go 's/if gather.Pays \{/if false {/'
 mutant "outcomes of a suspect not awaited" fanout calls.go 's/ \|\| run.targetLost && run.answeredParts == 0 \{/ {/'
 mutant "suspect hedged" fanout canary.go 's/ && !run.holdsParts\(\) && \(!run.spec.Cautious \|\| run.answeredParts > 0\)//'
 mutant "held parts never sent" fanout canary.go 's/actions := run.startParts\(now\)\n\tfor _, part := range held \{/var actions []Action\n\tfor _, part := range held[:0] {/'
@@ -146,6 +150,7 @@
 mutant_of poplarpind "prompt message not watched" peer link.go 's/awaitsReply \|\| link.promptSent/awaitsReply/' TestPromptMessage
 mutant_of poplarpind "withdrawn message sent" peer link.go 's/if !wanted \{/if false \&\& !wanted {/' TestWithdrawnWhileOpening
 mutant_of poplarpind "dials outlast clients" gateway serve.go 's/idempotentDialTimeout    = 100 \* time.Millisecond/idempotentDialTimeout    = time.Second/' TestDarkTarget
+mutant_of poplarpind "relay does not pay" gateway serve.go 's/if gather.Pays \{/if false {/' TestLentBudget
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 
 echo "$passed passed, $failed failed"
--- a/poplarpind/gateway/admit_test.go
+++ b/poplarpind/gateway/admit_test.go
@@ -9,8 +9,11 @@
 	"gotest.tools/v3/assert"
 
 	"poplarpin.dev/core/admit"
+	"poplarpin.dev/core/fanout"
+	"poplarpin.dev/core/place"
 	"poplarpin.dev/core/route"
 	"poplarpin.dev/platform"
+	"poplarpin.dev/poplarpind/peer"
 )
 
 func newTestGateway() *Gateway {
@@ -78,3 +81,11 @@
 	assert.Equal(t, *gateway.admissionAccount(table.AccountByKey("k")), admit.Account{Name: "x", Weight: 7})
 	assert.Equal(t, *gateway.admissionAccount(table.AccountByKey("l")), admit.Account{Name: "y", Weight: 1})
 }
+
+// TestUnsentLoan guards against a VM of an earlier build that counts as unable to make named calls because it does not lend its budget.
+func TestUnsentLoan(t *testing.T) {
+	gateway := newTestGateway()
+	loan := fanout.Relay{VM: place.Endpoint{ID: "vm-b1"}, Reason: fanout.BudgetSpent}
+	assert.Equal(t, gateway.unsentOutcome(loan, peer.Incapable), fanout.Unpaid)
+	assert.Equal(t, gateway.unsentOutcome(loan, peer.Unreachable), fanout.NotSent)
+}
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -47,6 +47,7 @@
 	}
 	message := rpc.Gather{
 		QueryID: queryID, Route: job.route.Name, ShardsDigest: shardsDigest(job.route), Parts: relay.Parts, Targets: relay.Targets, Once: !job.route.Idempotent,
+		Pays:      relay.Reason == fanout.BudgetSpent,
 		RequestID: job.request.ID, Method: job.request.Method, Head: job.request.Head(), Body: job.request.Body,
 		ReportAfter: config.Duration(relay.ReportAfter),
 	}
@@ -58,7 +59,7 @@
 			return message, gateway.isRelayed(queryID)
 		},
 		OnUnsent: func(reason peer.Kind) {
-			gateway.endRelay(queryID, relay.VM.ID, gateway.unsentOutcome(relay.VM.ID, reason))
+			gateway.endRelay(queryID, relay.VM.ID, gateway.unsentOutcome(relay, reason))
 		},
 	})
 }
@@ -72,13 +73,16 @@
 }
 
 // unsentOutcome returns the outcome of a relayed call whose message was not sent.
-func (gateway *Gateway) unsentOutcome(relayVM string, reason peer.Kind) fanout.Outcome {
+func (gateway *Gateway) unsentOutcome(relay fanout.Relay, reason peer.Kind) fanout.Outcome {
 	if reason != peer.Incapable {
 		return fanout.NotSent
 	}
+	if relay.Reason == fanout.BudgetSpent {
+		return fanout.Unpaid
+	}
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	gateway.fleet.RelayCapable(time.Now(), relayVM, false)
+	gateway.fleet.RelayCapable(time.Now(), relay.VM.ID, false)
 	return fanout.NoCapacity // the VM itself is well
 }
 
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -163,6 +163,9 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	spec := fanout.RelaySpec{Route: matched.Name, Services: services, Targets: gather.Targets, ReportAfter: gather.ReportAfter.Std(), Once: gather.Once}
+	if gather.Pays {
+		spec.Budgets = gateway.budgets
+	}
 	relayRun := fanout.NewRelayRun(spec, gateway.fleet, now)
 	request := platform.NewForwardedRequest(gather.RequestID, gather.Method, gather.Head, gather.Body)
 	job := gateway.newBareJob(request, matched, version, now.Add(gather.Timeout.Std()))
