A call that another VM refuses to pay for is not made for free

Cause: found by TestLoansWithinBudget, new: a VM that is asked to make an extra call on its own budget may refuse the message, or it is not sent; this counted as a call that had not reached its target, which is repeated without the budget. Change: such an outcome is unpaid, as "noBudget" is; the next call needs a budget again. Result: the test fails without it (1 extra call of 0.5 allowed) and passes with it.

--- a/core/fanout/loan.go
+++ b/core/fanout/loan.go
@@ -30,3 +30,12 @@
 	run.forward(now, part, chosen{target.target, relay, place.Relayed}, BudgetSpent)
 	return true
 }
+
+// chargedOutcome returns the outcome of a part of a relayed call as it counts for a retry: one that nobody has paid for has to be paid for,
+// even though nothing was sent.
+func (call *call) chargedOutcome(outcome Outcome) Outcome {
+	if call.reason == BudgetSpent && outcome.concernsPath() {
+		return Unpaid
+	}
+	return outcome
+}
--- a/core/fanout/loan_test.go
+++ b/core/fanout/loan_test.go
@@ -1,10 +1,12 @@
 package fanout_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"poplarpin.dev/core/fanout"
 	"poplarpin.dev/core/place"
@@ -85,3 +87,82 @@
 		assert.Equal(t, len(relaysOf(t, actions)), 1)
 	})
 }
+
+// loanFleet is a few VMs with a share of one budget each, whose targets lose many answers.
+type loanFleet struct {
+	t          *rapid.T
+	shared     map[string]fanout.SharedState // by VM
+	extraCalls int                           // arrivals at targets beyond the first of each request
+}
+
+// newLoanFleet returns VMs of one failure domain that divide a slack, with one service of three targets.
+func newLoanFleet(t *rapid.T, vms int, slack float64) *loanFleet {
+	fleet := &loanFleet{t: t, shared: map[string]fanout.SharedState{}}
+	for i := range vms {
+		shared := newSharedState(serviceNames(1))
+		shared.Fleet = newFleetWithReplicas(serviceNames(1), 3)
+		shared.Budgets = fanout.NewBudgets(0, slack, start.Add(-time.Minute))
+		shared.Budgets.SetVMs(start, vms)
+		for j := range vms {
+			if j != i {
+				shared.Fleet.Update(start, place.Endpoint{ID: fmt.Sprint("vm", j), Service: fanout.RelayService("a"), FailureDomain: "a", Slots: 16, State: place.Ready, Peer: true})
+			}
+		}
+		fleet.shared[fmt.Sprint("vm", i)] = shared
+	}
+	return fleet
+}
+
+// outcome draws how a call to a target ends.
+func (fleet *loanFleet) outcome() fanout.Outcome {
+	return rapid.SampledFrom([]fanout.Outcome{fanout.Lost, fanout.Lost, fanout.InvalidResponse, fanout.Answered}).Draw(fleet.t, "outcome")
+}
+
+// serve plays a request at a VM.
+func (fleet *loanFleet) serve(vm string) {
+	spec := singleSpec(true)
+	spec.MaxAttempts = 4
+	run := fanout.New(spec, fleet.shared[vm], start)
+	for actions := run.Start(start); len(actions) > 0 && !run.Finished(); actions = actions[1:] {
+		switch action := actions[0].(type) {
+		case fanout.Send:
+			if action.Reason != "first" {
+				fleet.extraCalls++
+			}
+			actions = append(actions, run.Result(start, action.Call, fleet.outcome())...)
+		case fanout.Relay:
+			actions = append(actions, fleet.lend(run, action)...)
+		}
+	}
+}
+
+// lend plays the VM that makes a call on its own budget; its report may be lost with the link.
+func (fleet *loanFleet) lend(run *fanout.Run, relay fanout.Relay) []fanout.Action {
+	lender, ok := fleet.shared[relay.VM.ID]
+	if !ok || rapid.Bool().Draw(fleet.t, "refused") { // a VM of another failure domain is not there
+		return run.RelayFailed(start, relay.Call, rapid.SampledFrom([]fanout.Outcome{fanout.Refused, fanout.NotSent}).Draw(fleet.t, "refusal"))
+	}
+	relayRun := fanout.NewRelayRun(fanout.RelaySpec{Route: "r", Services: serviceNames(1), Targets: relay.Targets, ReportAfter: time.Second, Budgets: lender.Budgets}, lender.Fleet, start)
+	actions := relayRun.Start(start)
+	for _, send := range sends(actions) {
+		fleet.extraCalls++
+		actions = relayRun.Result(start, send.Call, fleet.outcome())
+	}
+	if rapid.Bool().Draw(fleet.t, "link lost") {
+		return run.RelayFailed(start, relay.Call, fanout.Lost)
+	}
+	_, next := run.RelayReport(start, relay.Call, actions[len(actions)-1].(fanout.Report))
+	return next
+}
+
+// TestLoansWithinBudget guards against VMs that together make more extra calls than they share, whatever answers and reports are lost.
+func TestLoansWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms, slack := rapid.IntRange(2, 6).Draw(t, "vms"), rapid.Float64Range(0, 30).Draw(t, "slack")
+		fleet := newLoanFleet(t, vms, slack)
+		for range rapid.IntRange(1, 40).Draw(t, "requests") {
+			fleet.serve(fmt.Sprint("vm", rapid.IntRange(0, vms-1).Draw(t, "vm")))
+		}
+		assert.Assert(t, float64(fleet.extraCalls) <= slack, "%d extra calls of %f", fleet.extraCalls, slack)
+	})
+}
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -169,7 +169,7 @@
 			if missing.Outcome == Failed {
 				part.failedCall = call
 			}
-			actions = append(actions, run.retryMissing(now, part, missing.Outcome)...)
+			actions = append(actions, run.retryMissing(now, part, call.chargedOutcome(missing.Outcome))...)
 		}
 	}
 	if report.Final {
@@ -311,6 +311,7 @@
 
 // endRelay ends a relayed call and retries its remaining parts.
 func (run *Run) endRelay(now time.Time, call *call, outcome Outcome) []Action {
+	outcome = call.chargedOutcome(outcome)
 	call.ended, call.outcome = true, outcome
 	call.discardTargetAttempts()
 	var actions []Action
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -89,6 +89,7 @@
 mutant "lender makes unpaid calls" fanout relay_run.go 's/if relayRun.budgets != nil \&\& /if false \&\& relayRun.budgets != nil \&\& /'
 mutant "unpaid call made without budget" fanout fanout.go 's/outcome == NoCapacity \|\| outcome == Unreached\n\}/outcome == NoCapacity || outcome == Unreached || outcome == Unpaid\n}/'
 mutant "loans without end" fanout loan.go 's/ \|\| part.loans >= maxLoans//'
+mutant "refused loan not paid" fanout loan.go 's/if call.reason == BudgetSpent \&\& /if false \&\& call.reason == BudgetSpent \&\& /'
 mutant "loan sent to older builds" rpc gather.go 's/if gather.Pays \{/if false {/'
 mutant "outcomes of a suspect not awaited" fanout calls.go 's/ \|\| run.targetLost && run.answeredParts == 0 \{/ {/'
 mutant "suspect hedged" fanout canary.go 's/ && !run.holdsParts\(\) && \(!run.spec.Cautious \|\| run.answeredParts > 0\)//'
