TestDarkTarget always meets a dark target; two mutants find their lines

"dials outlast clients" was noticed only when the test's requests happened to choose the dark one of two targets; "MaxAttempts ignored" had lost its line to the change of attempts. Change: the test sends one request to twelve shards with a dark target each, which is at least as strict: all parts must be in. The mutant's pattern follows the code.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -40,7 +40,7 @@
 mutant "refused though it may have run" fanout results.go 's/if run.mayHaveRun\(\) \{/if false {/'
 mutant "answer with too few parts" fanout fanout.go 's/return run.answeredParts > 0 && float64\(run.answeredParts\) >= run.spec.MinCoverage\*float64\(len\(run.parts\)\)-coverageTolerance/return run.answeredParts > 0/'
 mutant "direct and relayed answer both used" fanout results.go 's/part.answeredBy, part.retryAt = call, time.Time\{\}/if part.answeredBy == nil { part.answeredBy = call }; part.retryAt = time.Time{}/'
-mutant "MaxAttempts ignored" fanout calls.go 's/return part.possibleRuns < max\(run.spec.MaxAttempts, 1\)/return true/'
+mutant "MaxAttempts ignored" fanout calls.go 's/return run.attempts\(now, part\) < max\(run.spec.MaxAttempts, 1\)/return true/'
 mutant "draining target called" place path.go 's/return endpoint.State == Ready && !endpoint.displaced/return !endpoint.displaced/'
 mutant "displaced target called" place path.go 's/return endpoint.State == Ready && !endpoint.displaced/return endpoint.State == Ready/'
 mutant "target called after grace period" place path.go 's/ && !endpoint.graceExpired\(now\)//'
--- a/poplarpind/gateway/dark_test.go
+++ b/poplarpind/gateway/dark_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -12,26 +13,30 @@
 	"poplarpin.dev/platform/platformtest"
 )
 
-// TestDarkTarget guards against requests that wait until their client leaves for a connection to a target without power, while the budget of
-// extra calls is spent: nothing has been sent, so that another call costs no budget.
+// TestDarkTarget guards against requests that wait until their client leaves for connections to targets without power, while the budget of extra
+// calls is spent: nothing has been sent, so that another call costs no budget.
 func TestDarkTarget(t *testing.T) {
-	store, targets := newDeployment(t)
-	dark := platformtest.NewLink(t, targets["i-3"])
-	dark.Hang()
-	config := platformtest.Config(2)
-	config["routes"] = append(config["routes"].([]map[string]any), map[string]any{"name": "l", "host": "h.example", "path_prefix": "/l/",
-		"kind": "idempotent", "timeout_ms": 5000, "service": "one", "attempts": 2})
-	store.Put("config", "main", config)
+	store, links, services := platformtest.NewStore(t), []*platformtest.Link{}, []string{}
+	for i := range 12 { // each shard has a dark target; at least one of them is called
+		services = append(services, fmt.Sprint("s", i))
+		dark, sound := platformtest.NewTarget(t, fmt.Sprint("dark", i)), platformtest.NewTarget(t, fmt.Sprint("sound", i))
+		links = append(links, platformtest.NewLink(t, dark))
+		links[i].Hang()
+		store.PutTarget(dark, services[i], "a", "ready")
+		store.PutTarget(sound, services[i], "a", "ready")
+	}
+	config := platformtest.GatherConfig(services)
+	config["routes"].([]map[string]any)[0]["min_coverage"] = 1
+	store.PutConfig(config)
 	settings := newSettings(t, "vm-a1", "a", store)
-	settings.StoreAddress, settings.Bounds = store.Behind(t, dark), platform.Bounds{}
+	settings.StoreAddress, settings.Bounds = store.Behind(t, links...), platform.Bounds{}
 	vm := startVMWith(t, settings, zap.NewNop())
 	waitFor(t, "ready", vm.gateway.Ready)
-	for range 20 {
-		request := platformtest.NewRequest(t, http.MethodGet, vm.clients.URL+"/l/x", nil)
-		platformtest.SetTimeout(request, 900*time.Millisecond)
-		response, err := http.DefaultTransport.RoundTrip(request)
-		assert.NilError(t, err)
-		_ = response.Body.Close()
-		assert.Equal(t, response.StatusCode, 200)
-	}
+	request := platformtest.NewRequest(t, http.MethodGet, vm.clients.URL+"/g/x", nil)
+	platformtest.SetTimeout(request, 900*time.Millisecond)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, platformtest.MissingParts(response), "0")
 }
