Tests of dark targets and loans take their routes from platformtest

Cause: dark_test.go and loan_test.go wrote routes in the words of the platform's configuration, which belong in platform/. Change: platformtest.AddPublicRoute and WholeGatherConfig write them; the assertions are as before.

--- a/poplarpind/gateway/dark_test.go
+++ b/poplarpind/gateway/dark_test.go
@@ -25,9 +25,7 @@
 		store.PutTarget(dark, services[i], "a", "ready")
 		store.PutTarget(sound, services[i], "a", "ready")
 	}
-	config := platformtest.GatherConfig(services)
-	config["routes"].([]map[string]any)[0]["min_coverage"] = 1
-	store.PutConfig(config)
+	store.PutConfig(platformtest.WholeGatherConfig(services))
 	settings := newSettings(t, "vm-a1", "a", store)
 	settings.StoreAddress, settings.Bounds = store.Behind(t, links...), platform.Bounds{}
 	vm := startVMWith(t, settings, zap.NewNop())
--- a/poplarpind/gateway/loan_test.go
+++ b/poplarpind/gateway/loan_test.go
@@ -32,9 +32,8 @@
 	store, targets := newDeployment(t)
 	loseFirstAnswers(targets["i-3"], targets["i-4"])
 	config := platformtest.Config(2)
-	config["routes"] = append(config["routes"].([]map[string]any), map[string]any{"name": "l", "host": "h.example", "path_prefix": "/l/",
-		"kind": "idempotent", "timeout_ms": 5000, "service": "one", "attempts": 2})
-	store.Put("config", "main", config)
+	platformtest.AddPublicRoute(config, "l", "/l/", "one")
+	store.PutConfig(config)
 	lender := newSettings(t, "vm-a2", "a", store)
 	lender.Bounds.RetryBudgetRatio, lender.Bounds.RetryBudgetSlack = 0, slack
 	startVMWith(t, lender, zap.NewNop())
