One way to pay for an extra call; one test for a larger VM

Hedges, retries and replaced calls each spent the budget, then asked for a loan, then noted its lack; HasLargerRelay had the condition of ShouldOffload again; Run.Next copied all parts of a request while a failure domain was silent; whether a call waits for a part was looked up by index instead of by pointer; two tests added the same neighbours. Change: Run.pay, Fleet.hasLarger, addNeighbours; loops over parts in place. Behaviour, patterns and assertions are as before.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -155,23 +155,18 @@
 			continue
 		}
 		part.suppressed = ""
-		if !ok || run.shared.Fleet.StuckOn(now, alternative.target.ID, alternative.path) {
+		switch {
+		case !ok || run.shared.Fleet.StuckOn(now, alternative.target.ID, alternative.path):
 			part.suppressed = NoAlternative
-		} else if !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
-			if run.borrow(now, part) {
-				continue
-			}
-			part.suppressed = NoBudget
+		case !run.pay(now, part):
+		case offload && run.offloadHedge(now, part, alternative):
+		default:
+			sends, _ := run.startCall(now, part, "hedge")
+			actions = append(actions, sends...)
 		}
 		if part.suppressed != "" {
 			run.suppressedHedges++
-			continue
 		}
-		if offload && run.offloadHedge(now, part, alternative) {
-			continue
-		}
-		sends, _ := run.startCall(now, part, "hedge")
-		actions = append(actions, sends...)
 	}
 	return actions
 }
@@ -212,12 +207,10 @@
 		run.markExhausted(part)
 		return nil
 	}
-	if countsAsLoad(part.lastOutcome) && !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
-		if run.borrow(now, part) {
-			return nil
+	if countsAsLoad(part.lastOutcome) && !run.pay(now, part) {
+		if part.suppressed == NoBudget {
+			run.markExhausted(part)
 		}
-		part.suppressed = NoBudget
-		run.markExhausted(part)
 		return nil
 	}
 	sends, ok := run.startCall(now, part, string(part.lastOutcome))
--- a/core/fanout/cut_off.go
+++ b/core/fanout/cut_off.go
@@ -7,10 +7,9 @@
 	"poplarpin.dev/core/place"
 )
 
-// A run looks at these times whether the targets that have its unanswered parts were cut off.
 const (
-	cutOffCheckDelay    = place.MinCutOffTime
-	cutOffCheckInterval = 100 * time.Millisecond
+	cutOffCheckDelay    = place.MinCutOffTime    // a run first looks this long after its start whether its targets were cut off
+	cutOffCheckInterval = 100 * time.Millisecond // a run looks again after this time
 )
 
 // attempts returns how many targets may have processed a part, or may still do so. Calls to a failure domain that was cut off before it
@@ -22,7 +21,7 @@
 	}
 	for _, call := range part.calls {
 		outcome, _ := call.partOutcome(part)
-		if (!call.ended && call.covers(part.index) || outcome.possiblyRan()) && call.attempt.CutOff(now) {
+		if (call.awaits(part) || outcome.possiblyRan()) && call.attempt.CutOff(now) {
 			attempts--
 		}
 	}
@@ -47,25 +46,26 @@
 		}
 		if _, ok := run.chooseUntried(now, part); !ok {
 			part.suppressed = NoAlternative
-			continue
-		}
-		if !run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
-			if !run.borrow(now, part) {
-				part.suppressed = NoBudget
-			}
-			continue
+		} else if run.pay(now, part) {
+			part.suppressed = ""
+			sends, _ := run.startCall(now, part, "cutOff")
+			actions = append(actions, sends...)
 		}
-		part.suppressed = ""
-		sends, _ := run.startCall(now, part, "cutOff")
-		actions = append(actions, sends...)
 	}
 	return actions
 }
 
 // mayBeCutOff reports whether all calls in flight of some part may turn out to be cut off.
 func (run *Run) mayBeCutOff() bool {
-	return run.mayHedge() && run.shared.Fleet.MayBeCutOff() &&
-		slices.ContainsFunc(run.parts, func(part partState) bool { return part.awaitsOnly((*place.Attempt).MayBeCutOff) })
+	if !run.mayHedge() || !run.shared.Fleet.MayBeCutOff() {
+		return false
+	}
+	for i := range run.parts {
+		if run.parts[i].awaitsOnly((*place.Attempt).MayBeCutOff) {
+			return true
+		}
+	}
+	return false
 }
 
 // awaitsOnly reports whether a part has calls in flight and a predicate holds for all of them.
@@ -73,12 +73,10 @@
 	if part.answeredBy != nil || part.inFlight == 0 {
 		return false
 	}
-	return !slices.ContainsFunc(part.calls, func(call *call) bool {
-		return !call.ended && call.covers(part.index) && !holds(call.attempt)
-	})
+	return !slices.ContainsFunc(part.calls, func(call *call) bool { return call.awaits(part) && !holds(call.attempt) })
 }
 
-// covers reports whether a call waits for an answer for a part.
-func (call *call) covers(index int) bool {
-	return slices.ContainsFunc(call.parts, func(part *partState) bool { return part.index == index })
+// awaits reports whether a part is in flight in a call.
+func (call *call) awaits(part *partState) bool {
+	return !call.ended && slices.Contains(call.parts, part)
 }
--- a/core/fanout/forward_test.go
+++ b/core/fanout/forward_test.go
@@ -13,12 +13,17 @@
 
 var domains = []string{"a", "b", "c"}
 
+// addNeighbours adds two VMs of the VM's own failure domain to its fleet.
+func addNeighbours(fleet *place.Fleet) {
+	for _, id := range []string{"vm-a1", "vm-a2"} {
+		fleet.Update(start, place.Endpoint{ID: id, Service: fanout.RelayService("a"), FailureDomain: "a", Slots: 16, State: place.Ready, Peer: true, Cores: 0.4})
+	}
+}
+
 // newStranded returns the state of a VM that reaches no target, beside two VMs of its own failure domain and one of each other.
 func newStranded(services []string) fanout.SharedState {
 	shared := newSharedState(services)
-	for _, id := range []string{"vm-a1", "vm-a2"} {
-		shared.Fleet.Update(start, place.Endpoint{ID: id, Service: fanout.RelayService("a"), FailureDomain: "a", Slots: 16, State: place.Ready, Peer: true, Cores: 0.4})
-	}
+	addNeighbours(shared.Fleet)
 	for _, domain := range domains {
 		strand(shared.Fleet, domain, services)
 	}
--- a/core/fanout/loan.go
+++ b/core/fanout/loan.go
@@ -9,6 +9,18 @@
 // maxLoans is how many VMs are asked at most to make an extra call of a part on their own budgets.
 const maxLoans = 2
 
+// pay spends the budget for an extra call of a part and reports whether this VM may make the call. If its budget is spent, another VM is asked
+// to make the call; if there is none, the part is suppressed for want of a budget.
+func (run *Run) pay(now time.Time, part *partState) bool {
+	if run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
+		return true
+	}
+	if !run.borrow(now, part) {
+		part.suppressed = NoBudget
+	}
+	return false
+}
+
 // borrow has another VM next to the best target of a part make its hedge or retry, and reports whether there is one that may. That VM spends
 // its own budget or declines, so that all VMs together stay within the budget that they share, while one that is short of it uses what others
 // have left.
--- a/core/fanout/loan_test.go
+++ b/core/fanout/loan_test.go
@@ -20,9 +20,7 @@
 	shared := newSharedState(services)
 	shared.Budgets = fanout.NewBudgets(0, 0, start.Add(-time.Minute))
 	shared.Fleet = newFleetWithReplicas(services, 3)
-	for _, id := range []string{"vm-a1", "vm-a2"} {
-		shared.Fleet.Update(start, place.Endpoint{ID: id, Service: fanout.RelayService("a"), FailureDomain: "a", Slots: 16, State: place.Ready, Peer: true, Cores: 0.4})
-	}
+	addNeighbours(shared.Fleet)
 	spec := gatherSpec(services)
 	spec.MinCoverage, spec.MaxAttempts, spec.Idempotent = 1, 3, idempotent
 	run := fanout.New(spec, shared, start)
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -291,17 +291,18 @@
 	if fleet.cores <= 0 || time.Duration(float64(calls)*float64(callCPUTime)/fleet.cores) <= limit {
 		return false
 	}
-	return slices.ContainsFunc(fleet.services[relayService], func(peer *trackedEndpoint) bool {
-		return peer.Cores >= offloadCoresFactor*fleet.cores && fleet.callable(now, peer) && !peer.down(now, Direct)
-	})
+	return fleet.hasLarger(now, relayService)
 }
 
 // HasLargerRelay reports whether there is an entry VM with at least offloadCoresFactor times the cores of this one that may relay calls.
 func (fleet *Fleet) HasLargerRelay(now time.Time) bool {
-	return slices.ContainsFunc(fleet.relayServices, func(service string) bool {
-		return slices.ContainsFunc(fleet.services[service], func(peer *trackedEndpoint) bool {
-			return fleet.IsLarger(peer.Endpoint) && fleet.callable(now, peer) && !peer.down(now, Direct)
-		})
+	return slices.ContainsFunc(fleet.relayServices, func(service string) bool { return fleet.hasLarger(now, service) })
+}
+
+// hasLarger reports whether a relay service has a callable peer with at least offloadCoresFactor times the cores of this VM that is not down.
+func (fleet *Fleet) hasLarger(now time.Time, relayService string) bool {
+	return slices.ContainsFunc(fleet.services[relayService], func(peer *trackedEndpoint) bool {
+		return fleet.IsLarger(peer.Endpoint) && fleet.callable(now, peer) && !peer.down(now, Direct)
 	})
 }
 
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -137,7 +137,8 @@
 	call := http1.Call{
 		Target: send.Target.ID, Address: send.Target.Address, Method: job.request.Method,
 		Encode:    func() []byte { return job.request.EncodeCall(send.Target.ID, time.Until(job.deadline)) },
-		FreshConn: !job.route.Idempotent, Deadline: job.deadline, DialTimeout: idempotentDialTimeout, MaxBody: job.maxResponseBody(), Priority: job.route.EffectivePriority(job.account),
+		FreshConn: !job.route.Idempotent, DialTimeout: idempotentDialTimeout, Deadline: job.deadline, MaxBody: job.maxResponseBody(),
+		Priority: job.route.EffectivePriority(job.account),
 		Done: func(response *http1.Response, err error) (bool, time.Duration) {
 			return gateway.exchangeEnded(job, send, sentAt, response, err)
 		},
--- a/testbed/upgrade/fleet.go
+++ b/testbed/upgrade/fleet.go
@@ -21,9 +21,9 @@
 	quotaBurst      = 10
 	vmMemoryMB      = 184
 	targetLatency   = 10 * time.Millisecond
-	slowLatency     = 150 * time.Millisecond // of one call in slowInterval while a VM is stranded, so that relays report that it takes long
-	slowInterval    = 5
-	idleConnections = 100 // clients keep this many idle connections to one VM
+	slowLatency     = 150 * time.Millisecond // a slow call takes this time, so that relays report that it takes long
+	slowInterval    = 5                      // one call in this many is slow while a VM is stranded
+	idleConnections = 100                    // clients keep this many idle connections to one VM
 	waitTimeout     = 60 * time.Second
 	leavingTarget   = "s1-a" // this target leaves during the upgrade
 	strandedVM      = "c1"   // this VM loses its links to the targets during the upgrade
