Comments on constants say in a sentence what the value bounds

Cause: some forty constants had comments that continued the name ("between two of ...", "of the limit; up to it ..."), so that a reader had to guess what is bounded. Change: each is one plain sentence. Comments only.

--- a/core/admit/share.go
+++ b/core/admit/share.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	fairFraction  = 0.8                   // of the limit; up to it every account is admitted
-	shareFraction = 0.9                   // of the limit; up to it an account is admitted that has had just its share
+	fairFraction  = 0.8                   // every account is admitted up to this part of the limit
+	shareFraction = 0.9                   // an account that has had just its share is admitted up to this part of the limit
 	lowRatio      = 0.5                   // up to this part of its share an account is admitted up to the whole limit
-	deviationPart = 0.25                  // of the root of its share that an account may exceed it, since requests arrive at random
+	deviationPart = 0.25                  // an account may exceed its share by this part of the root of the share, since requests arrive at random
 	spareRequests = 1                     // beyond the limit, for accounts up to lowRatio while another has had more than its share
 	shareMemory   = 8 * time.Second       // time constant of forgetting; 3 s held too few requests to tell accounts apart on VMs with 5/s
 	decayInterval = 50 * time.Millisecond // minimum time between two decays, each of which touches every account
--- a/core/latency/latency.go
+++ b/core/latency/latency.go
@@ -19,7 +19,7 @@
 	initialDownDuration = 500 * time.Millisecond // how long a failed target is avoided at first; doubled with each failure in a row
 	maxDownDuration     = 4 * time.Second
 	leavingTTL          = 5 * time.Second // how long a target counts as leaving after the last mark
-	probeInterval       = 2 * time.Second // between probes of an avoided target
+	probeInterval       = 2 * time.Second // an avoided target is probed this often
 	maxUnansweredCalls  = 3               // calls in a row cancelled without an answer, from which a target counts as down
 	slowerFactor        = 2.0             // replicas rank alike if their averages differ by no more than this factor
 	hedgePercentile     = 96.0
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	poolSilence    = 2*loanInterval + 50*time.Millisecond // without a message, after which a pool counts as lost; pools send one each loanInterval
-	probeInterval  = time.Second                          // between two messages to a preferred VM that does not answer
+	poolSilence    = 2*loanInterval + 50*time.Millisecond // a pool counts as lost after this time without a message; pools send one each loanInterval
+	probeInterval  = time.Second                          // a preferred VM that does not answer gets a message this often
 	poolCandidates = 3                                    // VMs that are asked in turn; without an answer of any, this VM is its own pool
-	firstAnswer    = 300 * time.Millisecond               // for the candidates to answer before this VM becomes its own pool
+	firstAnswer    = 300 * time.Millisecond               // this VM becomes its own pool if the candidates have not answered after this time
 )
 
 // PoolChooser chooses a VM's pool: the first VM in the order of preference that answers. The choice doesn't depend on who reaches the
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -11,19 +11,19 @@
 
 const (
 	loanTerm       = 700 * time.Millisecond
-	loanInterval   = 450 * time.Millisecond // between two readings that a pool sends to a lender; a renewal has the rest of loanTerm to arrive
+	loanInterval   = 450 * time.Millisecond // a pool sends a reading to a lender this often; a renewal has the rest of loanTerm to arrive
 	maxListAge     = 10 * time.Second       // beyond which more VMs are assumed than listed
 	oldListFactor  = 1.25
-	batchInterval  = 2 * time.Millisecond   // between two asks of a VM to the same pool
-	poolTimeout    = 35 * time.Millisecond  // for a pool of another failure domain; two in turn answer within maxWait
-	stallTimeout   = 100 * time.Millisecond // without an answer of the own pool; then one ask is sent in each such interval
+	batchInterval  = 2 * time.Millisecond   // a VM asks the same pool at most this often
+	poolTimeout    = 35 * time.Millisecond  // a pool of another failure domain has this time to answer; two in turn answer within maxWait
+	stallTimeout   = 100 * time.Millisecond // after this time without an answer of the own pool, one ask is sent in each such interval
 	poolRetry      = time.Second            // before a pool of another failure domain that did not answer is asked again
 	maxPromise     = 5 * time.Second
 	minWait        = 10 * time.Millisecond
 	maxWait        = 100 * time.Millisecond
 	unknownRetry   = 250 * time.Millisecond
 	minTokenTerm   = 20 * time.Millisecond
-	rateShare      = 0.4 // of the overshoot, for the fill rate and again for the time in which tokens are used
+	rateShare      = 0.4 // the fill rate uses this part of the overshoot, and the time in which tokens are used the same part again
 	slackShare     = 0.75
 	fullBurstSlack = 10.0 // requests of slack from which on the whole burst is produced steadily
 	unsteadyLoss   = 0.75 // a pool whose shares fall below this part at once doesn't know whether quotas are used up
--- a/core/rpc/quota.go
+++ b/core/rpc/quota.go
@@ -9,7 +9,7 @@
 
 const (
 	maxQuotaWants  = 4096    // accounts in one ask or grant
-	maxQuotaTokens = 1 << 20 // of one account in one ask or grant
+	maxQuotaTokens = 1 << 20 // an ask or grant has at most this many tokens of one account
 	maxQuotaVMs    = 1 << 20
 )
 
--- a/poplarpind/caller/caller.go
+++ b/poplarpind/caller/caller.go
@@ -131,5 +131,5 @@
 // Read timeouts of the caller and operator HTTP servers.
 const (
 	HeaderTimeout = 5 * time.Second
-	BodyTimeout   = 30 * time.Second // for the whole request, including the header
+	BodyTimeout   = 30 * time.Second // the whole request, including the header, must arrive within this time
 )
--- a/poplarpind/gateway/account_counts.go
+++ b/poplarpind/gateway/account_counts.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	shownAccounts   = 10   // in /debug/vars by name; the others are shown together
+	shownAccounts   = 10   // at most this many accounts are named in /debug/vars; the others are shown together
 	trackedAccounts = 1000 // bounds the memory for accounts that were removed from the configuration
 
 	overloadedReason = "servers are overloaded"
--- a/poplarpind/gateway/era.go
+++ b/poplarpind/gateway/era.go
@@ -14,7 +14,7 @@
 
 const (
 	entryCheckJitter = time.Second      // all VMs notice a change of era at once, and each then checks its entry
-	lostPeersHold    = 10 * time.Second // for peers to write the entries again that a restore of the store lost
+	lostPeersHold    = 10 * time.Second // peers have this time to write the entries again that a restore of the store lost
 )
 
 // storeEras counts changes of the store's era, malformed headers, and answers discarded for a lower era.
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -24,12 +24,12 @@
 )
 
 const (
-	extraBudgetShare = 0.9              // of the extra calls that the platform allows; the rest covers changes in the number of VMs
-	defaultTimeout   = 30 * time.Second // of a request for which neither the route nor the client sets one
+	extraBudgetShare = 0.9              // VMs use this part of the extra calls that the platform allows; the rest covers changes in the number of VMs
+	defaultTimeout   = 30 * time.Second // a request has this time if neither the route nor the client sets one
 	defaultBodyBytes = 1 << 20          // limit on request bodies until a configuration sets one
-	connectionShare  = 0.6              // of the connections that a target accepts, for one VM; targets refuse those beyond their limit
-	minConnections   = 3                // from one VM to one target
-	bodiesShare      = 0.1              // of the VM's memory, for the bodies of targets' responses, and again for those of clients' requests; growing and collecting buffers can take four times that
+	connectionShare  = 0.6              // one VM opens at most this part of the connections that a target accepts; targets refuse those beyond their limit
+	minConnections   = 3                // one VM may open at least this many connections to a target
+	bodiesShare      = 0.1              // bodies of targets' responses have this part of the VM's memory, and those of clients' requests the same again; growing and collecting buffers can take four times that
 	assumedMemory    = 184 << 20        // bytes of a VM whose settings do not say, as in the smallest deployment
 )
 
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -17,7 +17,7 @@
 	"poplarpin.dev/poplarpind/peer"
 )
 
-const forwardedPollInterval = 20 * time.Millisecond // between two looks at the requests in flight for peers during a stop
+const forwardedPollInterval = 20 * time.Millisecond // a stop looks at the requests in flight for peers this often
 
 // relayedCall is a call that a peer relays for this VM.
 type relayedCall struct {
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -21,13 +21,13 @@
 )
 
 const (
-	headerTimeout       = 10 * time.Second        // for reading a request line and headers
+	headerTimeout       = 10 * time.Second        // a request line and its headers must be read within this time
 	balancerRemovalTime = 2500 * time.Millisecond // the load balancer polls each second and removes a VM after two failures
 	shutdownReserve     = 300 * time.Millisecond  // left before the platform kills the process
-	defaultGrace        = 6 * time.Second         // between SIGTERM and SIGKILL, where the settings do not say
+	defaultGrace        = 6 * time.Second         // SIGKILL follows SIGTERM after this time where the settings do not say
 	gcPercent           = 100                     // GOGC: heap growth between two garbage collections
-	settingsInterval    = 2 * time.Second         // between two reads of the settings file, within the 3 s for which a VM may use outdated seeds
-	memoryLimitShare    = 0.6                     // of the VM's memory, as the soft limit of the Go runtime, beyond which garbage is collected more often
+	settingsInterval    = 2 * time.Second         // the settings file is read this often, within the 3 s for which a VM may use outdated seeds
+	memoryLimitShare    = 0.6                     // the soft limit of the Go runtime is this part of the VM's memory, beyond which garbage is collected more often
 )
 
 // Main runs an entry VM on the platform until SIGTERM or SIGINT.
--- a/poplarpind/gateway/seed.go
+++ b/poplarpind/gateway/seed.go
@@ -15,10 +15,10 @@
 
 const (
 	statePath         = "/state"
-	seedRetryInterval = 300 * time.Millisecond // between two requests to seeds, until a configuration and the targets are known
+	seedRetryInterval = 300 * time.Millisecond // seeds are asked this often until a configuration and the targets are known
 	seedTimeout       = 400 * time.Millisecond
 	maxStateBytes     = 16 << 20 // limit on a seed's response
-	maxStateHeadBytes = 64 << 10 // of which status line and header fields
+	maxStateHeadBytes = 64 << 10 // status line and header fields have at most this many of the bytes
 )
 
 // seedState is what a VM sends to one that has started and does not yet know a configuration and the targets.
--- a/poplarpind/gateway/share.go
+++ b/poplarpind/gateway/share.go
@@ -18,7 +18,7 @@
 
 // Bounds of what is shared about suspects, most of which are innocent after a crash of many targets.
 const (
-	maxSharedSuspects  = 2 // in a message
+	maxSharedSuspects  = 2 // a message names at most this many suspects
 	maxPendingSuspects = 256
 )
 
--- a/poplarpind/http1/pool.go
+++ b/poplarpind/http1/pool.go
@@ -15,11 +15,11 @@
 
 const (
 	dialTimeout          = time.Second             // the longest wait for a new connection
-	tcpUserTimeout       = 1500 * time.Millisecond // without an acknowledgement of sent data, after which a connection is lost
+	tcpUserTimeout       = 1500 * time.Millisecond // a connection is lost after this time without an acknowledgement of sent data
 	tcpUserTimeoutOption = 18                      // TCP_USER_TIMEOUT, which package syscall does not define
 	idleMargin           = 500 * time.Millisecond  // before the target closes an idle connection, during which it is not used
 	maxFreshIdle         = 500 * time.Millisecond  // idle time up to which a connection counts as open for certain
-	sweepInterval        = 500 * time.Millisecond  // between two sweeps for connections that are idle or busy for too long
+	sweepInterval        = 500 * time.Millisecond  // connections that are idle or busy for too long are looked for this often
 	overdueGrace         = 500 * time.Millisecond  // after the end of a call's time, when most targets report that themselves
 	// An idle connection is closed after maxIdle: targets accept few connections, and VMs that lost power leave theirs open.
 	maxIdle         = 1500 * time.Millisecond
--- a/poplarpind/http1/response.go
+++ b/poplarpind/http1/response.go
@@ -11,8 +11,8 @@
 
 const (
 	readBufferBytes  = 2 << 10  // most responses are smaller
-	maxHeadBytes     = 16 << 10 // of a response and its interim responses: status lines and header fields
-	maxBodyBytes     = 16 << 20 // of a response whose call sets no limit
+	maxHeadBytes     = 16 << 10 // status lines and header fields of a response and its interim responses have at most this size
+	maxBodyBytes     = 16 << 20 // the body of a response whose call sets no limit has at most this size
 	initialBodyBytes = 512      // first size of the buffer for a body of unknown length
 	unbudgetedBytes  = 4 << 10  // first size of the buffer for a longer body of known length; first buffers do not count in the memory budget
 )
--- a/poplarpind/logging/logging.go
+++ b/poplarpind/logging/logging.go
@@ -16,7 +16,7 @@
 	maxBufferedBytes  = 1 << 20                // lines beyond are dropped and counted
 	samplerFirst      = 200                    // lines with the same message that are kept in each second
 	samplerThereafter = 10                     // beyond samplerFirst, one line in this many is kept
-	flushInterval     = 200 * time.Millisecond // between two writes to the output
+	flushInterval     = 200 * time.Millisecond // lines are written to the output this often
 )
 
 var linesDropped = expvar.NewInt("logLinesDropped")
--- a/poplarpind/main.go
+++ b/poplarpind/main.go
@@ -27,7 +27,7 @@
 )
 
 const (
-	shutdownTimeout  = 5 * time.Minute // for a planned stop
+	shutdownTimeout  = 5 * time.Minute // a planned stop takes this time at most
 	gcPercent        = 400             // heap growth in percent between two garbage collections
 	memoryLimitBytes = 192 << 20       // soft limit; the garbage collector runs more often beyond it
 )
--- a/poplarpind/target/pool.go
+++ b/poplarpind/target/pool.go
@@ -11,8 +11,8 @@
 
 const (
 	dialTimeout     = 500 * time.Millisecond
-	pingIdle        = 200 * time.Millisecond // without a frame received, after which a connection is checked by a ping
-	pingTimeout     = 250 * time.Millisecond // without an answer to the ping, after which a connection is closed
+	pingIdle        = 200 * time.Millisecond // a connection is checked by a ping after this time without a frame received
+	pingTimeout     = 250 * time.Millisecond // a connection is closed after this time without an answer to the ping
 	dialBackoff     = 250 * time.Millisecond // after a failed dial, during which none is tried
 	minConns        = 2                      // connections kept open to each target in use
 	maxCallsPerConn = 64                     // calls in flight on one connection before another is opened
--- a/poplarpind/target/target.go
+++ b/poplarpind/target/target.go
@@ -18,7 +18,7 @@
 
 const (
 	healthInterval    = 500 * time.Millisecond
-	healthIdleTimeout = 10 * time.Second // without a call, after which a target's health is no longer checked
+	healthIdleTimeout = 10 * time.Second // a target's health is no longer checked after this time without a call
 	healthLeavingTTL  = 3 * time.Second  // how long a health endpoint's draining state is valid without renewal
 	listedLeavingTTL  = 10 * time.Second // how long the platform's listing as leaving is valid without renewal
 	refusedLeavingTTL = time.Minute      // how long a target counts as leaving after its reply said so, unless it is restarted
