Logs say why a call is forwarded, and that a VM makes one that must run once

A hedge and a retry look alike, and the VM that makes the call logs nothing until it refuses or ends it.

Change: "calls forwarded" has causes, one for each target, with the words of "additional call sent". "relay request accepted" is logged for requests that are not idempotent. No decision is changed and no message between VMs.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -34,7 +34,7 @@
 		run.extraCalls++
 	}
 	if chosen.path == place.Relayed {
-		run.forward(now, part, chosen, TargetUnreached)
+		run.forward(now, part, chosen, TargetUnreached, reason)
 		return nil, true
 	}
 	call := &call{index: len(run.calls), parts: onePart(part), endpoint: chosen.target, started: now,
@@ -158,7 +158,7 @@
 		switch {
 		case !ok || run.shared.Fleet.StuckOn(now, alternative.target.ID, alternative.path):
 			part.suppressed = NoAlternative
-		case !run.pay(now, part):
+		case !run.pay(now, part, "hedge"):
 		case offload && run.offloadHedge(now, part, alternative):
 		default:
 			sends, _ := run.startCall(now, part, "hedge")
@@ -207,7 +207,7 @@
 		run.markExhausted(part)
 		return nil
 	}
-	if countsAsLoad(part.lastOutcome) && !run.pay(now, part) {
+	if countsAsLoad(part.lastOutcome) && !run.pay(now, part, string(part.lastOutcome)) {
 		if part.suppressed == NoBudget {
 			run.markExhausted(part)
 		}
--- a/core/fanout/cut_off.go
+++ b/core/fanout/cut_off.go
@@ -46,7 +46,7 @@
 		}
 		if _, ok := run.chooseUntried(now, part); !ok {
 			part.suppressed = NoAlternative
-		} else if run.pay(now, part) {
+		} else if run.pay(now, part, "cutOff") {
 			part.suppressed = ""
 			sends, _ := run.startCall(now, part, "cutOff")
 			actions = append(actions, sends...)
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -47,7 +47,7 @@
 type Send struct {
 	Call   int
 	Target place.Endpoint
-	Reason string // "first", "hedge", "relayed", or the outcome that caused the retry
+	Reason string // "first", "hedge", "cutOff", "relayed", or the outcome that caused the retry
 }
 
 // Relay asks a peer, of another failure domain unless calls are offloaded to a larger VM of the same one, to call the targets of its
@@ -59,6 +59,7 @@
 	// Targets names a target of any failure domain for each part, and the relay calls exactly these; empty if the relay chooses.
 	Targets []string
 	Reason  ForwardReason // of Targets; empty without
+	Causes  []string      // of the calls to Targets, see Send.Reason
 	// ReportAfter is how long the relay waits for all parts before it reports the ones it has: as long as a direct call waits for a hedge.
 	ReportAfter time.Duration
 }
--- a/core/fanout/forward.go
+++ b/core/fanout/forward.go
@@ -24,6 +24,7 @@
 // forwarded is a part of a relayed call whose target this VM chose.
 type forwarded struct {
 	target  place.Endpoint
+	cause   string  // of the call, see Send.Reason
 	outcome Outcome // empty while the part is in flight
 }
 
@@ -100,7 +101,7 @@
 }
 
 // forward adds a part to the message that asks a VM to call a target. It is sent at the end of the step, see takeForwards.
-func (run *Run) forward(now time.Time, part *partState, chosen chosen, reason ForwardReason) {
+func (run *Run) forward(now time.Time, part *partState, chosen chosen, reason ForwardReason, cause string) {
 	i := slices.IndexFunc(run.unsent, func(unsent *call) bool {
 		return unsent.endpoint.ID == chosen.relay.ID && unsent.near == chosen.target.FailureDomain && unsent.reason == reason
 	})
@@ -111,7 +112,7 @@
 		run.unsent = append(run.unsent, call)
 	}
 	call := run.unsent[i]
-	call.forwarded[part.index] = &forwarded{target: chosen.target}
+	call.forwarded[part.index] = &forwarded{target: chosen.target, cause: cause}
 	call.targetAttempts[part.index] = run.shared.Fleet.StartRelayedAttempt(now, chosen.target.ID, run.spec.Route, chosen.relay.FailureDomain)
 	run.addPart(call, part)
 }
@@ -130,7 +131,8 @@
 		}
 		for _, part := range call.parts {
 			relay.Parts = append(relay.Parts, part.index)
-			relay.Targets = append(relay.Targets, call.forwarded[part.index].target.ID)
+			forwarded := call.forwarded[part.index]
+			relay.Targets, relay.Causes = append(relay.Targets, forwarded.target.ID), append(relay.Causes, forwarded.cause)
 		}
 		actions = append(actions, relay)
 	}
--- a/core/fanout/forward_test.go
+++ b/core/fanout/forward_test.go
@@ -64,6 +64,26 @@
 	return fanout.Spec{Route: "r", Parts: serviceNames(1), MaxAttempts: 3, Idempotent: idempotent, Objective: objective, Timeout: timeout}
 }
 
+// TestForwardedCauses guards against forwarded calls whose logs do not tell a first call from a hedge or a retry.
+func TestForwardedCauses(t *testing.T) {
+	for cause, next := range map[string]func(run *fanout.Run, first fanout.Relay) []fanout.Action{
+		"hedge": func(run *fanout.Run, first fanout.Relay) []fanout.Action {
+			_, actions := run.RelayReport(start.Add(first.ReportAfter), first.Call, fanout.Report{Early: true})
+			return actions
+		},
+		"noRoom": func(run *fanout.Run, first fanout.Relay) []fanout.Action {
+			return run.RelayFailed(start, first.Call, fanout.Refused)
+		},
+	} {
+		t.Run(cause, func(t *testing.T) {
+			run := fanout.New(singleSpec(true), newStranded(serviceNames(1)), start)
+			first := relaysOf(t, run.Start(start))
+			assert.DeepEqual(t, first[0].Causes, []string{"first"})
+			assert.DeepEqual(t, relaysOf(t, next(run, first[0]))[0].Causes, []string{cause})
+		})
+	}
+}
+
 // TestForwardedSlowly guards against a second call for a request that is not idempotent, or may crash its targets, when the relay says that the
 // first one takes long.
 func TestForwardedSlowly(t *testing.T) {
--- a/core/fanout/loan.go
+++ b/core/fanout/loan.go
@@ -11,11 +11,11 @@
 
 // pay spends the budget for an extra call of a part and reports whether this VM may make the call. If its budget is spent, another VM is asked
 // to make the call; if there is none, the part is suppressed for want of a budget.
-func (run *Run) pay(now time.Time, part *partState) bool {
+func (run *Run) pay(now time.Time, part *partState, cause string) bool {
 	if run.shared.Budgets.ForService(now, part.service).Spend(now, 1) {
 		return true
 	}
-	if !run.borrow(now, part) {
+	if !run.borrow(now, part, cause) {
 		part.suppressed = NoBudget
 	}
 	return false
@@ -24,7 +24,7 @@
 // borrow has another VM next to the best target of a part make its hedge or retry, and reports whether there is one that may. That VM spends
 // its own budget or declines, so that all VMs together stay within the budget that they share, while one that is short of it uses what others
 // have left.
-func (run *Run) borrow(now time.Time, part *partState) bool {
+func (run *Run) borrow(now time.Time, part *partState, cause string) bool {
 	if !run.spec.Idempotent || part.loans >= maxLoans {
 		return false
 	}
@@ -39,7 +39,7 @@
 	part.loans++
 	part.suppressed = ""
 	run.extraCalls++
-	run.forward(now, part, chosen{target.target, relay, place.Relayed}, BudgetSpent)
+	run.forward(now, part, chosen{target.target, relay, place.Relayed}, BudgetSpent, cause)
 	return true
 }
 
--- a/core/fanout/offload.go
+++ b/core/fanout/offload.go
@@ -50,6 +50,6 @@
 		return false
 	}
 	run.extraCalls++
-	run.forward(now, part, chosen{alternative.target, relay, place.Relayed}, ConnectionNeeded)
+	run.forward(now, part, chosen{alternative.target, relay, place.Relayed}, ConnectionNeeded, "hedge")
 	return true
 }
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -33,7 +33,7 @@
 		callCounts.Add("forwarded", 1)
 		callCounts.Add("forwarded."+string(relay.Reason), 1)
 		gateway.log.Info("calls forwarded", zap.String("request", truncate(job.request.ID)), zap.String("relay", relay.VM.ID),
-			zap.String("reason", string(relay.Reason)), zap.Strings("targets", relay.Targets), zap.Duration("elapsed", time.Since(job.started)))
+			zap.String("reason", string(relay.Reason)), zap.Strings("targets", relay.Targets), zap.Strings("causes", relay.Causes), zap.Duration("elapsed", time.Since(job.started)))
 	}
 	gateway.mu.Lock()
 	gateway.lastQueryID++
@@ -244,6 +244,9 @@
 		refuse(reason)
 		return
 	}
+	if gather.Once {
+		gateway.log.Info("relay request accepted", zap.String("request", truncate(gather.RequestID)), zap.String("peer", from), zap.Strings("targets", gather.Targets))
+	}
 	job := gateway.newRelayJob(gather, table.Version, matched, services)
 	key := from + "/" + gather.QueryID
 	job.report = func(report fanout.Report) {
