--- a/poplarpind/gateway/stranded_test.go
+++ b/poplarpind/gateway/stranded_test.go
@@ -131,3 +131,25 @@
 	time.Sleep(300 * time.Millisecond) // longer than a VM takes to check whether a target has crashed
 	assert.Equal(t, len(deployment.stranded.gateway.Dump().Suspects), 0)
 }
+
+// TestStrandedVMRunsOnce guards against a second call of a request that is not idempotent while the relay of the first takes long.
+func TestStrandedVMRunsOnce(t *testing.T) {
+	deployment := newStrandedDeployment(t)
+	recorder := &platformtest.Recorder{}
+	for _, id := range []string{"i-3", "i-4"} {
+		recorder.Record(deployment.targets[id], "one", func() time.Duration { return 300 * time.Millisecond })
+	}
+	deployment.eachLink((*platformtest.Link).Hang)
+	var served int
+	for range 10 {
+		if deployment.stranded.doWithin(t, "/o/x") == http.StatusOK {
+			served++
+		}
+	}
+	assert.Assert(t, served > 0)
+	runs := map[string]int{}
+	for _, run := range recorder.Runs() {
+		runs[run.RequestID]++
+		assert.Equal(t, runs[run.RequestID], 1, "%v", recorder.Runs())
+	}
+}
