A stranded VM asks VMs that declined its calls again while it has no other

Cause: while no VM reaches targets each one declines, and is left alone for a time that doubles up to 3 s. Its next answer is only asked for after that, though it would come within milliseconds.

Change: if no VM may be asked, the one that declined the longest time ago is, by one request each 100 ms. VMs whose links failed are still left alone, as they may hold a request.

Result: TestDecliningRelays failed before; two mutants.

--- a/core/place/attempt.go
+++ b/core/place/attempt.go
@@ -30,6 +30,9 @@
 	if endpoint, ok := fleet.endpoints[id]; ok {
 		fleet.recordColdCall(now, endpoint)
 		fleet.recordLimitedCall(now, endpoint)
+		if endpoint.declines(now) {
+			fleet.lastResortAt = now
+		}
 	}
 	attempt := fleet.newAttempt(now, id, route, Direct)
 	attempt.sendTo(now, attempt.endpoint.group())
@@ -109,6 +112,7 @@
 	endpoint.paths[attempt.path].lastAnswer = now
 	if endpoint.Peer {
 		endpoint.paths[Direct].markDown(now)
+		endpoint.declinedAt = now
 		return
 	}
 	endpoint.deprioritizedUntil = now.Add(deprioritizeFor)
@@ -133,6 +137,7 @@
 // Unreachable records that the endpoint could not be reached.
 func (attempt *Attempt) Unreachable(now time.Time) {
 	if attempt.end() {
+		attempt.endpoint.declinedAt = time.Time{}
 		for _, state := range attempt.failedPaths() {
 			state.markDown(now)
 		}
@@ -150,6 +155,7 @@
 // connection limit or loses some answers, so only several in a row indicate that it is down.
 func (attempt *Attempt) ConnectionBroken(now time.Time) {
 	if attempt.end() {
+		attempt.endpoint.declinedAt = time.Time{}
 		attempt.recordFailure(now)
 	}
 }
--- a/core/place/path.go
+++ b/core/place/path.go
@@ -21,6 +21,7 @@
 	minDownTime        = 300 * time.Millisecond // a path whose calls fail is left alone for this time at first
 	maxDownTime        = 3 * time.Second        // a path whose calls fail is left alone for this time at most
 	failuresLimit      = 3                      // a path is down after this many failures without an answer in between
+	lastResortInterval = 100 * time.Millisecond // VMs that decline calls are asked this often if no other VM can be asked
 )
 
 // pathState is the state of an endpoint as the calls on one path show it.
@@ -121,7 +122,49 @@
 	if ok {
 		return chosen, true
 	}
-	return fleet.choose(now, candidates, costs, func(*trackedEndpoint) bool { return true })
+	if chosen, ok = fleet.choose(now, candidates, costs, func(*trackedEndpoint) bool { return true }); ok {
+		return chosen, true
+	}
+	return fleet.lastResort(now, exclude, allows)
+}
+
+// lastResort returns the entry VM that declined a call the longest time ago, and reports whether one may be asked now: not more often than in each
+// lastResortInterval, but for all parts of a request. Its own links may be back long before it is left alone no longer.
+func (fleet *Fleet) lastResort(now time.Time, exclude []string, allows func(region string) bool) (Endpoint, bool) {
+	if now.After(fleet.lastResortAt) && now.Sub(fleet.lastResortAt) < lastResortInterval {
+		return Endpoint{}, false
+	}
+	var longest *trackedEndpoint
+	for _, service := range fleet.relayServices {
+		for _, vm := range fleet.services[service] {
+			if !vm.declines(now) || now.Sub(vm.declinedAt) < lastResortInterval || longest != nil && !vm.declinedAt.Before(longest.declinedAt) {
+				continue
+			}
+			if fleet.callable(now, vm) && !now.Before(vm.incapableUntil) && allows(fleet.regions[vm.FailureDomain]) && !slices.Contains(exclude, vm.ID) {
+				longest = vm
+			}
+		}
+	}
+	if longest == nil {
+		return Endpoint{}, false
+	}
+	return longest.Endpoint, true
+}
+
+// declines reports whether an entry VM is left alone as it has answered that it does not make calls.
+func (endpoint *trackedEndpoint) declines(now time.Time) bool {
+	if endpoint.declinedAt.IsZero() {
+		return false
+	}
+	if endpoint.down(now, Direct) {
+		return true
+	}
+	for _, state := range endpoint.reach {
+		if now.Before(state.downUntil) {
+			return true
+		}
+	}
+	return false
 }
 
 // mayRelay reports whether an entry VM answers and, as far as is known, calls the targets of a failure domain for others.
@@ -167,6 +210,7 @@
 		endpoint.reach[failureDomain] = state
 	}
 	state.markDown(now)
+	endpoint.declinedAt = now
 }
 
 // RelaysCutOffFrom returns the ids of the entry VMs of a failure domain that have lately said that they do not reach the targets there.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -48,6 +48,7 @@
 	paths              [2]pathState
 	reach              map[string]*pathState // of an entry VM: failure domains whose targets it does not reach
 	incapableUntil     time.Time             // of an entry VM: its build does not call the targets that others name
+	declinedAt         time.Time             // of an entry VM: when it last answered that it does not make a call; zero if its link has failed since
 	deprioritizedUntil time.Time
 	displaced          bool // another endpoint answers at its address
 }
@@ -61,6 +62,7 @@
 	services      map[string][]*trackedEndpoint
 	relayServices []string // services of entry VMs, sorted
 	groups        map[endpointGroup]*reachability
+	lastResortAt  time.Time         // when an entry VM that declines calls was last asked, see lastResort
 	regions       map[string]string // by failure domain; nil if unknown
 	evacuated     map[string]bool   // by failure domain
 	baselines     map[string]*Baseline
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -352,6 +352,58 @@
 	assert.Equal(t, choose("b", []string{"vm-a", "vm-b1"}, "x"), "")
 }
 
+// TestDecliningRelays guards against a VM without targets that leaves VMs alone for seconds after they have got theirs back.
+func TestDecliningRelays(t *testing.T) {
+	vms := []string{"vm-b", "vm-c"}
+	decliningFleet := func() (*place.Fleet, time.Time) {
+		fleet, now := newFleet(), start
+		for _, id := range vms {
+			fleet.Update(now, place.Endpoint{ID: id, Service: "relay/" + id[3:], FailureDomain: id[3:], Slots: 16, State: place.Ready, Peer: true})
+		}
+		for range 10 {
+			now = now.Add(500 * time.Millisecond)
+			for _, id := range vms {
+				fleet.StartAttempt(now, id, "r").Refused(now)
+			}
+		}
+		return fleet, now
+	}
+	choose := func(fleet *place.Fleet, now time.Time, exclude ...string) string {
+		chosen, _ := fleet.ChooseRelay(now, "r", "a", exclude, func(string) bool { return true })
+		return chosen.ID
+	}
+	t.Run("not at once", func(t *testing.T) {
+		fleet, now := decliningFleet()
+		assert.Equal(t, choose(fleet, now.Add(50*time.Millisecond)), "")
+	})
+	t.Run("one in each interval, for all parts of a request", func(t *testing.T) {
+		fleet, now := decliningFleet()
+		now = now.Add(100 * time.Millisecond)
+		asked := choose(fleet, now)
+		assert.Assert(t, asked != "")
+		attempt := fleet.StartAttempt(now, asked, "r")
+		assert.Equal(t, choose(fleet, now), asked)
+		assert.Equal(t, choose(fleet, now.Add(time.Millisecond)), "")
+		attempt.Refused(now.Add(time.Millisecond))
+		other := choose(fleet, now.Add(100*time.Millisecond))
+		assert.Assert(t, other != "" && other != asked)
+	})
+	t.Run("one that answers is asked as usual", func(t *testing.T) {
+		fleet, now := decliningFleet()
+		now = now.Add(100 * time.Millisecond)
+		asked := choose(fleet, now)
+		fleet.StartAttempt(now, asked, "r").Answered(now)
+		assert.Equal(t, choose(fleet, now.Add(time.Millisecond)), asked)
+	})
+	t.Run("not one whose link has failed", func(t *testing.T) {
+		fleet, now := decliningFleet()
+		for _, id := range vms {
+			fleet.StartAttempt(now, id, "r").Unreachable(now)
+		}
+		assert.Equal(t, choose(fleet, now.Add(200*time.Millisecond)), "")
+	})
+}
+
 // TestIncapableRelay guards against a VM that is left alone for ever because of the build that it once had.
 func TestIncapableRelay(t *testing.T) {
 	fleet := newFleet(place.Endpoint{ID: "vm", Service: "relay/b", FailureDomain: "b", Slots: 16, State: place.Ready, Peer: true})
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -135,6 +135,8 @@
 mutant "unserved request waits" fanout results.go 's/if _, ok := run.choose\(now, part, nil, nil\); !ok \{/if false {/'
 mutant "forwards sent after the end" fanout forward.go 's/if run.finished \|\| call.ended \{/if false {/'
 mutant "cut-off relay asked again" place path.go 's/ && !vm.cutOffFrom\(now, failureDomain\)//'
+mutant "declining relay left alone" place path.go 's/\treturn fleet.lastResort\(now, exclude, allows\)/\treturn Endpoint{}, false/'
+mutant "declining relays asked at any rate" place path.go 's/if now.After\(fleet.lastResortAt\) \&\& now.Sub/if false \&\& now.Sub/'
 mutant "dead link makes targets slow" place attempt.go 's/if attempt.group.answers == attempt.answers \{/if false {/'
 mutant "relay names no cut" fanout relay_run.go 's/if relayRun.fleet.CutOff\(now, domain\) \{\n\t\treturn Unreached/if relayRun.fleet.CutOff(now, domain) {\n\t\treturn NoCapacity/'
 mutant "forwarded parts show congestion" fanout fanout.go 's/if !ok \|\| len\(sends\) > 0 \{/if true {/'
