Tests of the gateway and fleets of testbed listen on ports that no outgoing connection takes

What was seen: beside other tests (load 30 on 8 cores) seven tests of the gateway failed at once with "bind: address already in use"; testbed's TestBadInput once found its stand-ins not up (KNOWN-RED, suspected: a port was taken).

Cause: both picked a port from the kernel's range for outgoing connections, closed it and listened again later. Any connection of another process may get the port in between.

--- a/poplarpind/gateway/gateway_test.go
+++ b/poplarpind/gateway/gateway_test.go
@@ -4,12 +4,10 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
-	"strconv"
 	"testing"
 	"time"
 
@@ -24,14 +22,6 @@
 
 const waitTimeout = 20 * time.Second // generous, since no result depends on how long a condition takes
 
-func freePort(t *testing.T) int {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
-}
-
 // vm is a running gateway and the listener for its clients.
 type vm struct {
 	gateway     *gateway.Gateway
@@ -41,8 +31,10 @@
 
 func newSettings(t *testing.T, name, domain string, store *platformtest.Store, seeds ...string) platform.Settings {
 	t.Helper()
-	return platform.Settings{VM: name, FailureDomain: domain, IP: "127.0.0.1", InternalPorts: [2]int{freePort(t), 0},
-		PeerAddress: net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(t))), StoreAddress: store.Address(), Seeds: seeds,
+	addresses, err := platformtest.FreeAddresses()
+	assert.NilError(t, err)
+	return platform.Settings{VM: name, FailureDomain: domain, IP: "127.0.0.1", InternalPorts: [2]int{addresses.InternalPort, 0},
+		PeerAddress: addresses.Peers, StoreAddress: store.Address(), Seeds: seeds,
 		Bounds: platform.Bounds{RetryBudgetRatio: 0.2, RetryBudgetSlack: 50, MaxEvacuateDelay: 5 * time.Second}}
 }
 
--- a/testbed/fleet/ports.go
+++ b/testbed/fleet/ports.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"net"
+
+	"poplarpin.dev/platform/platformtest"
 )
 
-// addressPool hands out free loopback addresses. All are bound at once before any is handed out, as the kernel could otherwise give
-// the same port twice.
+// addressPool hands out free loopback addresses, on ports that no outgoing connection takes before the process that is to listen there has started.
 type addressPool struct {
 	free []string
 }
@@ -22,7 +23,7 @@
 		}
 	}()
 	for range addressPoolSize {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := platformtest.Listen()
 		if err != nil {
 			return nil, fmt.Errorf("reserve loopback ports: %w", err)
 		}
