A reset response without length is never complete, also during a long request

What callers saw: a success with an empty or short body, framed as whole. A target sent a complete head without a length and part of the body, then reset the connection, while the VM still sent it a long request.

Cause: the kernel reports the reset of a connection once. The writer of the request and the reader of the response both wake up; if the writer is told of it, the read of the body returns the end of the connection, which ends a body without length. The reader now asks the kernel for the state of the connection there: only one that the target has closed and that has not been reset since ends such a body.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -152,6 +152,7 @@
 mutant_of poplarpind "withdrawn message sent" peer link.go 's/if !wanted \{/if false \&\& !wanted {/' TestWithdrawnWhileOpening
 mutant_of poplarpind "dials outlast clients" gateway serve.go 's/idempotentDialTimeout    = 100 \* time.Millisecond/idempotentDialTimeout    = time.Second/' TestDarkTarget
 mutant_of poplarpind "relay does not pay" gateway serve.go 's/if gather.Pays \{/if false {/' TestLentBudget
+mutant_of poplarpind "reset taken for an end" http1 response.go 's/endsWithConn\(response\) && !tcp/endsWithConn(response) \&\& false \&\& !tcp/' TestResetWhileSending
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 
 echo "$passed passed, $failed failed"
--- a/poplarpind/gateway/client_conn.go
+++ b/poplarpind/gateway/client_conn.go
@@ -6,15 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"poplarpin.dev/core/fanout"
-)
-
-// States of a TCP connection, which package unix does not name.
-const (
-	tcpClose     = 7 // the other end has reset it
-	tcpCloseWait = 8 // the other end has closed it
+	"poplarpin.dev/poplarpind/tcp"
 )
 
 // clientConnKey is the context key under which a request finds its clientConn.
@@ -43,28 +36,9 @@
 	if !ok {
 		return client{}
 	}
-	info := tcpInfo(clientConn.conn)
+	info := tcp.InfoOf(clientConn.conn)
 	return client{
 		path: fanout.ClientPath{RoundTrip: time.Duration(info.Rtt) * time.Microsecond, NewConnection: clientConn.requests.Add(1) == 1},
-		left: info.State == tcpCloseWait || info.State == tcpClose,
-	}
-}
-
-// tcpInfo returns what the kernel knows of a TCP connection, the zero value if it knows nothing.
-func tcpInfo(conn net.Conn) unix.TCPInfo {
-	var info unix.TCPInfo
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return info
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return info // the connection is closed
+		left: info.Ended(),
 	}
-	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection
-		if read, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			info = *read
-		}
-	})
-	return info
 }
--- a/poplarpind/http1/response.go
+++ b/poplarpind/http1/response.go
@@ -7,6 +7,8 @@
 	"math"
 	"net"
 	"net/http"
+
+	"poplarpin.dev/poplarpind/tcp"
 )
 
 const (
@@ -94,6 +96,8 @@
 		count, err := response.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+count]
 		switch {
+		case err == io.EOF && endsWithConn(response) && !tcp.InfoOf(conn.netConn).Finished():
+			return nil, &Error{"body", Lost, "the connection was reset"}
 		case err == io.EOF:
 			return body, nil
 		case err != nil:
@@ -112,6 +116,12 @@
 	}
 }
 
+// endsWithConn reports whether only the end of the connection shows the end of the response's body. A read alone does not tell a reset then: the
+// kernel reports it once, and may have told the writer of a call that is still being sent.
+func endsWithConn(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // responseError distinguishes a lost connection from an invalid response.
 func responseError(op string, err error) *Error {
 	var network net.Error
--- /dev/null
+++ b/poplarpind/tcp/doc.go
@@ -0,0 +1,2 @@
+// Package tcp tells what the kernel knows of a TCP connection.
+package tcp
--- /dev/null
+++ b/poplarpind/tcp/tcp.go
@@ -0,0 +1,41 @@
+package tcp
+
+import (
+	"net"
+
+	"golang.org/x/sys/unix"
+)
+
+// States of a TCP connection, which package unix does not name.
+const (
+	stateClose     = 7 // the other end has reset it
+	stateCloseWait = 8 // the other end has closed it
+)
+
+// Info is what the kernel knows of a connection, the zero value if it knows nothing.
+type Info struct{ unix.TCPInfo }
+
+// InfoOf returns what the kernel knows of a connection.
+func InfoOf(conn net.Conn) Info {
+	var info Info
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return info
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return info // the connection is closed
+	}
+	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection
+		if read, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info.TCPInfo = *read
+		}
+	})
+	return info
+}
+
+// Finished reports whether the other end has closed the connection and it has not been reset since.
+func (info Info) Finished() bool { return info.State == stateCloseWait }
+
+// Ended reports whether the other end has closed or reset the connection.
+func (info Info) Ended() bool { return info.State == stateCloseWait || info.State == stateClose }
