A connection that ends within a response's head counts as lost

A head is parsed line by line, and what has arrived of the last line as if it were the whole line, so most heads that stop (within a line, or after the CR of the empty one) were reported as an invalid response, as were trailers that stop. An invalid response shows no crash: a target that ended while it wrote its head did not make the request a suspect, and a request whose first part crashed its target so was sent on with all its parts. What the caller gets does not change (another target, or 502).

TestStoppedResponse failed at most cut points of all shapes: spoilt instead of lost, for instance after "HTTP/1.1 20".

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -153,6 +153,7 @@
 mutant_of poplarpind "dials outlast clients" gateway serve.go 's/idempotentDialTimeout    = 100 \* time.Millisecond/idempotentDialTimeout    = time.Second/' TestDarkTarget
 mutant_of poplarpind "relay does not pay" gateway serve.go 's/if gather.Pays \{/if false {/' TestLentBudget
 mutant_of poplarpind "reset taken for an end" http1 response.go 's/endsWithConn\(response\) && !tcp/endsWithConn(response) \&\& false \&\& !tcp/' TestResetWhileSending
+mutant_of poplarpind "cut head taken for invalid" http1 response.go 's/case conn.source.ended:/case false:/' TestStoppedResponse
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 
 echo "$passed passed, $failed failed"
--- a/poplarpind/http1/conn.go
+++ b/poplarpind/http1/conn.go
@@ -37,7 +37,7 @@
 }
 
 func newConn(pool *Pool, target, address string, netConn net.Conn) *conn {
-	source := &limitedReader{netConn, maxHeadBytes}
+	source := &limitedReader{netConn: netConn, remaining: maxHeadBytes}
 	return &conn{pool: pool, target: target, address: address, netConn: netConn, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
--- a/poplarpind/http1/response.go
+++ b/poplarpind/http1/response.go
@@ -38,6 +38,7 @@
 type limitedReader struct {
 	netConn   net.Conn
 	remaining int64
+	ended     bool // the connection has ended
 }
 
 // Read implements io.Reader.
@@ -50,6 +51,7 @@
 	}
 	count, err := limitedReader.netConn.Read(buffer)
 	limitedReader.remaining -= int64(count)
+	limitedReader.ended = limitedReader.ended || err != nil
 	return count, err
 }
 
@@ -60,7 +62,7 @@
 	for {
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
-			return nil, nil, responseError("response", err)
+			return nil, nil, conn.responseError("response", err)
 		}
 		if response.StatusCode < http.StatusOK {
 			continue // its head counts towards the limit
@@ -101,7 +103,7 @@
 		case err == io.EOF:
 			return body, nil
 		case err != nil:
-			return nil, responseError("body", err)
+			return nil, conn.responseError("body", err)
 		case int64(len(body)) > limit:
 			return nil, invalid("body", bodyTooLarge)
 		}
@@ -122,13 +124,13 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
-// responseError distinguishes a lost connection from an invalid response.
-func responseError(op string, err error) *Error {
-	var network net.Error
+// responseError distinguishes a connection that ended within a response from an invalid response. The error alone does not tell: what has arrived
+// of a line is parsed as if it were the whole line.
+func (conn *conn) responseError(op string, err error) *Error {
 	switch {
 	case errors.Is(err, errHeadTooLarge):
 		return invalid(op, headTooLarge)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), errors.As(err, &network):
+	case conn.source.ended:
 		return &Error{op, Lost, err.Error()}
 	}
 	invalidResponses.Add(notHTTP, 1)
--- a/poplarpind/http1/stopped_test.go
+++ b/poplarpind/http1/stopped_test.go
@@ -56,6 +56,9 @@
 		assert.Check(t, received.body == want, what)
 		return
 	}
+	if failure, ok := received.err.(*http1.Error); ok && ending != platformtest.Silent && !shape.Invalid {
+		assert.Check(t, failure.Kind == http1.Lost, what)
+	}
 	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		if _, open := pool.Counts(); open == 0 {
 			return
