--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -154,6 +154,7 @@
 mutant_of poplarpind "relay does not pay" gateway serve.go 's/if gather.Pays \{/if false {/' TestLentBudget
 mutant_of poplarpind "reset taken for an end" http1 response.go 's/endsWithConn\(response\) && !tcp/endsWithConn(response) \&\& false \&\& !tcp/' TestResetWhileSending
 mutant_of poplarpind "cut head taken for invalid" http1 response.go 's/case conn.source.ended:/case false:/' TestStoppedResponse
+mutant_of platform "empty answer is a list" . store.go 's/if page == nil \{/if page == nil { page = \&listPage{} }\n\t\tif false {/' TestStoppedList
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 
 echo "$passed passed, $failed failed"
--- a/poplarpind/http1/stopped_test.go
+++ b/poplarpind/http1/stopped_test.go
@@ -17,7 +17,7 @@
 // TestStoppedResponse guards against a response that counts as complete although its connection ended within its head or its body.
 func TestStoppedResponse(t *testing.T) {
 	for _, ending := range []platformtest.Ending{platformtest.Closed, platformtest.Reset, platformtest.Silent} {
-		for _, shape := range platformtest.ResponseShapes() {
+		for _, shape := range platformtest.ResponseShapes("0123456789abcdef") {
 			t.Run(string(ending)+"/"+shape.Name, func(t *testing.T) {
 				t.Parallel()
 				var calls sync.WaitGroup
--- a/poplarpind/stopped_test.go
+++ b/poplarpind/stopped_test.go
@@ -106,7 +106,7 @@
 func TestStoppedTarget(t *testing.T) {
 	process, service := startStopping(t)
 	number := 0
-	for _, shape := range platformtest.ResponseShapes() {
+	for _, shape := range platformtest.ResponseShapes("0123456789abcdef") {
 		switch shape.Name {
 		case "length", "trailers", "no length", "interim responses":
 		default:
@@ -129,7 +129,7 @@
 		}
 	}
 	t.Run("silent", func(t *testing.T) {
-		for _, shape := range platformtest.ResponseShapes()[:1] {
+		for _, shape := range platformtest.ResponseShapes("0123456789abcdef")[:1] {
 			for _, cut := range tellingCuts(shape)[2:] {
 				number++
 				request := platformtest.NewRequest(t, http.MethodPost, process.url+"/o/"+strconv.Itoa(number), []byte("b"))
