A target's HTTP/2 response counts once its stream has ended

What was seen: a target of the old path that resets the stream, or whose connection ends, after all of the JSON and before the end of the stream was taken as having answered, as the decoder stops reading behind the JSON. The JSON itself was never a partial one.

The response is now read to the end of its stream. Everything else that stops in the middle was lost before too: connections closed or reset after each byte of HEADERS, CONTINUATION and DATA, RST_STREAM, GOAWAY of either kind and an early end of the stream between any two frames, and silence, which the ping ends.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -155,6 +155,7 @@
 mutant_of poplarpind "reset taken for an end" http1 response.go 's/endsWithConn\(response\) && !tcp/endsWithConn(response) \&\& false \&\& !tcp/' TestResetWhileSending
 mutant_of poplarpind "cut head taken for invalid" http1 response.go 's/case conn.source.ended:/case false:/' TestStoppedResponse
 mutant_of platform "empty answer is a list" . store.go 's/if page == nil \{/if page == nil { page = \&listPage{} }\n\t\tif false {/' TestStoppedList
+mutant_of poplarpind "reset stream answers" target target.go 's/err != nil \|\| json.Unmarshal/err != nil \&\& false || json.Unmarshal/' TestStoppedResponse
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 
 echo "$passed passed, $failed failed"
--- a/poplarpind/target/target.go
+++ b/poplarpind/target/target.go
@@ -203,7 +203,8 @@
 			search.Reply
 			Shards json.RawMessage `json:"shards"` // forwarded without decoding
 		}
-		if err := json.NewDecoder(body).Decode(&reply); err != nil {
+		data, err := io.ReadAll(body) // to the end of the stream, which a target may reset after all of the JSON
+		if err != nil || json.Unmarshal(data, &reply) != nil {
 			return rpc.Result{Outcome: rpc.Lost}
 		}
 		return rpc.Result{Outcome: rpc.OK, Version: reply.Version, RequestID: reply.RequestID,
