poplarpin: a success without a body is an error

What callers saw: poplarpin's client returned an answer without id, outcome or records, and no error, if the response stopped after a head without a length or had no body at all; the same for releases, history and status. The client took an empty body for the zero value.

TestStoppedAnswer (every prefix of each framing, closed and reset) failed for the shapes whose head can end the response, with an empty answer.

--- a/poplarpin/client/client.go
+++ b/poplarpin/client/client.go
@@ -152,8 +152,11 @@
 		}
 		return errors.Errorf("%s %s: %s", method, path, response.Status)
 	}
-	if result == nil || len(data) == 0 {
+	if result == nil {
 		return nil
 	}
+	if len(data) == 0 { // the response may have stopped after its head
+		return errors.Errorf("%s %s: %s without a body", method, path, response.Status)
+	}
 	return errors.Trace(json.Unmarshal(data, result))
 }
--- a/poplarpin/client/client_test.go
+++ b/poplarpin/client/client_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"poplarpin.dev/core/api"
+	"poplarpin.dev/platform/platformtest"
 	"poplarpin.dev/poplarpin/client"
 )
 
@@ -49,3 +50,26 @@
 		assert.Equal(t, string(apiError.Kind), "overloaded")
 	})
 }
+
+// TestStoppedAnswer guards against an answer that stopped, or has no body, and passes for one.
+func TestStoppedAnswer(t *testing.T) {
+	const answer = `{"id":"r","outcome":"whole","coverage":1}`
+	for _, ending := range []platformtest.Ending{platformtest.Closed, platformtest.Reset} {
+		for _, shape := range platformtest.ResponseShapes(answer) {
+			t.Run(string(ending)+"/"+shape.Name, func(t *testing.T) {
+				t.Parallel()
+				for sent := range len(shape.Bytes()) + 1 {
+					server := platformtest.NewStoppingTarget(t, func(*http.Request) platformtest.Stop {
+						return platformtest.Stop{Bytes: shape.Bytes()[:sent], Ending: ending}
+					})
+					created, err := client.New("http://"+server.Address, client.TLS{})
+					assert.Check(t, err)
+					received, err := created.Query(t.Context(), api.Request{})
+					assert.Check(t, err != nil || received.Coverage == 1, "%+v after %q", received, shape.Bytes()[:sent])
+					whole := sent == len(shape.Bytes()) && ending == platformtest.Closed && shape.Content != "" && !shape.Invalid
+					assert.Check(t, !whole || err == nil, "%v", err)
+				}
+			})
+		}
+	}
+}
