--- a/poplarpind/peer/frame_test.go
+++ b/poplarpind/peer/frame_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bufio"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -61,6 +62,60 @@
 	})
 }
 
+// TestCutFrame guards against a message that takes effect although its link ended within it.
+func TestCutFrame(t *testing.T) {
+	const message = `{"jsonrpc":"2.0","method":"gather","params":{}}`
+	t.Run("to a peer", func(t *testing.T) {
+		whole := frame(uint64(len(message)), message)
+		for cut := range len(whole) + 1 {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			receiver := &handler{}
+			server := peer.New(rpc.Hello{VM: "b"}, receiver, nil)
+			go server.Serve(listener)
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			assert.NilError(t, err)
+			_, err = conn.Write(append(frame(uint64(len(hello)), hello), whole[:cut]...))
+			assert.NilError(t, err)
+			assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+			assertClosed(t, conn)
+			if cut == len(whole) {
+				waitFor(t, "the whole message", func() bool { return receiver.notified.Load() == 1 })
+			}
+			server.Close()
+			_ = listener.Close()
+			assert.Equal(t, receiver.notified.Load() == 1, cut == len(whole), "after %q", whole[:cut])
+		}
+	})
+	t.Run("from a peer", func(t *testing.T) {
+		const greeting, reply = `{"jsonrpc":"2.0","id":0,"result":{"vm":"b","incarnation":1}}`, `{"jsonrpc":"2.0","id":1,"result":7}`
+		whole := frame(uint64(len(reply)), reply)
+		for cut := range len(whole) + 1 {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for _, answer := range [][]byte{frame(uint64(len(greeting)), greeting), whole[:cut]} {
+					length, _ := binary.ReadUvarint(reader)
+					_, _ = io.CopyN(io.Discard, reader, int64(length))
+					_, _ = conn.Write(answer)
+				}
+			}()
+			mesh, result := peer.New(rpc.Hello{VM: "a"}, &handler{}, nil), 0
+			err = mesh.Call(t.Context(), "b", listener.Addr().String(), rpc.MethodPing, nil, &result)
+			assert.Equal(t, err == nil && result == 7, cut == len(whole), "after %q: %v", whole[:cut], err)
+			assert.Assert(t, err != nil || result == 7)
+			mesh.Close()
+			_ = listener.Close()
+		}
+	})
+}
+
 // FuzzFrame feeds a link with arbitrary bytes after the handshake.
 func FuzzFrame(f *testing.F) {
 	f.Add(frame(2, "{}"))
