A seed's state is applied once its response has ended

A state whose response ended after the JSON and before the last chunk was applied. It was whole, so that nothing was lost; it is now read like the other answers, to its end. A state that stops sooner was an error before.

TestStoppedSeedState: failed as the VM was ready after the fourth of nine answers, the one without an end; the eight that stop are refused now.

--- a/poplarpind/gateway/gateway_test.go
+++ b/poplarpind/gateway/gateway_test.go
@@ -10,6 +10,8 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -250,6 +252,39 @@
 	assert.Equal(t, second.do(t, http.MethodGet, "/g/x", nil).StatusCode, 200)
 }
 
+// TestStoppedSeedState guards against a seed's state that stopped and is applied as if it were whole, so that targets vanish.
+func TestStoppedSeedState(t *testing.T) {
+	store, targets := newDeployment(t)
+	first := startVM(t, "vm-a1", "a", store)
+	waitFor(t, "ready", first.gateway.Ready)
+	response, err := http.Get("http://" + first.peerAddress + "/state")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	state := strings.TrimSpace(string(data))
+	var answers []string
+	for _, shape := range platformtest.ResponseShapes(state) {
+		if shape.Name == "no length" || shape.Name == "chunks" {
+			for _, sent := range []int{len(shape.Head) - 1, len(shape.Head), len(shape.Head) + len(shape.Body)/2, len(shape.Bytes()) - 1} {
+				answers = append(answers, shape.Bytes()[:sent])
+			}
+		}
+	}
+	answers = append(answers, platformtest.ResponseShapes(state)[0].Bytes())
+	var asked atomic.Int64
+	seed := platformtest.NewStoppingTarget(t, func(*http.Request) platformtest.Stop {
+		return platformtest.Stop{Bytes: answers[min(int(asked.Add(1)), len(answers))-1], Ending: platformtest.Closed}
+	})
+	store.SetDown(true)
+	second := startVM(t, "vm-a2", "a", store, seed.Address)
+	waitFor(t, "the state from the seed", second.gateway.Ready)
+	assert.Equal(t, asked.Load(), int64(len(answers)))
+	for id := range targets {
+		assert.Assert(t, second.gateway.Dump().Endpoint(id).State == "ready", id)
+	}
+}
+
 // TestSettingsChange guards against a settings watch that ends at a malformed file, such as one that is being written: new seeds
 // and a new store address must be applied without a signal once the file is valid.
 func TestSettingsChange(t *testing.T) {
--- a/poplarpind/gateway/seed.go
+++ b/poplarpind/gateway/seed.go
@@ -82,8 +82,12 @@
 		return err
 	}
 	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
+	if err != nil {
+		return err
+	}
 	var received seedState
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&received); err != nil {
+	if err := json.Unmarshal(data, &received); err != nil {
 		return err
 	}
 	if err := received.StoreUpdate.Validate(); err != nil {
