One odd entry no longer makes the list of targets unreadable

Seen by callers: none of the changes after the entry, so calls to targets that had left and none to new ones; a VM that started did not become ready. encoding/json refuses an answer of the store as a whole when one object is nested deeper than 10,000 or holds something that is no JSON, and VMs refuse a message the same way: a watch failed again and again from the same revision, at 3 to 4 calls a second, and a subscriber lost its link with each update. An object of 9,997 levels passed the list and failed in the watch and in messages. Entries of 1 MB made watches longer than their limit, and messages longer than theirs. Numbers out of range (slots, seq, born of 1e300) were converted, with a result that depends on the processor, and addresses were not checked, so that such entries became targets.

An answer that cannot be decoded is read object by object; specs that are no JSON, nested too deep or, of targets, too long are replaced by a value that no build takes for an entry, before they are stored or sent. As before, such an entry under a known id ends that target's use. Where the brackets or strings of an answer do not match, it is refused as before: an object could hide the following ones, and a list that lacks them removes targets. A watch whose answer cannot be read is followed by a list.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,7 @@
 	cd core && $(GO) test -fuzz FuzzMessages -fuzztime 30s ./rpc
 	cd platform && $(GO) test -fuzz FuzzDecoders -fuzztime 30s .
 	cd platform && $(GO) test -fuzz FuzzRequest -fuzztime 30s .
+	cd platform && $(GO) test -fuzz FuzzAnswer -fuzztime 30s -fuzzminimizetime 10x .
 	cd poplarpind && $(GO) test -fuzz FuzzResponse -fuzztime 30s ./http1
 	cd poplarpind && $(GO) test -fuzz FuzzFrame -fuzztime 30s ./peer
 
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -153,6 +153,14 @@
 mutant_of poplarpind "dials outlast clients" gateway serve.go 's/idempotentDialTimeout    = 100 \* time.Millisecond/idempotentDialTimeout    = time.Second/' TestDarkTarget
 mutant_of poplarpind "relay does not pay" gateway serve.go 's/if gather.Pays \{/if false {/' TestLentBudget
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
+mutant_of platform "odd object spoils the list" . bounds.go 's/if !ok \|\| json.Unmarshal\(repaired, reply\) != nil \{/if repaired != nil || !ok {/' TestOddObjects
+mutant_of platform "deep object passed on" . bounds.go 's/ \|\| depthExceeds\(spec, maxSpecDepth\)//' TestDeepConfiguration
+mutant_of platform "long entry passed on" . bounds.go 's/kind == TargetsKind && len\(spec\) > maxTargetBytes \|\| //' TestOddObjects
+mutant_of platform "stray quote hides entries" . bounds.go 's/if inString && !endsValue\(text\[i\+1:\]\) \{/if false {/' TestUnbalancedAnswers
+mutant_of platform "brackets not matched" . bounds.go 's/ \|\| open\[len\(open\)-1\] != char \{/ {/' TestUnbalancedAnswers
+mutant_of platform "address not checked" . objects.go 's/if !isAddress\(wire.Address\) \{/if false {/' TestTarget
+mutant_of platform "slots not bounded" . objects.go 's/\*wire.Slots <= maxSlots/true/' TestTarget
+mutant_of poplarpind "unreadable watch repeated" . gateway/watch.go 's/case platform.Compacted, platform.Invalid:/case platform.Compacted:/' TestOddEntries/longer
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -72,7 +72,8 @@
 		if failures++; failures == 1 || failures%failuresPerLogLine == 0 {
 			gateway.log.Warn("store call failed", zap.String("kind", kind), zap.Int("failures", failures), zap.Error(err))
 		}
-		if platform.KindOf(err) == platform.Compacted {
+		switch platform.KindOf(err) {
+		case platform.Compacted, platform.Invalid: // the same watch again would get the same unreadable events
 			known = platform.Position{}
 		}
 		gateway.awaitStore(ctx, store, backoff)
--- a/poplarpind/process_test.go
+++ b/poplarpind/process_test.go
@@ -36,29 +36,36 @@
 type process struct {
 	command *exec.Cmd
 	url     string
+	peerURL string // serves dumps and the VM's state
+	exited  chan struct{}
 }
 
 // startProcess starts an entry VM with the memory of the smallest one and waits until it is ready.
 func startProcess(t *testing.T, binary string, store *platformtest.Store) *process {
+	t.Helper()
+	return startVM(t, binary, platformtest.Process{VM: "vm-a1", StoreAddress: store.Address()})
+}
+
+// startVM is startProcess for one of several VMs, which the given fields tell apart.
+func startVM(t *testing.T, binary string, vm platformtest.Process) *process {
 	t.Helper()
 	addresses, err := platformtest.FreeAddresses()
 	assert.NilError(t, err)
-	data := platformtest.Process{VM: "vm-a1", FailureDomain: "a", StoreAddress: store.Address(), MemoryMB: memoryMB,
-		Addresses: addresses, Bounds: platformtest.Bounds{RetryRatio: 0.2, RetrySlack: 50}}.Settings(t)
+	vm.FailureDomain, vm.MemoryMB, vm.Addresses, vm.Bounds = "a", memoryMB, addresses, platformtest.Bounds{RetryRatio: 0.2, RetrySlack: 50}
+	data := vm.Settings(t)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(path, data, 0o600))
 	command := exec.Command(binary)
 	command.Env = append(os.Environ(), platformtest.SettingsVariable+"="+path)
-	started := &process{command: command, url: "http://" + addresses.Clients}
+	started := &process{command: command, url: "http://" + addresses.Clients, peerURL: "http://" + addresses.Peers, exited: make(chan struct{})}
 	return started.start(t, "http://"+addresses.Ready+platformtest.ReadyPath)
 }
 
 func (process *process) start(t *testing.T, readyURL string) *process {
 	t.Helper()
 	assert.NilError(t, process.command.Start())
-	exited := make(chan struct{})
-	go func() { _ = process.command.Wait(); close(exited) }()
-	t.Cleanup(func() { _ = process.command.Process.Signal(syscall.SIGKILL); <-exited })
+	go func() { _ = process.command.Wait(); close(process.exited) }()
+	t.Cleanup(func() { _ = process.command.Process.Signal(syscall.SIGKILL); <-process.exited })
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		response, err := http.Get(readyURL)
 		if err != nil {
