Only config/main is the configuration

Seen by callers: nothing yet; found by review for the class of the odd entries. Any object of the kind "config" counted as the newest configuration: in a list the last by name, in a watch the last written. A VM that started beside another such object was not ready, and one that ran kept its old routes until main was written again, alone.

Evidence: TestOtherConfigurations on the code before: "the process is not ready".

Other names are left out where the store's objects are read, as are objects without a readable name.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -161,6 +161,7 @@
 mutant_of platform "address not checked" . objects.go 's/if !isAddress\(wire.Address\) \{/if false {/' TestTarget
 mutant_of platform "slots not bounded" . objects.go 's/\*wire.Slots <= maxSlots/true/' TestTarget
 mutant_of poplarpind "unreadable watch repeated" . gateway/watch.go 's/case platform.Compacted, platform.Invalid:/case platform.Compacted:/' TestOddEntries/longer
+mutant_of poplarpind "other object configures" . gateway/watch.go 's/case object.Name == platform.ConfigName:/default:/' TestOtherConfigurations
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -178,10 +178,12 @@
 	update := rpc.StoreUpdate{}
 	for _, object := range objects {
 		stored := toStoreObject(object, afterOutage)
-		if kind == platform.ConfigKind {
-			update.Config = &stored // the last object is the newest
-		} else if object.Name != "" {
+		switch {
+		case object.Name == "": // unreadable
+		case kind == platform.TargetsKind:
 			update.Servers = append(update.Servers, stored)
+		case object.Name == platform.ConfigName:
+			update.Config = &stored // the last one is the newest
 		}
 	}
 	if kind == platform.TargetsKind {
--- a/poplarpind/odd_entry_test.go
+++ b/poplarpind/odd_entry_test.go
@@ -93,6 +93,21 @@
 	assert.Assert(t, store.Watches("servers") <= entries+1, "%d watches for %d changes", store.Watches("servers"), entries)
 }
 
+// TestOtherConfigurations guards against a VM that takes another object of the kind for the configuration and no longer follows the real one.
+func TestOtherConfigurations(t *testing.T) {
+	store := platformtest.NewStore(t)
+	store.PutTarget(platformtest.NewTarget(t, "i-1"), "one", "a", "ready")
+	store.PutConfig(platformtest.Config(1))
+	store.PutText("config", "other", `{"version":7,"routes":[]}`)
+	process := startProcess(t, build(t), store)
+	process.awaitView(t, 1, []string{"i-1"})
+	store.PutConfig(platformtest.Config(2))
+	store.PutText("config", "other", nested(20_000))
+	process.awaitView(t, 2, []string{"i-1"})
+	store.PutConfig(platformtest.Config(3))
+	process.awaitView(t, 3, []string{"i-1"})
+}
+
 // awaitView waits until the process has a version of the configuration and exactly these targets.
 func (process *process) awaitView(t *testing.T, version int, targets []string) {
 	t.Helper()
