A VM does not write its entry every second where another writer's stands

Seen by callers: nothing; the store's calls are priced. Another writer's object under a VM's own name is left as it is, but each read of the list of VMs failed by it, so that the VM read the list, tried to create its entry and read the object once a second for ever.

Evidence: TestOddOwnEntry on the code before: "4 writes" within four reads of the list.

The VM tries again only when that object has changed or gone.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -162,6 +162,7 @@
 mutant_of platform "slots not bounded" . objects.go 's/\*wire.Slots <= maxSlots/true/' TestTarget
 mutant_of poplarpind "unreadable watch repeated" . gateway/watch.go 's/case platform.Compacted, platform.Invalid:/case platform.Compacted:/' TestOddEntries/longer
 mutant_of poplarpind "other object configures" . gateway/watch.go 's/case object.Name == platform.ConfigName:/default:/' TestOtherConfigurations
+mutant_of poplarpind "odd own entry written again" gateway peers.go 's/ \|\| oddRevision > 0 && oddRevision == gateway.oddRevision//' TestOddOwnEntry
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -87,10 +87,13 @@
 	if err != nil && platform.KindOf(err) != platform.NotFound {
 		return false, err
 	}
-	registered, registeredAt := false, int64(0)
+	registered, registeredAt, oddRevision := false, int64(0), int64(0)
 	var peers []platform.VM
 	for _, object := range objects {
 		vm, err := platform.DecodeVM(object)
+		if err != nil && object.Name == gateway.settings.VM {
+			oddRevision = object.Revision
+		}
 		switch {
 		case err != nil:
 			gateway.log.Info("object of an entry VM rejected", zap.String("name", truncate(object.Name)), zap.Error(err))
@@ -109,7 +112,7 @@
 	peers = gateway.withLostPeers(peers)
 	gateway.setPeers(peers)
 	gateway.quotas.listRead(readAt, peers, listed, registeredAt)
-	if registered || gateway.Draining() {
+	if registered || gateway.Draining() || oddRevision > 0 && oddRevision == gateway.oddRevision {
 		return false, nil
 	}
 	gateway.log.Info("registering this VM in the store", zap.Int("peers", len(peers)))
@@ -117,7 +120,11 @@
 	if self.RegisteredUnixMilli = registeredAt; registeredAt == 0 && gateway.quotas.enabled() {
 		self.RegisteredUnixMilli = time.Now().UnixMilli()
 	}
-	return true, store.PutVM(ctx, self)
+	err = store.PutVM(ctx, self)
+	if gateway.oddRevision = 0; platform.KindOf(err) == platform.Invalid { // another writer's entry, which is left as it is
+		gateway.oddRevision = oddRevision
+	}
+	return true, err
 }
 
 // setPeers replaces the list of peers; the list may name this VM, which is left out, so that it never relays to itself.
