An odd entry of the platform's VM list no longer hides the others

Seen by callers on poplarpin's own interface: calls to targets that the list showed as leaving. The list was decoded as a whole, so that one entry with a field of another type kept every VM from reading it, each several seconds, for as long as the entry stood.

Evidence: TestOddVMs on the code before: "condition not met within 20s: no calls to leaving targets", with real processes.

Entries are decoded one by one; those that cannot be read, or have no name, are left out. The stand-in can list such entries (oddVMs).

--- a/poplarpind/platform/platform.go
+++ b/poplarpind/platform/platform.go
@@ -146,7 +146,7 @@
 	return response.Body.Close()
 }
 
-// VMs returns the platform's list of live and leaving VMs.
+// VMs returns the platform's list of live and leaving VMs, without entries that cannot be read.
 func (client *Client) VMs(ctx context.Context) ([]object.VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -155,11 +155,20 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	var list object.VMList
+	var list struct {
+		VMs []json.RawMessage `json:"vms"`
+	}
 	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
 		return nil, &Error{"vms", Lost, err.Error()}
 	}
-	return list.VMs, nil
+	vms := make([]object.VM, 0, len(list.VMs))
+	for _, entry := range list.VMs {
+		var vm object.VM
+		if json.Unmarshal(entry, &vm) == nil && vm.Name != "" {
+			vms = append(vms, vm)
+		}
+	}
+	return vms, nil
 }
 
 // do makes one HTTP call within the rate limit; every failure, including an error status, is returned as an Error.
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -26,6 +26,8 @@
 	LoseWrite float64         `json:"loseWrite"`        // fraction of the writes that are carried out but not answered
 	VMLag     config.Duration `json:"vmLag,omitzero"`   // minimum age of the VM list that clients get
 	DownFor   []string        `json:"downFor,omitzero"` // failure domains that cannot reach the platform
+
+	OddVMs []json.RawMessage `json:"oddVMs,omitzero"` // precede the entries of the VM list, in any form
 }
 
 // Counters holds the numbers of calls and of stored objects.
@@ -209,8 +211,15 @@
 			shown = list
 		}
 	}
+	entries := []any{}
+	for _, odd := range platform.faults.OddVMs {
+		entries = append(entries, odd)
+	}
 	platform.mu.Unlock()
-	writeJSON(writer, object.VMList{VMs: shown.vms})
+	for _, vm := range shown.vms {
+		entries = append(entries, vm)
+	}
+	writeJSON(writer, map[string]any{"vms": entries})
 }
 
 // SetVMs replaces the VM list; clients get the new one once it is as old as Faults.VMLag.
--- a/testbed/fleet_test.go
+++ b/testbed/fleet_test.go
@@ -19,6 +19,7 @@
 
 	"poplarpin.dev/core/api"
 	"poplarpin.dev/core/config"
+	"poplarpin.dev/core/object"
 	"poplarpin.dev/core/release"
 	"poplarpin.dev/poplarpin/client"
 	"poplarpin.dev/poplarpin/load"
@@ -274,6 +275,28 @@
 	assert.Equal(t, figures.Outcomes[api.Complete], figures.Sent, "%v %v", figures.Outcomes, figures.Missing)
 }
 
+// TestOddVMs guards against VMs that stop following the platform's VM list because of single entries: targets that leave were called on.
+func TestOddVMs(t *testing.T) {
+	running := startFleet(t)
+	odd := []json.RawMessage{[]byte(`{"name":7}`), []byte(`"vm"`), []byte(`{"role":"entry"}`), []byte(`{"name":"odd","role":"entry","address":"127.0.0.1:70000","failureDomain":"nizwa"}`),
+		[]byte(`{"name":"deep","role":` + strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000) + `}`), []byte(`{"name":"large","leaving":1e400}`)}
+	assert.NilError(t, running.SetPlatform(platform.Faults{OddVMs: odd}))
+	assert.Equal(t, mustQuery(t, running.VMs[0], "before").Outcome, api.Complete)
+	assert.NilError(t, running.SetVMs(func(vm *object.VM) bool { vm.Leaving = vm.Role == object.TargetRole; return true }))
+	queries := 0
+	assertEventually(t, "no calls to leaving targets", func() bool {
+		queries++
+		answer, err := query(running.VMs[0], fmt.Sprint("leaving", queries))
+		return err != nil || answer.Outcome != api.Complete
+	})
+	assert.NilError(t, running.SetVMs(func(*object.VM) bool { return true }))
+	assertEventually(t, "calls to the targets again", func() bool {
+		queries++
+		answer, err := query(running.VMs[0], fmt.Sprint("back", queries))
+		return err == nil && answer.Outcome == api.Complete
+	})
+}
+
 // TestOnceUnderFaults guards against a non-idempotent request that runs twice or has run although reported as not run. Half of the
 // requests are submitted twice, while the platform drops answers of writes, an entry VM is frozen for 2 s, another is killed, and a
 // target closes connections after it has done the work.
