An unreadable configuration is not handed to VMs that start

Seen by callers: nothing known; review for the class of the odd entries. The store accepts valid configurations only; were one unreadable, VMs that ran kept the last one, but kept the unreadable one for others, so that a VM that started from a seed was not ready.

Evidence: TestUnreadableConfiguration on the code before: "the process is not ready", for the VM that starts from a seed.

It is left out before it is kept, whatever its source, and logged.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -163,6 +163,7 @@
 mutant_of poplarpind "unreadable watch repeated" . gateway/watch.go 's/case platform.Compacted, platform.Invalid:/case platform.Compacted:/' TestOddEntries/longer
 mutant_of poplarpind "other object configures" . gateway/watch.go 's/case object.Name == platform.ConfigName:/default:/' TestOtherConfigurations
 mutant_of poplarpind "odd own entry written again" gateway peers.go 's/ \|\| oddRevision > 0 && oddRevision == gateway.oddRevision//' TestOddOwnEntry
+mutant_of poplarpind "unreadable one configures" . gateway/store_sync.go 's/object != nil && platform.IsUnreadable\(object.Spec\)/object != nil \&\& false/' TestUnreadableConfiguration
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -196,6 +196,10 @@
 
 // applyUpdate applies a store update and forwards what was new to the subscribers; the caller holds mu.
 func (gateway *Gateway) applyUpdate(source string, update rpc.StoreUpdate) {
+	if object := update.Config; object != nil && platform.IsUnreadable(object.Spec) {
+		gateway.log.Warn("unreadable configuration ignored", zap.String("source", source), zap.Int64("revision", object.Revision))
+		update.Config = nil // the last one stays, also for VMs that start
+	}
 	config, targets := gateway.storeCache.Apply(update)
 	if config != nil {
 		gateway.applyConfig(source, *config)
--- a/poplarpind/odd_entry_test.go
+++ b/poplarpind/odd_entry_test.go
@@ -108,6 +108,23 @@
 	process.awaitView(t, 3, []string{"i-1"})
 }
 
+// TestUnreadableConfiguration guards against a VM that cannot start because another one hands it a configuration that nobody can read.
+func TestUnreadableConfiguration(t *testing.T) {
+	binary := build(t)
+	store := platformtest.NewStore(t)
+	store.PutTarget(platformtest.NewTarget(t, "i-1"), "one", "a", "ready")
+	store.PutConfig(platformtest.Config(1))
+	reader := startProcess(t, binary, store)
+	store.PutText("config", "main", nested(20_000))
+	store.PutTarget(platformtest.NewTarget(t, "i-2"), "one", "a", "ready") // once it is known, so is the configuration
+	reader.awaitView(t, 1, []string{"i-1", "i-2"})
+	follower := startVM(t, binary, platformtest.Process{VM: "vm-a2", StoreAddress: "127.0.0.1:1", Seeds: []string{strings.TrimPrefix(reader.peerURL, "http://")}})
+	follower.awaitView(t, 1, []string{"i-1", "i-2"})
+	store.PutConfig(platformtest.Config(2))
+	reader.awaitView(t, 2, []string{"i-1", "i-2"})
+	follower.awaitView(t, 2, []string{"i-1", "i-2"})
+}
+
 // awaitView waits until the process has a version of the configuration and exactly these targets.
 func (process *process) awaitView(t *testing.T, version int, targets []string) {
 	t.Helper()
