--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -159,6 +159,17 @@
 mutant_of platform "empty answer is a list" . store.go 's/if page == nil \{/if page == nil { page = \&listPage{} }\n\t\tif false {/' TestStoppedList
 mutant_of poplarpind "reset stream answers" target target.go 's/err != nil \|\| json.Unmarshal/err != nil \&\& false || json.Unmarshal/' TestStoppedResponse
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
+mutant_of platform "odd object spoils the list" . bounds.go 's/if !ok \|\| json.Unmarshal\(repaired, reply\) != nil \{/if repaired != nil || !ok {/' TestOddObjects
+mutant_of platform "deep object passed on" . bounds.go 's/ \|\| depthExceeds\(spec, maxSpecDepth\)//' TestDeepConfiguration
+mutant_of platform "long entry passed on" . bounds.go 's/kind == TargetsKind && len\(spec\) > maxTargetBytes \|\| //' TestOddObjects
+mutant_of platform "stray quote hides entries" . bounds.go 's/if inString && !endsValue\(text\[i\+1:\]\) \{/if false {/' TestUnbalancedAnswers
+mutant_of platform "brackets not matched" . bounds.go 's/ \|\| open\[len\(open\)-1\] != char \{/ {/' TestUnbalancedAnswers
+mutant_of platform "address not checked" . objects.go 's/if !isAddress\(wire.Address\) \{/if false {/' TestTarget
+mutant_of platform "slots not bounded" . objects.go 's/\*wire.Slots <= maxSlots/true/' TestTarget
+mutant_of poplarpind "unreadable watch repeated" . gateway/watch.go 's/case platform.Compacted, platform.Invalid:/case platform.Compacted:/' TestOddEntries/longer
+mutant_of poplarpind "other object configures" . gateway/watch.go 's/case object.Name == platform.ConfigName:/default:/' TestOtherConfigurations
+mutant_of poplarpind "odd own entry written again" gateway peers.go 's/ \|\| oddRevision > 0 && oddRevision == gateway.oddRevision//' TestOddOwnEntry
+mutant_of poplarpind "unreadable one configures" . gateway/store_sync.go 's/object != nil && platform.IsUnreadable\(object.Spec\)/object != nil \&\& false/' TestUnreadableConfiguration
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -72,7 +72,8 @@
 		if failures++; failures == 1 || failures%failuresPerLogLine == 0 {
 			gateway.log.Warn("store call failed", zap.String("kind", kind), zap.Int("failures", failures), zap.Error(err))
 		}
-		if platform.KindOf(err) == platform.Compacted {
+		switch platform.KindOf(err) {
+		case platform.Compacted, platform.Invalid: // the same watch again would get the same unreadable events
 			known = platform.Position{}
 		}
 		gateway.awaitStore(ctx, store, backoff)
@@ -177,10 +178,12 @@
 	update := rpc.StoreUpdate{}
 	for _, object := range objects {
 		stored := toStoreObject(object, afterOutage)
-		if kind == platform.ConfigKind {
-			update.Config = &stored // the last object is the newest
-		} else if object.Name != "" {
+		switch {
+		case object.Name == "": // unreadable
+		case kind == platform.TargetsKind:
 			update.Servers = append(update.Servers, stored)
+		case object.Name == platform.ConfigName:
+			update.Config = &stored // the last one is the newest
 		}
 	}
 	if kind == platform.TargetsKind {
