A stopping VM takes only requests that it can answer, and answers all that it took

What callers saw: in a planned stop, in calm, requests that came late in the grace were passed on and cut with no answer at its end, among them requests that may not be repeated (LOST).

Cause: after SIGTERM the VM took each request with its whole time, up to 30 s, whatever was left of the grace; at grace - 300 ms the process ended and nothing answered what was in flight. http.Server.Shutdown also drops, without an answer, each request that it reads after it has begun.

Change: core/stop decides, from the time left, the request's own time, and the P95 of its route, whether a request is most probably answered in time; one that is not idempotent, or gathered, needs twice the P95. Others get 503 at once. Runs, calls, retries and hedges, also of requests taken before SIGTERM, end 500 ms before the grace does (300 ms for a grace of 1 s), with a partial answer, a 504, or a 503 if nothing was passed on. Bodies that are still awaited then get 503. Idle connections are closed as before; the others serve one more request, with an answer.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -233,6 +233,9 @@
 	if part.possibleRuns > 0 && !run.spec.Idempotent {
 		return false
 	}
+	if !run.noCallsFrom.IsZero() && now.After(run.noCallsFrom) {
+		return false
+	}
 	return run.attempts(now, part) < max(run.spec.MaxAttempts, 1)
 }
 
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -170,6 +170,7 @@
 	shared              SharedState
 	started             time.Time
 	deadline            time.Time
+	noCallsFrom         time.Time // no further calls of a request that is not idempotent are made from then on; zero for no limit
 	answerBy            time.Time // when a partial answer is sent; zero without an objective
 	parts               []partState
 	calls               []*call
@@ -204,6 +205,21 @@
 	return run
 }
 
+// EndBy makes the run end at the given time, at which the VM stops, unless its deadline is earlier. Further calls of a request that is not idempotent
+// must have the time needed.
+func (run *Run) EndBy(at time.Time, needed time.Duration) {
+	if !at.Before(run.deadline) {
+		return
+	}
+	run.deadline = at
+	if at.Before(run.answerBy) {
+		run.answerBy = at
+	}
+	if !run.spec.Idempotent {
+		run.noCallsFrom = at.Add(-needed)
+	}
+}
+
 // Start returns the first calls, or a refusal if too few parts have a target.
 func (run *Run) Start(now time.Time) []Action { return run.takeForwards(now, run.start(now)) }
 
--- /dev/null
+++ b/core/stop/doc.go
@@ -0,0 +1,2 @@
+// Package stop decides what a VM still does in the time that a planned stop leaves it. It has no clock of its own.
+package stop
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -153,6 +153,14 @@
 mutant_of poplarpind "dials outlast clients" gateway serve.go 's/idempotentDialTimeout    = 100 \* time.Millisecond/idempotentDialTimeout    = time.Second/' TestDarkTarget
 mutant_of poplarpind "relay does not pay" gateway serve.go 's/if gather.Pays \{/if false {/' TestLentBudget
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
+mutant "no care for requests that run once" stop stop.go 's/if request.Gather \|\| !request.Idempotent \{/if request.Gather {/'
+mutant "last answers not written" stop stop.go 's/return stop.ExitAt\(\).Add\(-min\(maxWriteTime, stop.grace\/writeDivisor\)\)/return stop.ExitAt()/'
+mutant "sent once more at the end" fanout fanout.go 's/run.noCallsFrom = at.Add\(-needed\)/run.noCallsFrom = at/'
+mutant "run outlasts its VM" fanout fanout.go 's/\trun.deadline = at\n//'
+mutant_of poplarpind "late request taken" . gateway/serve.go 's/if !gateway.takes\(request, matched\) \{/if false {/' TestLateInTheGrace
+mutant_of poplarpind "request in flight outlasts stop" . gateway/serve.go 's/case <-stopBegan:\n/case <-stopBegan:\n\t\t\tif true { stopBegan = nil; continue }\n/' TestLateInTheGrace
+mutant_of poplarpind "late request outlasts stop" . gateway/serve.go 's/(make\(chan fanout.Response, 1\)\n)\tjob.endByStop\(\)\n/$1/' TestLateInTheGrace
+mutant_of platform "bodies outlast the process" . bodies.go 's/return bodies.closed \|\| held.Ended\(\)/return held.Ended()/' TestEndedBodies
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/poplarpind/gateway/dump.go
+++ b/poplarpind/gateway/dump.go
@@ -41,7 +41,7 @@
 // Dump returns a snapshot of the gateway's state.
 func (gateway *Gateway) Dump() Dump {
 	dump := Dump{VM: gateway.settings.VM, FailureDomain: gateway.settings.FailureDomain, Build: gateway.hello.Build, Capabilities: gateway.hello.Capabilities, Ready: gateway.Ready(),
-		Stopping: gateway.stopping.Load(), Isolated: gateway.isolated.Load(), ActiveRequests: gateway.ActiveRequests(),
+		Stopping: gateway.stop.Load() != nil, Isolated: gateway.isolated.Load(), ActiveRequests: gateway.ActiveRequests(),
 		StoreAddress: gateway.storeAddress(), Seeds: gateway.seeds()}
 	if table := gateway.table.Load(); table != nil {
 		dump.ConfigVersion, dump.Routes = table.Version, table.RouteCount()
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"poplarpin.dev/core/poison"
 	"poplarpin.dev/core/route"
 	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/core/stop"
 	"poplarpin.dev/platform"
 	"poplarpin.dev/poplarpind/http1"
 	"poplarpin.dev/poplarpind/peer"
@@ -45,7 +46,8 @@
 	currentStoreAddress atomic.Pointer[string]
 	storeProbe          singleflight.Group // pings a store that does not answer
 	currentSeeds        atomic.Pointer[[]string]
-	stopping            atomic.Bool
+	stop                atomic.Pointer[stop.Stop] // the planned stop; nil before it
+	stopBegan           chan struct{}             // closed once stop is set
 	isolated            atomic.Bool               // cut off from targets that most recent requests need; other VMs may still reach them
 	cutOffTargets       atomic.Int64              // failure domains whose targets this VM does not reach
 	isolatedChanged     atomic.Pointer[time.Time] // nil until the first change
@@ -101,6 +103,7 @@
 		random:            random,
 		fleet:             place.New(settings.FailureDomain, settings.Cores, random),
 		era:               platform.NewEra(func(event string) { storeEras.Add(event, 1) }),
+		stopBegan:         make(chan struct{}),
 		peersRead:         make(chan struct{}),
 		observationsReady: make(chan struct{}, 1),
 		storeCache:        follow.NewStoreCache(platform.Contents{}),
@@ -170,7 +173,7 @@
 
 // Ready reports whether the load balancer may send new connections to this VM.
 func (gateway *Gateway) Ready() bool {
-	if gateway.stopping.Load() || gateway.table.Load() == nil || gateway.isolated.Load() {
+	if gateway.stop.Load() != nil || gateway.table.Load() == nil || gateway.isolated.Load() {
 		return false
 	}
 	gateway.mu.Lock()
@@ -179,7 +182,7 @@
 }
 
 // Draining reports whether clients should move to other VMs, because this one is stopping or isolated.
-func (gateway *Gateway) Draining() bool { return gateway.stopping.Load() || gateway.isolated.Load() }
+func (gateway *Gateway) Draining() bool { return gateway.stop.Load() != nil || gateway.isolated.Load() }
 
 // BodyLimit returns the limit on a request body in bytes.
 func (gateway *Gateway) BodyLimit() int64 {
@@ -195,10 +198,14 @@
 	gateway.log.Info("request rejected", zap.String("request", truncate(id)), zap.Int("status", status), zap.String("reason", reason))
 }
 
-// Drain takes the VM out of the load balancer's rotation while requests are still served.
-func (gateway *Gateway) Drain() {
-	gateway.stopping.Store(true)
+// Drain begins a planned stop: it takes the VM out of the load balancer's rotation while requests are still served that end in time. It must be
+// called once.
+func (gateway *Gateway) Drain() *stop.Stop {
+	began := stop.New(time.Now(), gateway.settings.Bounds.GracePeriod)
+	gateway.stop.Store(began)
+	close(gateway.stopBegan)
 	gateway.log.Info("entry VM draining", zap.Int64("active", gateway.activeRequests.Load()))
+	return began
 }
 
 // ActiveRequests returns the number of client requests in flight.
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -51,8 +51,8 @@
 	timer        *time.Timer
 	timerAt      time.Time
 	started      time.Time
-	margin       time.Duration // of the objective, for the network path to the client
-	deadline     time.Time
+	margin       time.Duration        // of the objective, for the network path to the client
+	deadline     time.Time            // of the calls, earlier once the VM stops
 	response     chan fanout.Response // receives clientRun's response; nil for parts that a peer asked for
 }
 
@@ -117,6 +117,7 @@
 	gateway.mu.Lock()
 	_, cancelled := job.cancelled[index]
 	limited := gateway.fleet.Limited(send.Target.ID)
+	deadline := job.deadline
 	gateway.mu.Unlock()
 	if cancelled {
 		return // an earlier action of the same step ended the request
@@ -136,8 +137,8 @@
 	}
 	call := http1.Call{
 		Target: send.Target.ID, Address: send.Target.Address, Method: job.request.Method,
-		Encode:    func() []byte { return job.request.EncodeCall(send.Target.ID, time.Until(job.deadline)) },
-		FreshConn: !job.route.Idempotent, DialTimeout: idempotentDialTimeout, Deadline: job.deadline, MaxBody: job.maxResponseBody(),
+		Encode:    func() []byte { return job.request.EncodeCall(send.Target.ID, time.Until(deadline)) },
+		FreshConn: !job.route.Idempotent, DialTimeout: idempotentDialTimeout, Deadline: deadline, MaxBody: job.maxResponseBody(),
 		Priority: job.route.EffectivePriority(job.account),
 		Done: func(response *http1.Response, err error) (bool, time.Duration) {
 			return gateway.exchangeEnded(job, send, sentAt, response, err)
--- a/poplarpind/gateway/probe.go
+++ b/poplarpind/gateway/probe.go
@@ -9,6 +9,7 @@
 
 	"poplarpin.dev/core/place"
 	"poplarpin.dev/core/route"
+	"poplarpin.dev/core/stop"
 	"poplarpin.dev/poplarpind/every"
 )
 
@@ -96,7 +97,7 @@
 	if changedAt == nil || !gateway.isolated.Load() {
 		return minDelay
 	}
-	return max(balancerRemovalTime-time.Since(*changedAt), minDelay)
+	return max(stop.RemovalTime-time.Since(*changedAt), minDelay)
 }
 
 // tryConnect connects to a target or VM of a failure domain that seems cut off and reports whether it succeeded; the domain's targets, or its
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -40,6 +40,7 @@
 	queryID := strconv.FormatInt(gateway.lastQueryID, 36)
 	gateway.relayedCalls[queryID] = relayedCall{job: job, index: relay.Call, relayVM: relay.VM.ID}
 	job.relayQueries[relay.Call] = queryID
+	deadline := job.deadline
 	gateway.mu.Unlock()
 	if len(job.request.Body) > rpc.MaxForwardedBody {
 		gateway.endRelay(queryID, relay.VM.ID, fanout.NoCapacity)
@@ -55,7 +56,7 @@
 		Method: rpc.MethodGather,
 		Prompt: true,
 		Build: func() (any, bool) {
-			message.Timeout = config.Duration(max(time.Until(job.deadline), time.Millisecond))
+			message.Timeout = config.Duration(max(time.Until(deadline), time.Millisecond))
 			return message, gateway.isRelayed(queryID)
 		},
 		OnUnsent: func(reason peer.Kind) {
@@ -299,8 +300,8 @@
 	if waited := gateway.pauses.Waited(time.Now()); waited >= gather.Timeout.Std() {
 		return pausedReason
 	}
-	if gateway.stopping.Load() {
-		return "this VM is stopping"
+	if gateway.stop.Load() != nil {
+		return stoppingReason
 	}
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -21,13 +21,10 @@
 )
 
 const (
-	headerTimeout       = 10 * time.Second        // a request line and its headers must be read within this time
-	balancerRemovalTime = 2500 * time.Millisecond // the load balancer polls each second and removes a VM after two failures
-	shutdownReserve     = 300 * time.Millisecond  // left before the platform kills the process
-	defaultGrace        = 6 * time.Second         // SIGKILL follows SIGTERM after this time where the settings do not say
-	gcPercent           = 100                     // GOGC: heap growth between two garbage collections
-	settingsInterval    = 2 * time.Second         // the settings file is read this often, within the 3 s for which a VM may use outdated seeds
-	memoryLimitShare    = 0.6                     // the soft limit of the Go runtime is this part of the VM's memory, beyond which garbage is collected more often
+	headerTimeout    = 10 * time.Second // a request line and its headers must be read within this time
+	gcPercent        = 100              // GOGC: heap growth between two garbage collections
+	settingsInterval = 2 * time.Second  // the settings file is read this often, within the 3 s for which a VM may use outdated seeds
+	memoryLimitShare = 0.6              // the soft limit of the Go runtime is this part of the VM's memory, beyond which garbage is collected more often
 )
 
 // Main runs an entry VM on the platform until SIGTERM or SIGINT.
@@ -44,22 +41,26 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	gateway := New(settings, build, log)
-	clients := &http.Server{Handler: platform.NewIngress(gateway, platform.NewBodies(memoryBudget(settings.MemoryBytes))), ReadHeaderTimeout: headerTimeout, IdleTimeout: platform.DefaultIdleTimeout,
+	bodies := platform.NewBodies(memoryBudget(settings.MemoryBytes))
+	clients := &http.Server{Handler: platform.NewIngress(gateway, bodies), ReadHeaderTimeout: headerTimeout, IdleTimeout: platform.DefaultIdleTimeout,
 		ErrorLog: zap.NewStdLog(log), ConnContext: withClientConn}
+	conns := newConnStates(clients)
 	ready := &http.Server{Handler: platform.NewReadiness(gateway), ReadHeaderTimeout: headerTimeout}
 	if err := gateway.Start(ctx); err != nil {
 		return err
 	}
-	for address, server := range map[string]*http.Server{settings.ReadyAddress: ready, settings.CallerAddress: clients} {
-		if err := gateway.serve(address, server); err != nil {
-			return err
-		}
+	if _, err := gateway.serve(settings.ReadyAddress, ready); err != nil {
+		return err
+	}
+	listener, err := gateway.serve(settings.CallerAddress, clients)
+	if err != nil {
+		return err
 	}
 	log.Info("entry VM serving", zap.String("build", build), zap.String("domain", settings.FailureDomain), zap.Float64("cores", settings.Cores), zap.String("store", settings.StoreAddress),
 		zap.Strings("seeds", settings.Seeds))
 	go gateway.WatchSettings(ctx, path)
 	gateway.handleSignals(path)
-	gateway.shutdown(clients)
+	gateway.shutdown(listener, conns, bodies)
 	return nil
 }
 
@@ -67,7 +68,7 @@
 // run until the context ends.
 func (gateway *Gateway) Start(ctx context.Context) error {
 	peers := &http.Server{Handler: gateway.peerHandler(), ReadHeaderTimeout: headerTimeout}
-	if err := gateway.serve(gateway.settings.PeerAddress, peers); err != nil {
+	if _, err := gateway.serve(gateway.settings.PeerAddress, peers); err != nil {
 		return err
 	}
 	links, err := net.Listen("tcp", gateway.settings.MeshAddress())
@@ -85,16 +86,16 @@
 	return nil
 }
 
-// serve listens on an address until the server is shut down.
-func (gateway *Gateway) serve(address string, server *http.Server) error {
+// serve listens on an address until the server or the listener is closed.
+func (gateway *Gateway) serve(address string, server *http.Server) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	go func() {
 		gateway.log.Info("listener ended", zap.String("address", address), zap.Error(server.Serve(listener)))
 	}()
-	return nil
+	return listener, nil
 }
 
 // peerHandler serves metrics, dumps and this VM's state, which VMs read while they start, on the peer address.
@@ -166,20 +167,3 @@
 	gateway.currentStoreAddress.Store(&settings.StoreAddress)
 	gateway.currentSeeds.Store(&settings.Seeds)
 }
-
-// shutdown stops gracefully: it waits until the load balancer has removed this VM, then finishes the requests in flight of its clients, and
-// of peers where they are not idempotent.
-func (gateway *Gateway) shutdown(clients *http.Server) {
-	grace := gateway.settings.Bounds.GracePeriod
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), grace-shutdownReserve)
-	defer cancel()
-	gateway.Drain()
-	gateway.deregister(ctx)
-	sleep(ctx, min(balancerRemovalTime, grace/2))
-	err := clients.Shutdown(ctx)
-	gateway.awaitForwarded(ctx)
-	gateway.log.Info("entry VM stopped", zap.Int64("active", gateway.ActiveRequests()), zap.Error(err))
-}
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -72,6 +72,13 @@
 	if !ok {
 		return rejection
 	}
+	if !gateway.takes(request, matched) {
+		gateway.quotas.refund(token)
+		requestCounts.Add("stopping", 1)
+		gateway.log.Info("request refused", zap.String("request", truncate(request.ID)), zap.String("route", matched.Name), zap.String("reason", stoppingReason),
+			zap.Duration("clientTimeout", request.Timeout))
+		return platform.Refusal{RetryAfter: stoppingRetry, Reason: stoppingReason}
+	}
 	limiter, ok, retryAfter := gateway.admit(matched, account)
 	if !ok {
 		gateway.quotas.refund(token)
@@ -85,14 +92,19 @@
 	defer gateway.release(job)
 	context.AfterFunc(ctx, job.releaseResponses) // the context ends once the answer has been written
 	gateway.step(job, func(now time.Time) []fanout.Action { return job.clientRun.Start(now) })
-	select {
-	case response := <-job.response:
-		return gateway.answer(job, response)
-	case <-ctx.Done():
-		gateway.step(job, func(now time.Time) []fanout.Action { return job.clientRun.Abort(now) })
-		requestCounts.Add("clientLeft", 1)
-		gateway.logSummary(job, "clientLeft", "")
-		return nil
+	for stopBegan := gateway.stopBegan; ; {
+		select {
+		case response := <-job.response:
+			return gateway.answer(job, response)
+		case <-stopBegan:
+			gateway.step(job, func(time.Time) []fanout.Action { job.endByStop(); return nil })
+			stopBegan = nil
+		case <-ctx.Done():
+			gateway.step(job, func(now time.Time) []fanout.Action { return job.clientRun.Abort(now) })
+			requestCounts.Add("clientLeft", 1)
+			gateway.logSummary(job, "clientLeft", "")
+			return nil
+		}
 	}
 }
 
@@ -133,6 +145,7 @@
 	job.margin = margin
 	job.account, job.machine, job.clientRun, job.started = account, run, run, now
 	job.relayQueries, job.relayResults, job.response = map[int]string{}, map[int]rpc.GatherResult{}, make(chan fanout.Response, 1)
+	job.endByStop()
 	return job
 }
 
@@ -170,6 +183,7 @@
 	request := platform.NewForwardedRequest(gather.RequestID, gather.Method, gather.Head, gather.Body)
 	job := gateway.newBareJob(request, matched, version, now.Add(gather.Timeout.Std()))
 	job.machine, job.relayRun, job.started = relayRun, relayRun, now
+	job.endByStop()
 	return job
 }
 
--- a/poplarpind/process_test.go
+++ b/poplarpind/process_test.go
@@ -36,15 +36,22 @@
 type process struct {
 	command *exec.Cmd
 	url     string
+	exited  chan struct{}
 }
 
 // startProcess starts an entry VM with the memory of the smallest one and waits until it is ready.
 func startProcess(t *testing.T, binary string, store *platformtest.Store) *process {
+	t.Helper()
+	return startProcessWithin(t, binary, store, 0)
+}
+
+// startProcessWithin is startProcess for a VM that has this time for a planned stop, 0 for the default.
+func startProcessWithin(t *testing.T, binary string, store *platformtest.Store, grace time.Duration) *process {
 	t.Helper()
 	addresses, err := platformtest.FreeAddresses()
 	assert.NilError(t, err)
 	data := platformtest.Process{VM: "vm-a1", FailureDomain: "a", StoreAddress: store.Address(), MemoryMB: memoryMB,
-		Addresses: addresses, Bounds: platformtest.Bounds{RetryRatio: 0.2, RetrySlack: 50}}.Settings(t)
+		Addresses: addresses, Bounds: platformtest.Bounds{GracePeriod: grace, RetryRatio: 0.2, RetrySlack: 50}}.Settings(t)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(path, data, 0o600))
 	command := exec.Command(binary)
@@ -56,9 +63,9 @@
 func (process *process) start(t *testing.T, readyURL string) *process {
 	t.Helper()
 	assert.NilError(t, process.command.Start())
-	exited := make(chan struct{})
-	go func() { _ = process.command.Wait(); close(exited) }()
-	t.Cleanup(func() { _ = process.command.Process.Signal(syscall.SIGKILL); <-exited })
+	process.exited = make(chan struct{})
+	go func() { _ = process.command.Wait(); close(process.exited) }()
+	t.Cleanup(func() { _ = process.command.Process.Signal(syscall.SIGKILL); <-process.exited })
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		response, err := http.Get(readyURL)
 		if err != nil {
@@ -78,6 +85,18 @@
 	assert.NilError(t, process.command.Process.Signal(signal))
 }
 
+// waitFor waits until the process has ended by itself, and kills it at the given time.
+func (process *process) waitFor(t *testing.T, killAt time.Time) {
+	t.Helper()
+	select {
+	case <-process.exited:
+	case <-time.After(time.Until(killAt)):
+		_ = process.command.Process.Signal(syscall.SIGKILL)
+		<-process.exited
+	}
+	assert.Equal(t, process.command.ProcessState.ExitCode(), 0)
+}
+
 // pause stops the process and waits until none of its threads runs: the signal is sent before they have stopped.
 func (process *process) pause(t *testing.T) {
 	t.Helper()
