A request read while a stop closes its connection is not passed on

What callers would see: a stop closes idle connections; a request that net/http has read, and not yet marked as active, loses its connection and was passed on all the same, so that a request that is not idempotent ran without an answer.

Cause: a connection that this process has closed itself counted as one of which the kernel knows nothing.

Change: it counts as left by its client, so that the request ends before its first call.

--- a/model/ablation.sh
+++ b/model/ablation.sh
@@ -83,7 +83,7 @@
 ablation rejected-connections poplarpind/http1/pool.go 's/if now.Before\(targetConns.rejectedUntil\) \{/if false {/'
 ablation connection-share poplarpind/gateway/gateway.go 's/connectionShare  = 0.6 /connectionShare  = 1.0 /'
 ablation tcp-user-timeout poplarpind/http1/pool.go 's/, Control: setTCPUserTimeout\}/, Control: noOption}/; s/\z/\nfunc noOption(string, string, syscall.RawConn) error { _ = setTCPUserTimeout; return nil }\n/'
-ablation garbage-collection-at-100 poplarpind/gateway/run.go 's/gcPercent           = 100 /gcPercent           = 400 /'
+ablation garbage-collection-at-100 poplarpind/gateway/run.go 's/gcPercent( +)= 100 /gcPercent$1= 400 /'
 ablation memory-limit poplarpind/gateway/run.go 's/if settings.MemoryBytes > 0 \{/if false {/'
 ablation source-candidate core/follow/follow.go 's/best, candidate = follower.plan.Source, best/candidate = ""/'
 ablation store-probe poplarpind/gateway/watch.go 's/gateway.awaitStore\(ctx, store, backoff\)/sleep(ctx, backoff)/'
--- a/poplarpind/gateway/client_conn.go
+++ b/poplarpind/gateway/client_conn.go
@@ -34,7 +34,7 @@
 // client is the client of a request, as its connection shows it when the request is taken up.
 type client struct {
 	path fanout.ClientPath
-	left bool // it has closed the connection
+	left bool // it has closed the connection, or this VM has, as a stop closes idle ones
 }
 
 // nextClient returns the client of the next request on the connection that the context belongs to.
@@ -43,28 +43,27 @@
 	if !ok {
 		return client{}
 	}
-	info := tcpInfo(clientConn.conn)
+	info, open := tcpInfo(clientConn.conn)
 	return client{
 		path: fanout.ClientPath{RoundTrip: time.Duration(info.Rtt) * time.Microsecond, NewConnection: clientConn.requests.Add(1) == 1},
-		left: info.State == tcpCloseWait || info.State == tcpClose,
+		left: !open || info.State == tcpCloseWait || info.State == tcpClose,
 	}
 }
 
-// tcpInfo returns what the kernel knows of a TCP connection, the zero value if it knows nothing.
-func tcpInfo(conn net.Conn) unix.TCPInfo {
-	var info unix.TCPInfo
+// tcpInfo returns what the kernel knows of a TCP connection, the zero value if it knows nothing, and reports whether this process has not closed it.
+func tcpInfo(conn net.Conn) (info unix.TCPInfo, open bool) {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
-		return info
+		return info, true
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return info // the connection is closed
+		return info, false
 	}
-	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection
+	err = raw.Control(func(fd uintptr) { // fails only on a closed connection
 		if read, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			info = *read
 		}
 	})
-	return info
+	return info, err == nil
 }
