A stopping VM finishes the parts that it calls for peers, and takes none that it can't

What callers saw: a gathered request of which a stopping VM called a part for another VM ran again there, seconds late and at the cost of the budget of extra calls: the stopping process ended while such parts were in flight.

Cause: the stop waited for peers' requests only if they were not idempotent; and a result was taken for sent before it was queued, so that the process could end in between. Parts that named no target were accepted until the end.

Change: a stop waits for all parts that it calls for peers, until the process must end. No message is changed.

That a queued result could be dropped was found by review.

--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -48,6 +48,7 @@
 	currentSeeds        atomic.Pointer[[]string]
 	stop                atomic.Pointer[stop.Stop] // the planned stop; nil before it
 	stopBegan           chan struct{}             // closed once stop is set
+	refusesRelays       atomic.Bool               // the stop awaits the last results for peers
 	isolated            atomic.Bool               // cut off from targets that most recent requests need; other VMs may still reach them
 	cutOffTargets       atomic.Int64              // failure domains whose targets this VM does not reach
 	isolatedChanged     atomic.Pointer[time.Time] // nil until the first change
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -17,8 +17,6 @@
 	"poplarpin.dev/poplarpind/peer"
 )
 
-const forwardedPollInterval = 20 * time.Millisecond // a stop looks at the requests in flight for peers this often
-
 // relayedCall is a call that a peer relays for this VM.
 type relayedCall struct {
 	job     *job
@@ -241,6 +239,10 @@
 		refuse("the route's shards, targets or kind, or the part indices do not match this VM's configuration")
 		return
 	}
+	if gateway.refusesRelays.Load() || !gateway.takesGather(matched, gather) {
+		refuse(stoppingReason)
+		return
+	}
 	if reason := gateway.forwardRefusal(gather); reason != "" {
 		refuse(reason)
 		return
@@ -251,10 +253,12 @@
 	job := gateway.newRelayJob(gather, table.Version, matched, services)
 	key := from + "/" + gather.QueryID
 	job.report = func(report fanout.Report) {
-		if report.Final {
-			gateway.mu.Lock()
-			delete(gateway.relayJobs, key)
-			gateway.mu.Unlock()
+		if report.Final { // once it is queued, see awaitRelayed
+			defer func() {
+				gateway.mu.Lock()
+				defer gateway.mu.Unlock()
+				delete(gateway.relayJobs, key)
+			}()
 		}
 		if report.Refused {
 			refuse("this VM does not reach the targets")
@@ -362,20 +366,3 @@
 	}
 	return result
 }
-
-// awaitForwarded waits until no request that is not idempotent is in flight for a peer.
-func (gateway *Gateway) awaitForwarded(ctx context.Context) {
-	inFlight := func() bool {
-		gateway.mu.Lock()
-		defer gateway.mu.Unlock()
-		for _, job := range gateway.relayJobs {
-			if !job.route.Idempotent {
-				return true
-			}
-		}
-		return false
-	}
-	for inFlight() && ctx.Err() == nil {
-		sleep(ctx, forwardedPollInterval)
-	}
-}
--- a/poplarpind/gateway/stop.go
+++ b/poplarpind/gateway/stop.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"poplarpin.dev/core/route"
+	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/core/stop"
 	"poplarpin.dev/platform"
 )
@@ -29,19 +30,28 @@
 	sleep(ctx, time.Until(stop.RemovedAt()))
 	err := clients.Close()
 	conns.drain(ctx)
-	gateway.awaitForwarded(ctx)
+	gateway.awaitRelayed(ctx)
 	gateway.log.Info("entry VM stopped", zap.Int64("active", gateway.ActiveRequests()), zap.Error(err))
 }
 
 // takes reports whether a client's request is likely to be answered before this VM stops.
 func (gateway *Gateway) takes(request *platform.Request, matched *route.Route) bool {
+	return gateway.takesFor(matched, requestTimeout(matched.Timeout, request.Timeout))
+}
+
+// takesGather reports whether the parts that a peer asks for are likely to be answered before this VM stops.
+func (gateway *Gateway) takesGather(matched *route.Route, gather rpc.Gather) bool {
+	return gateway.takesFor(matched, gather.Timeout.Std())
+}
+
+func (gateway *Gateway) takesFor(matched *route.Route, timeout time.Duration) bool {
 	stop := gateway.stop.Load()
 	if stop == nil {
 		return true
 	}
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	return stop.Takes(time.Now(), gateway.stopRequest(matched, requestTimeout(matched.Timeout, request.Timeout)))
+	return stop.Takes(time.Now(), gateway.stopRequest(matched, timeout))
 }
 
 // stopRequest returns what a stop needs to know of a request; the caller holds mu.
@@ -64,3 +74,17 @@
 		job.deadline = stop.AnswerBy()
 	}
 }
+
+// awaitRelayed refuses further parts of peers, and waits until all results for peers have been sent.
+func (gateway *Gateway) awaitRelayed(ctx context.Context) {
+	gateway.refusesRelays.Store(true)
+	inFlight := func() bool {
+		gateway.mu.Lock()
+		defer gateway.mu.Unlock()
+		return len(gateway.relayJobs) > 0
+	}
+	for inFlight() && ctx.Err() == nil {
+		sleep(ctx, stopPollInterval)
+	}
+	sleep(ctx, stopPollInterval) // lets the links send the last results
+}
--- a/poplarpind/process_test.go
+++ b/poplarpind/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -34,9 +35,10 @@
 
 // process is a running entry VM.
 type process struct {
-	command *exec.Cmd
-	url     string
-	exited  chan struct{}
+	command  *exec.Cmd
+	url      string
+	peersURL string
+	exited   chan struct{}
 }
 
 // startProcess starts an entry VM with the memory of the smallest one and waits until it is ready.
@@ -47,16 +49,22 @@
 
 // startProcessWithin is startProcess for a VM that has this time for a planned stop, 0 for the default.
 func startProcessWithin(t *testing.T, binary string, store *platformtest.Store, grace time.Duration) *process {
+	t.Helper()
+	return startVM(t, binary, store, "vm-a1", "a", grace)
+}
+
+// startVM is startProcessWithin for a VM of any failure domain.
+func startVM(t *testing.T, binary string, store *platformtest.Store, name, domain string, grace time.Duration) *process {
 	t.Helper()
 	addresses, err := platformtest.FreeAddresses()
 	assert.NilError(t, err)
-	data := platformtest.Process{VM: "vm-a1", FailureDomain: "a", StoreAddress: store.Address(), MemoryMB: memoryMB,
+	data := platformtest.Process{VM: name, FailureDomain: domain, StoreAddress: store.Address(), MemoryMB: memoryMB,
 		Addresses: addresses, Bounds: platformtest.Bounds{GracePeriod: grace, RetryRatio: 0.2, RetrySlack: 50}}.Settings(t)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(path, data, 0o600))
 	command := exec.Command(binary)
 	command.Env = append(os.Environ(), platformtest.SettingsVariable+"="+path)
-	started := &process{command: command, url: "http://" + addresses.Clients}
+	started := &process{command: command, url: "http://" + addresses.Clients, peersURL: "http://" + addresses.Peers}
 	return started.start(t, "http://"+addresses.Ready+platformtest.ReadyPath)
 }
 
@@ -122,6 +130,24 @@
 	return len(threads) > 0
 }
 
+// get returns what the process answers on its address for other VMs.
+func (process *process) get(t *testing.T, path string) string {
+	t.Helper()
+	response, err := http.Get(process.peersURL + path)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return string(body)
+}
+
+func eventually(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(startTimeout); !reached(); time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), what)
+	}
+}
+
 // peakMemoryMB returns the largest resident memory that the process has had.
 func (process *process) peakMemoryMB(t *testing.T) int {
 	t.Helper()
--- a/poplarpind/stop_test.go
+++ b/poplarpind/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -161,3 +162,45 @@
 		assert.Check(t, statuses[expected] > 0, "no %s: %v", expected, statuses)
 	}
 }
+
+// TestStoppingRelay guards against parts that a VM calls for another one and drops when it stops, so that they run again.
+func TestStoppingRelay(t *testing.T) {
+	const grace, latency = 3 * time.Second, 1900 * time.Millisecond // the VM is out of the balancer's rotation after half of the grace
+	store, recorder, binary := platformtest.NewStore(t), &platformtest.Recorder{}, build(t)
+	services := []string{"s1", "s2", "s3"}
+	for _, service := range services {
+		target := platformtest.NewTarget(t, "i-"+service)
+		recorder.RecordWhile(target, service, latency, nil)
+		store.Put("servers", "i-"+service, target.Spec(service, "b", "ready"))
+	}
+	config := platformtest.WholeGatherConfig(services)
+	config["routes"].([]map[string]any)[0]["target_latency_ms"] = 12_000 // no part counts as slow
+	store.Put("config", "main", config)
+	relay := startVM(t, binary, store, "vm-b1", "b", grace)
+	requesting := startVM(t, binary, store, "vm-a1", "a", grace)
+	eventually(t, "the list of VMs", func() bool { return strings.Contains(requesting.get(t, "/debug/dump"), `"vm-b1"`) })
+	for _, stops := range []bool{false, true} {
+		before := len(recorder.Runs())
+		statuses := make(chan string)
+		go func() {
+			request := platformtest.NewRequest(t, http.MethodPost, requesting.url+"/g/x", []byte("b"))
+			response, err := http.DefaultTransport.RoundTrip(request)
+			if err != nil {
+				statuses <- err.Error()
+				return
+			}
+			_ = response.Body.Close()
+			statuses <- fmt.Sprintf("%d, missing %s", response.StatusCode, platformtest.MissingParts(response))
+		}()
+		eventually(t, "the calls", func() bool { return len(recorder.Runs()) == before+len(services) })
+		if stops {
+			relay.signal(t, syscall.SIGTERM)
+		}
+		assert.Equal(t, <-statuses, "200, missing 0")
+		assert.Equal(t, len(recorder.Runs()), before+len(services))
+	}
+	var counters struct{ Calls map[string]int }
+	assert.NilError(t, json.Unmarshal([]byte(requesting.get(t, "/debug/vars")), &counters))
+	assert.Equal(t, counters.Calls["relayed"], 2)
+	relay.waitFor(t, time.Now().Add(startTimeout))
+}
