--- a/core/stop/stop_test.go
+++ b/core/stop/stop_test.go
@@ -1,6 +1,9 @@
 package stop_test
 
 import (
+	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,3 +52,40 @@
 		})
 	}
 }
+
+// TestTakesMostThatEndInTime guards against a rule that refuses more than what would be too late, or takes more requests that run once than it must:
+// requests come at random in the grace and take times as targets do, the slowest of 100 eight times the median.
+func TestTakesMostThatEndInTime(t *testing.T) {
+	const requests, median, spread = 200_000, 80 * time.Millisecond, 0.9
+	random := rand.New(rand.NewPCG(1, 2))
+	latencies := make([]time.Duration, requests)
+	for i := range latencies {
+		latencies[i] = time.Duration(float64(median) * math.Exp(spread*random.NormFloat64()))
+	}
+	p95 := slices.Sorted(slices.Values(latencies))[requests*95/100]
+	for idempotent, most := range map[bool]struct{ refused, late float64 }{true: {0.06, 0.003}, false: {0.12, 0.0005}} {
+		request := stop.Request{Timeout: 5 * time.Second, P95: p95, Idempotent: idempotent}
+		stop := stop.New(began, 6*time.Second)
+		var inTime, refusedInTime, taken, late int
+		for _, latency := range latencies {
+			at := began.Add(time.Duration(random.Int64N(int64(stop.ExitAt().Sub(began)))))
+			ends := !at.Add(latency).After(stop.AnswerBy())
+			takes := stop.Takes(at, request)
+			if ends {
+				inTime++
+			}
+			if ends && !takes {
+				refusedInTime++
+			}
+			if takes {
+				taken++
+			}
+			if takes && !ends {
+				late++
+			}
+		}
+		t.Logf("idempotent %v, P95 %s: %d of %d that end in time are refused, %d of %d taken are late", idempotent, p95, refusedInTime, inTime, late, taken)
+		assert.Assert(t, float64(refusedInTime) < most.refused*float64(inTime))
+		assert.Assert(t, float64(late) < most.late*float64(taken))
+	}
+}
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -160,7 +160,7 @@
 mutant_of poplarpind "late request taken" . gateway/serve.go 's/if !gateway.takes\(request, matched\) \{/if false {/' TestLateInTheGrace
 mutant_of poplarpind "request in flight outlasts stop" . gateway/serve.go 's/case <-stopBegan:\n/case <-stopBegan:\n\t\t\tif true { stopBegan = nil; continue }\n/' TestLateInTheGrace
 mutant_of poplarpind "late request outlasts stop" . gateway/serve.go 's/(make\(chan fanout.Response, 1\)\n)\tjob.endByStop\(\)\n/$1/' TestLateInTheGrace
-mutant_of poplarpind "own close not noticed" gateway client_conn.go 's/left: !open \|\| /left: /' TestRequestAcrossOwnClose
+mutant_of poplarpind "own close not noticed" gateway client_conn.go 's/left: !open \|\| /left: !open \&\& false || /' TestRequestAcrossOwnClose
 mutant_of poplarpind "relay drops parts" . gateway/stop.go 's/return len\(gateway.relayJobs\) > 0/return false/' TestStoppingRelay
 mutant_of platform "bodies outlast the process" . bodies.go 's/return bodies.closed \|\| held.Ended\(\)/return held.Ended()/' TestEndedBodies
 
