A planned stop of the product's own interface ends, and answers what it has read

What callers saw: one of 985 requests was cut with no answer, and the stop lasted 20 s, while callers opened connections all the time.

Cause: http.Server.Shutdown closes a connection, without an answer, on which it reads a request after it has begun. The stop waited for 300 ms without a request, for up to 5 minutes in all, and then cut what was in flight; the settings accept a drain wait of 10 minutes, which is longer.

Change: package conns, which the platform path uses, takes the place of Shutdown: the connections that a request is on or awaited on are answered and then closed. 10 s after the drain wait, requests of callers that still send are refused as "not run" (503, Retry-After). The limit on a stop is the drain wait, these 10 s, the longest deadline (a minute), and 30 s for the last bodies and answers.

A mutant that shuts the server down instead is noticed by TestLateInTheGrace.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -162,6 +162,7 @@
 mutant_of poplarpind "late request outlasts stop" . gateway/serve.go 's/(make\(chan fanout.Response, 1\)\n)\tjob.endByStop\(\)\n/$1/' TestLateInTheGrace
 mutant_of poplarpind "own close not noticed" gateway client_conn.go 's/left: !open \|\| /left: !open \&\& false || /' TestRequestAcrossOwnClose
 mutant_of poplarpind "relay drops parts" . gateway/stop.go 's/return len\(gateway.relayJobs\) > 0/return false/' TestStoppingRelay
+mutant_of poplarpind "read request dropped" . conns/conns.go 's/_ = listener.Close\(\)\n\tstates.server.SetKeepAlivesEnabled\(false\)/go func() { _ = states.server.Shutdown(ctx) }()/' TestLateInTheGrace
 mutant_of platform "bodies outlast the process" . bodies.go 's/return bodies.closed \|\| held.Ended\(\)/return held.Ended()/' TestEndedBodies
 
 echo "$passed passed, $failed failed"
--- a/poplarpind/entry/entry.go
+++ b/poplarpind/entry/entry.go
@@ -60,6 +60,7 @@
 
 	platformUp atomic.Bool
 	stopping   atomic.Bool
+	refusing   atomic.Bool  // the stop no longer waits for callers to turn to other VMs
 	requests   atomic.Int64 // requests of callers in flight
 }
 
--- a/poplarpind/entry/query.go
+++ b/poplarpind/entry/query.go
@@ -59,6 +59,9 @@
 
 // Query runs a request and returns its final answer; the error is an api.Error.
 func (vm *VM) Query(ctx context.Context, request api.Request) (api.Answer, error) {
+	if err := vm.refuseLate(); err != nil {
+		return api.Answer{}, err
+	}
 	vm.requests.Add(1)
 	defer vm.requests.Add(-1)
 	configuration := vm.configuration()
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"poplarpin.dev/platform"
+	"poplarpin.dev/poplarpind/conns"
 	"poplarpin.dev/poplarpind/every"
 )
 
@@ -44,7 +45,7 @@
 	bodies := platform.NewBodies(memoryBudget(settings.MemoryBytes))
 	clients := &http.Server{Handler: platform.NewIngress(gateway, bodies), ReadHeaderTimeout: headerTimeout, IdleTimeout: platform.DefaultIdleTimeout,
 		ErrorLog: zap.NewStdLog(log), ConnContext: withClientConn}
-	conns := newConnStates(clients)
+	states := conns.Watch(clients)
 	ready := &http.Server{Handler: platform.NewReadiness(gateway), ReadHeaderTimeout: headerTimeout}
 	if err := gateway.Start(ctx); err != nil {
 		return err
@@ -60,7 +61,7 @@
 		zap.Strings("seeds", settings.Seeds))
 	go gateway.WatchSettings(ctx, path)
 	gateway.handleSignals(path)
-	gateway.shutdown(listener, conns, bodies)
+	gateway.shutdown(listener, states, bodies)
 	return nil
 }
 
--- a/poplarpind/gateway/stop.go
+++ b/poplarpind/gateway/stop.go
@@ -11,6 +11,7 @@
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/core/stop"
 	"poplarpin.dev/platform"
+	"poplarpin.dev/poplarpind/conns"
 )
 
 const (
@@ -21,15 +22,14 @@
 
 // shutdown stops gracefully: it waits until the load balancer has removed this VM, and then until the requests in flight of its clients and of peers
 // have ended. Those that would last longer are answered shortly before the process ends.
-func (gateway *Gateway) shutdown(clients net.Listener, conns *connStates, bodies *platform.Bodies) {
+func (gateway *Gateway) shutdown(clients net.Listener, states *conns.States, bodies *platform.Bodies) {
 	stop := gateway.Drain()
 	ctx, cancel := context.WithDeadline(context.Background(), stop.ExitAt())
 	defer cancel()
 	defer time.AfterFunc(time.Until(stop.AnswerBy()), bodies.End).Stop()
 	gateway.deregister(ctx)
 	sleep(ctx, time.Until(stop.RemovedAt()))
-	err := clients.Close()
-	conns.drain(ctx)
+	err := states.Drain(ctx, clients)
 	gateway.awaitRelayed(ctx)
 	gateway.log.Info("entry VM stopped", zap.Int64("active", gateway.ActiveRequests()), zap.Error(err))
 }
--- a/poplarpind/main.go
+++ b/poplarpind/main.go
@@ -19,6 +19,7 @@
 	"poplarpin.dev/platform"
 	"poplarpin.dev/poplarpind/caller"
 	"poplarpin.dev/poplarpind/certificate"
+	"poplarpin.dev/poplarpind/conns"
 	"poplarpin.dev/poplarpind/entry"
 	"poplarpin.dev/poplarpind/gateway"
 	"poplarpin.dev/poplarpind/logging"
@@ -27,9 +28,8 @@
 )
 
 const (
-	shutdownTimeout  = 5 * time.Minute // a planned stop takes this time at most
-	gcPercent        = 400             // heap growth in percent between two garbage collections
-	memoryLimitBytes = 192 << 20       // soft limit; the garbage collector runs more often beyond it
+	gcPercent        = 400       // heap growth in percent between two garbage collections
+	memoryLimitBytes = 192 << 20 // soft limit; the garbage collector runs more often beyond it
 )
 
 // version is set at build time.
@@ -124,18 +124,25 @@
 	}
 	go vm.Mesh().Serve(peers)
 	go vm.Run(ctx)
-	servers := []*http.Server{
-		{Addr: settings.OperatorAddress, Handler: operator.New(vm, settings.Operators, log), TLSConfig: certificates.Mutual()},
-		{Addr: settings.CallerAddress, Handler: caller.New(vm), TLSConfig: callerTLS(certificates, settings)},
+	servers := []*server{
+		{Server: &http.Server{Addr: settings.OperatorAddress, Handler: operator.New(vm, settings.Operators, log), TLSConfig: certificates.Mutual()}},
+		{Server: &http.Server{Addr: settings.CallerAddress, Handler: caller.New(vm), TLSConfig: callerTLS(certificates, settings)}},
 	}
 	for _, server := range servers {
-		if err := serve(server); err != nil {
+		if err := server.start(); err != nil {
 			return err
 		}
 	}
 	log.Info("entry VM serving", zap.String("version", version), zap.String("vm", settings.Name), zap.String("domain", settings.FailureDomain))
 	waitForSignal(vm, log)
-	return shutdown(vm, servers, cancel)
+	return shutdown(vm, servers, settings.DrainWait.Std(), cancel)
+}
+
+// server is an HTTP server that can be drained.
+type server struct {
+	*http.Server
+	listener net.Listener
+	states   *conns.States
 }
 
 // callerTLS returns nil if callers use plain HTTP.
@@ -157,11 +164,12 @@
 	return tls.NewListener(listener, config), nil
 }
 
-func serve(server *http.Server) error {
+func (server *server) start() error {
 	listener, err := listen(server.Addr, server.TLSConfig)
 	if err != nil {
 		return err
 	}
+	server.listener, server.states = listener, conns.Watch(server.Server)
 	server.ReadHeaderTimeout, server.ReadTimeout = caller.HeaderTimeout, caller.BodyTimeout
 	go func() { _ = server.Serve(listener) }()
 	return nil
@@ -181,12 +189,12 @@
 }
 
 // shutdown finishes requests in flight, closes the servers and announces to the peers that the VM leaves.
-func shutdown(vm *entry.VM, servers []*http.Server, cancel context.CancelFunc) error {
-	ctx, cancelTimeout := context.WithTimeout(context.Background(), shutdownTimeout)
+func shutdown(vm *entry.VM, servers []*server, drainWait time.Duration, cancel context.CancelFunc) error {
+	ctx, cancelTimeout := context.WithTimeout(context.Background(), entry.StopTimeout(drainWait))
 	defer cancelTimeout()
 	vm.Stop(ctx)
 	for _, server := range servers {
-		if err := server.Shutdown(ctx); err != nil {
+		if err := server.states.Drain(ctx, server.listener); err != nil {
 			return errors.Annotate(err, "stop")
 		}
 	}
