--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -154,7 +154,7 @@
 mutant_of poplarpind "withdrawn message sent" peer link.go 's/if !wanted \{/if false \&\& !wanted {/' TestWithdrawnWhileOpening
 mutant_of poplarpind "dials outlast clients" gateway serve.go 's/idempotentDialTimeout    = 100 \* time.Millisecond/idempotentDialTimeout    = time.Second/' TestDarkTarget
 mutant_of poplarpind "relay does not pay" gateway serve.go 's/if gather.Pays \{/if false {/' TestLentBudget
-mutant_of poplarpind "reset taken for an end" http1 response.go 's/endsWithConn\(response\) && !tcp/endsWithConn(response) \&\& false \&\& !tcp/' TestResetWhileSending
+mutant_of poplarpind "reset taken for an end" http1 response.go 's/endsWithConn\(response\) && !conn/endsWithConn(response) \&\& false \&\& !conn/' TestResetWhileSending
 mutant_of poplarpind "cut head taken for invalid" http1 response.go 's/case conn.source.ended:/case false:/' TestStoppedResponse
 mutant_of platform "empty answer is a list" . store.go 's/if page == nil \{/if page == nil { page = \&listPage{} }\n\t\tif false {/' TestStoppedList
 mutant_of poplarpind "reset stream answers" target target.go 's/err != nil \|\| json.Unmarshal/err != nil \&\& false || json.Unmarshal/' TestStoppedResponse
@@ -170,6 +170,17 @@
 mutant_of poplarpind "other object configures" . gateway/watch.go 's/case object.Name == platform.ConfigName:/default:/' TestOtherConfigurations
 mutant_of poplarpind "odd own entry written again" gateway peers.go 's/ \|\| oddRevision > 0 && oddRevision == gateway.oddRevision//' TestOddOwnEntry
 mutant_of poplarpind "unreadable one configures" . gateway/store_sync.go 's/object != nil && platform.IsUnreadable\(object.Spec\)/object != nil \&\& false/' TestUnreadableConfiguration
+mutant "no care for requests that run once" stop stop.go 's/if request.Gather \|\| !request.Idempotent \{/if request.Gather {/'
+mutant "last answers not written" stop stop.go 's/return stop.ExitAt\(\).Add\(-min\(maxWriteTime, stop.grace\/writeDivisor\)\)/return stop.ExitAt()/'
+mutant "sent once more at the end" fanout fanout.go 's/run.noCallsFrom = at.Add\(-needed\)/run.noCallsFrom = at/'
+mutant "run outlasts its VM" fanout fanout.go 's/\trun.deadline = at\n//'
+mutant_of poplarpind "late request taken" . gateway/serve.go 's/if !gateway.takes\(request, matched\) \{/if false {/' TestLateInTheGrace
+mutant_of poplarpind "request in flight outlasts stop" . gateway/serve.go 's/case <-stopBegan:\n/case <-stopBegan:\n\t\t\tif true { stopBegan = nil; continue }\n/' TestLateInTheGrace
+mutant_of poplarpind "late request outlasts stop" . gateway/serve.go 's/(make\(chan fanout.Response, 1\)\n)\tjob.endByStop\(\)\n/$1/' TestLateInTheGrace
+mutant_of poplarpind "own close not noticed" gateway client_conn.go 's/left: !open \|\| /left: !open \&\& false || /' TestRequestAcrossOwnClose
+mutant_of poplarpind "relay drops parts" . gateway/stop.go 's/return len\(gateway.relayJobs\) > 0/return false/' TestStoppingRelay
+mutant_of poplarpind "read request dropped" . conns/conns.go 's/_ = listener.Close\(\)\n\tstates.server.SetKeepAlivesEnabled\(false\)/go func() { _ = states.server.Shutdown(ctx) }()/' TestLateInTheGrace
+mutant_of platform "bodies outlast the process" . bodies.go 's/return bodies.closed \|\| held.Ended\(\)/return held.Ended()/' TestEndedBodies
 
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/poplarpind/gateway/client_conn.go
+++ b/poplarpind/gateway/client_conn.go
@@ -27,7 +27,7 @@
 // client is the client of a request, as its connection shows it when the request is taken up.
 type client struct {
 	path fanout.ClientPath
-	left bool // it has closed the connection
+	left bool // it has closed the connection, or this VM has, as a stop closes idle ones
 }
 
 // nextClient returns the client of the next request on the connection that the context belongs to.
@@ -36,9 +36,9 @@
 	if !ok {
 		return client{}
 	}
-	info := tcp.InfoOf(clientConn.conn)
+	info, open := tcp.InfoOf(clientConn.conn)
 	return client{
 		path: fanout.ClientPath{RoundTrip: time.Duration(info.Rtt) * time.Microsecond, NewConnection: clientConn.requests.Add(1) == 1},
-		left: info.Ended(),
+		left: !open || info.Ended(),
 	}
 }
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -17,8 +17,6 @@
 	"poplarpin.dev/poplarpind/peer"
 )
 
-const forwardedPollInterval = 20 * time.Millisecond // a stop looks at the requests in flight for peers this often
-
 // relayedCall is a call that a peer relays for this VM.
 type relayedCall struct {
 	job     *job
@@ -40,6 +38,7 @@
 	queryID := strconv.FormatInt(gateway.lastQueryID, 36)
 	gateway.relayedCalls[queryID] = relayedCall{job: job, index: relay.Call, relayVM: relay.VM.ID}
 	job.relayQueries[relay.Call] = queryID
+	deadline := job.deadline
 	gateway.mu.Unlock()
 	if len(job.request.Body) > rpc.MaxForwardedBody {
 		gateway.endRelay(queryID, relay.VM.ID, fanout.NoCapacity)
@@ -55,7 +54,7 @@
 		Method: rpc.MethodGather,
 		Prompt: true,
 		Build: func() (any, bool) {
-			message.Timeout = config.Duration(max(time.Until(job.deadline), time.Millisecond))
+			message.Timeout = config.Duration(max(time.Until(deadline), time.Millisecond))
 			return message, gateway.isRelayed(queryID)
 		},
 		OnUnsent: func(reason peer.Kind) {
@@ -240,6 +239,10 @@
 		refuse("the route's shards, targets or kind, or the part indices do not match this VM's configuration")
 		return
 	}
+	if gateway.refusesRelays.Load() || !gateway.takesGather(matched, gather) {
+		refuse(stoppingReason)
+		return
+	}
 	if reason := gateway.forwardRefusal(gather); reason != "" {
 		refuse(reason)
 		return
@@ -250,10 +253,12 @@
 	job := gateway.newRelayJob(gather, table.Version, matched, services)
 	key := from + "/" + gather.QueryID
 	job.report = func(report fanout.Report) {
-		if report.Final {
-			gateway.mu.Lock()
-			delete(gateway.relayJobs, key)
-			gateway.mu.Unlock()
+		if report.Final { // once it is queued, see awaitRelayed
+			defer func() {
+				gateway.mu.Lock()
+				defer gateway.mu.Unlock()
+				delete(gateway.relayJobs, key)
+			}()
 		}
 		if report.Refused {
 			refuse("this VM does not reach the targets")
@@ -299,8 +304,8 @@
 	if waited := gateway.pauses.Waited(time.Now()); waited >= gather.Timeout.Std() {
 		return pausedReason
 	}
-	if gateway.stopping.Load() {
-		return "this VM is stopping"
+	if gateway.stop.Load() != nil {
+		return stoppingReason
 	}
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
@@ -361,20 +366,3 @@
 	}
 	return result
 }
-
-// awaitForwarded waits until no request that is not idempotent is in flight for a peer.
-func (gateway *Gateway) awaitForwarded(ctx context.Context) {
-	inFlight := func() bool {
-		gateway.mu.Lock()
-		defer gateway.mu.Unlock()
-		for _, job := range gateway.relayJobs {
-			if !job.route.Idempotent {
-				return true
-			}
-		}
-		return false
-	}
-	for inFlight() && ctx.Err() == nil {
-		sleep(ctx, forwardedPollInterval)
-	}
-}
--- a/poplarpind/http1/response.go
+++ b/poplarpind/http1/response.go
@@ -98,7 +98,7 @@
 		count, err := response.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+count]
 		switch {
-		case err == io.EOF && endsWithConn(response) && !tcp.InfoOf(conn.netConn).Finished():
+		case err == io.EOF && endsWithConn(response) && !conn.finished():
 			return nil, &Error{"body", Lost, "the connection was reset"}
 		case err == io.EOF:
 			return body, nil
@@ -118,6 +118,12 @@
 	}
 }
 
+// finished reports whether the target has closed the connection and it has not been reset since.
+func (conn *conn) finished() bool {
+	info, _ := tcp.InfoOf(conn.netConn)
+	return info.Finished()
+}
+
 // endsWithConn reports whether only the end of the connection shows the end of the response's body. A read alone does not tell a reset then: the
 // kernel reports it once, and may have told the writer of a call that is still being sent.
 func endsWithConn(response *http.Response) bool {
--- a/poplarpind/process_test.go
+++ b/poplarpind/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -46,12 +47,16 @@
 	return startVM(t, binary, platformtest.Process{VM: "vm-a1", StoreAddress: store.Address()})
 }
 
-// startVM is startProcess for one of several VMs, which the given fields tell apart.
+// startVM is startProcess for one of several VMs, which the given fields tell apart; it is in failure domain a by default.
 func startVM(t *testing.T, binary string, vm platformtest.Process) *process {
 	t.Helper()
 	addresses, err := platformtest.FreeAddresses()
 	assert.NilError(t, err)
-	vm.FailureDomain, vm.MemoryMB, vm.Addresses, vm.Bounds = "a", memoryMB, addresses, platformtest.Bounds{RetryRatio: 0.2, RetrySlack: 50}
+	if vm.FailureDomain == "" {
+		vm.FailureDomain = "a"
+	}
+	vm.MemoryMB, vm.Addresses = memoryMB, addresses
+	vm.Bounds.RetryRatio, vm.Bounds.RetrySlack = 0.2, 50
 	data := vm.Settings(t)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(path, data, 0o600))
@@ -85,6 +90,18 @@
 	assert.NilError(t, process.command.Process.Signal(signal))
 }
 
+// waitFor waits until the process has ended by itself, and kills it at the given time.
+func (process *process) waitFor(t *testing.T, killAt time.Time) {
+	t.Helper()
+	select {
+	case <-process.exited:
+	case <-time.After(time.Until(killAt)):
+		_ = process.command.Process.Signal(syscall.SIGKILL)
+		<-process.exited
+	}
+	assert.Equal(t, process.command.ProcessState.ExitCode(), 0)
+}
+
 // pause stops the process and waits until none of its threads runs: the signal is sent before they have stopped.
 func (process *process) pause(t *testing.T) {
 	t.Helper()
@@ -110,6 +127,24 @@
 	return len(threads) > 0
 }
 
+// get returns what the process answers on its address for other VMs.
+func (process *process) get(t *testing.T, path string) string {
+	t.Helper()
+	response, err := http.Get(process.peerURL + path)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return string(body)
+}
+
+func eventually(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(startTimeout); !reached(); time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), what)
+	}
+}
+
 // peakMemoryMB returns the largest resident memory that the process has had.
 func (process *process) peakMemoryMB(t *testing.T) int {
 	t.Helper()
--- a/poplarpind/tcp/tcp.go
+++ b/poplarpind/tcp/tcp.go
@@ -15,23 +15,22 @@
 // Info is what the kernel knows of a connection, the zero value if it knows nothing.
 type Info struct{ unix.TCPInfo }
 
-// InfoOf returns what the kernel knows of a connection.
-func InfoOf(conn net.Conn) Info {
-	var info Info
+// InfoOf returns what the kernel knows of a connection, and reports whether this process has not closed it.
+func InfoOf(conn net.Conn) (info Info, open bool) {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
-		return info
+		return info, true
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return info // the connection is closed
+		return info, false
 	}
-	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection
+	err = raw.Control(func(fd uintptr) { // fails only on a closed connection
 		if read, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			info.TCPInfo = *read
 		}
 	})
-	return info
+	return info, err == nil
 }
 
 // Finished reports whether the other end has closed the connection and it has not been reset since.
