An outcome that this build does not know may have run

Callers of a VM that a peer calls a target for: a request that must run once was sent again after an outcome of the relay that this build has no name for, or an empty one, although the target may have run it; a later build needs only to name a new way to lose an answer.

Cause: Outcome.possiblyRan listed what may have run. It lists what has surely not run now, and the rest counts as run. The cut-off attempts of a part asked it for calls without an outcome too; they ask for those that have ended.

Core outcomes of this build count as before.

--- a/core/fanout/cut_off.go
+++ b/core/fanout/cut_off.go
@@ -20,8 +20,8 @@
 		return attempts
 	}
 	for _, call := range part.calls {
-		outcome, _ := call.partOutcome(part)
-		if (call.awaits(part) || outcome.possiblyRan()) && call.attempt.CutOff(now) {
+		outcome, ended := call.partOutcome(part)
+		if (call.awaits(part) || ended && outcome.possiblyRan()) && call.attempt.CutOff(now) {
 			attempts--
 		}
 	}
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -26,13 +26,13 @@
 	InvalidResponse Outcome = "spoilt"    // the response was unusable; the call may have been processed
 )
 
-// possiblyRan reports whether the target may have processed a call with this outcome.
+// possiblyRan reports whether the target may have processed a call with this outcome. A peer may report an outcome that this build does not know.
 func (outcome Outcome) possiblyRan() bool {
 	switch outcome {
-	case Answered, Failed, Lost, InvalidResponse:
-		return true
+	case Refused, Displaced, NotSent, ConnectionLimit, NoCapacity, Unreached, Unpaid:
+		return false
 	}
-	return false
+	return true
 }
 
 // concernsPath reports whether a call with this outcome has not reached the target, so that it may reach it on another path.
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -126,6 +126,7 @@
 mutant "forwarding though target is reached" place path.go 's/ && !fleet.reaches\(now, endpoint\)//'
 mutant "relay outside the regions" place path.go 's/ \|\| !allows\(fleet.regions\[vms\[0\].FailureDomain\]\)//'
 mutant "relay asked twice" fanout forward.go 's/asked := part.relays\(\)/var asked []string/'
+mutant "unknown outcome counts as not run" fanout fanout.go 's/\t\treturn false\n\t\}\n\treturn true\n\}/\t\treturn false\n\tcase Answered, Failed, Lost, InvalidResponse:\n\t\treturn true\n\t}\n\treturn false\n}/'
 mutant "lost forwarded call sent again" fanout relay.go 's/if outcome.possiblyRan\(\) \{\n\t\tpart.possibleRuns\+\+\n\t\}\n\tif part.answeredBy/if part.answeredBy/'
 mutant "forwarded call not counted as run" fanout forward.go 's/case !ended \|\| outcome.possiblyRan\(\):\n\t\t\tdirect, forwarded = append\(direct, target\), append\(forwarded, target\)/case !ended || outcome.possiblyRan():/'
 mutant "request cancelled that runs once" fanout calls.go 's/CloseConnection: run.spec.Idempotent/CloseConnection: true/'
