A relay that contradicts itself may have called the target

A request that must run once was sent to a second target if a relay refused it after it had reported, named two outcomes of a part in one report, or answered in an unusable report and then named an outcome that says "not sent": the last or the first word counted, not the worst.

Change: a relayed call that has been reported on ends as lost, whatever its end claims; of several outcomes of a forwarded part the one counts that may have run.

--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -160,6 +160,7 @@
 	hedged         bool
 	hedgeAfter     time.Time // of a relayed call whose hedges were postponed; zero if they were not
 	noEarlyHedge   bool      // no other target was likely to be faster when its target reported that work is slow
+	reported       bool      // the relay has sent a report, so that it may have called the targets
 	ended          bool
 	outcome        Outcome
 }
--- a/core/fanout/forward.go
+++ b/core/fanout/forward.go
@@ -147,13 +147,21 @@
 	return call.outcome, call.ended
 }
 
-// endForwarded records the outcome of a part whose call was forwarded.
+// endForwarded records the outcome of a part whose call was forwarded. If a relay contradicts itself, the outcome counts that may have run.
 func (call *call) endForwarded(part int, outcome Outcome) {
-	if forwarded := call.forwarded[part]; forwarded != nil && forwarded.outcome == "" {
+	if forwarded := call.forwarded[part]; forwarded != nil && (forwarded.outcome == "" || outcome.possiblyRan() && !forwarded.outcome.possiblyRan()) {
 		forwarded.outcome = outcome
 	}
 }
 
+// worstOutcome returns the outcome of a missing part: what the relay says now, unless it has said of a forwarded call that it may have run.
+func (call *call) worstOutcome(missing Missing) Outcome {
+	if forwarded := call.forwarded[missing.Part]; forwarded != nil && forwarded.outcome.possiblyRan() {
+		return forwarded.outcome
+	}
+	return missing.Outcome
+}
+
 // tried returns the targets that the next call of a part must not go to, for calls of this VM and for forwarded ones: a target that may have
 // processed the part, has it in flight or could not be reached on that path. After a refusal, only the next call must go elsewhere.
 func (run *Run) tried(part *partState) (direct, forwarded []string) {
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -157,6 +157,7 @@
 	if call.ended {
 		return -1, nil
 	}
+	call.reported = true
 	call.recordReport(now, run.shared.Fleet, report)
 	if run.finished {
 		call.ended = call.ended || report.Final
@@ -169,7 +170,7 @@
 			if missing.Outcome == Failed {
 				part.failedCall = call
 			}
-			actions = append(actions, run.retryMissing(now, part, call.chargedOutcome(missing.Outcome))...)
+			actions = append(actions, run.retryMissing(now, part, call.chargedOutcome(call.worstOutcome(missing)))...)
 		}
 	}
 	if report.Final {
@@ -342,6 +343,9 @@
 		call.discardTargetAttempts()
 		return nil
 	}
+	if call.reported && !outcome.possiblyRan() {
+		outcome = Lost // the message has arrived
+	}
 	if outcome == Refused {
 		outcome = NoCapacity // the relay refused, not a target
 	}
