One place permits each call of a part

Now each call of a part, direct, forwarded, lent, offloaded or relayed, needs a permit, which only permitCall issues: a request that is not idempotent gets none while a call of the part is in flight or may have run. Callers still ask mayHedge and mayRetry first; a call that permitCall stops is a fault, counted as calls.stopped and logged as an error with the request's id.

TestOnce passed without, as its relays sent no early report. Its relays now send reports that are early, partial, with outcomes of every kind, unusable, repeated, after the final one and after the response, and lose their links before and after; it asserts at each call that no other is in flight or may have run, rather than counting targets at the end.

Four mutants.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -30,19 +30,23 @@
 	if !ok {
 		return nil, false
 	}
-	if part.tries > 0 {
-		run.extraCalls++
-	}
+	extra := part.tries > 0
 	if chosen.path == place.Relayed {
-		run.forward(now, part, chosen, TargetUnreached, reason)
+		if !run.forward(now, part, chosen, TargetUnreached, reason) {
+			return nil, part.inFlight > 0
+		}
+		run.countExtra(extra)
 		return nil, true
 	}
-	call := &call{index: len(run.calls), parts: onePart(part), endpoint: chosen.target, started: now,
+	permit, ok := run.permitCall(part)
+	if !ok {
+		return nil, part.inFlight > 0
+	}
+	run.countExtra(extra)
+	call := &call{index: len(run.calls), endpoint: chosen.target, started: now,
 		attempt: run.shared.Fleet.StartAttempt(now, chosen.target.ID, run.spec.Route)}
 	run.calls = append(run.calls, call)
-	part.calls = append(part.calls, call)
-	part.inFlight++
-	part.tries++
+	call.add(permit)
 	return []Action{Send{Call: call.index, Target: chosen.target, Reason: reason}}, true
 }
 
@@ -69,8 +73,6 @@
 	return run.shared.Fleet.OutsideRegions(service, run.spec.Regions.Allows)
 }
 
-func onePart(only *partState) []*partState { return []*partState{only} }
-
 // retryableOnSameTarget reports whether a later call to the same target may succeed.
 func retryableOnSameTarget(outcome Outcome) bool {
 	switch outcome {
--- a/core/fanout/fanout_test.go
+++ b/core/fanout/fanout_test.go
@@ -89,7 +89,11 @@
 		simulation := newSimulation(t, spec, shared)
 		simulation.runToEnd()
 		simulation.assertResponse()
-		assert.Assert(t, len(simulation.mayHaveRunOn[services[0]]) <= 1, "ran on %v", simulation.mayHaveRunOn)
+		assert.Assert(t, len(simulation.ranCalls) <= 1, "calls %v may have run, on %v", simulation.ranCalls, simulation.mayHaveRunOn)
+		if len(simulation.reports) > 0 {
+			simulation.repeat() // after the response too
+		}
+		assert.Equal(t, simulation.run.StoppedCalls(), 0)
 	})
 }
 
--- a/core/fanout/forward.go
+++ b/core/fanout/forward.go
@@ -100,8 +100,12 @@
 	return names
 }
 
-// forward adds a part to the message that asks a VM to call a target. It is sent at the end of the step, see takeForwards.
-func (run *Run) forward(now time.Time, part *partState, chosen chosen, reason ForwardReason, cause string) {
+// forward adds a part to the message that asks a VM to call a target, and reports whether it may. It is sent at the end of the step, see takeForwards.
+func (run *Run) forward(now time.Time, part *partState, chosen chosen, reason ForwardReason, cause string) bool {
+	permit, ok := run.permitCall(part)
+	if !ok {
+		return false
+	}
 	i := slices.IndexFunc(run.unsent, func(unsent *call) bool {
 		return unsent.endpoint.ID == chosen.relay.ID && unsent.near == chosen.target.FailureDomain && unsent.reason == reason
 	})
@@ -114,7 +118,8 @@
 	call := run.unsent[i]
 	call.forwarded[part.index] = &forwarded{target: chosen.target, cause: cause}
 	call.targetAttempts[part.index] = run.shared.Fleet.StartRelayedAttempt(now, chosen.target.ID, run.spec.Route, chosen.relay.FailureDomain)
-	run.addPart(call, part)
+	call.add(permit)
+	return true
 }
 
 // takeForwards adds the messages to other VMs that a step has filled to its actions.
--- a/core/fanout/loan.go
+++ b/core/fanout/loan.go
@@ -36,10 +36,12 @@
 	if !ok || run.shared.Fleet.Stuck(now, relay.ID) {
 		return false
 	}
+	if !run.forward(now, part, chosen{target.target, relay, place.Relayed}, BudgetSpent, cause) {
+		return false
+	}
 	part.loans++
 	part.suppressed = ""
 	run.extraCalls++
-	run.forward(now, part, chosen{target.target, relay, place.Relayed}, BudgetSpent, cause)
 	return true
 }
 
--- a/core/fanout/offload.go
+++ b/core/fanout/offload.go
@@ -49,7 +49,9 @@
 	if !ok || !run.shared.Fleet.IsLarger(relay) || run.shared.Fleet.Stuck(now, relay.ID) {
 		return false
 	}
+	if !run.forward(now, part, chosen{alternative.target, relay, place.Relayed}, ConnectionNeeded, "hedge") {
+		return false
+	}
 	run.extraCalls++
-	run.forward(now, part, chosen{alternative.target, relay, place.Relayed}, ConnectionNeeded, "hedge")
 	return true
 }
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -54,7 +54,7 @@
 		relays := run.chooseRelays(now, domain, len(parts))
 		for i, vm := range relays {
 			share := parts[i*len(parts)/len(relays) : (i+1)*len(parts)/len(relays)]
-			actions = append(actions, run.startRelay(now, vm, share))
+			actions = append(actions, run.startRelay(now, vm, share)...)
 			for _, part := range share {
 				relayed[part] = true
 			}
@@ -108,16 +108,27 @@
 
 // startRelay sends parts to a relay. The relay chooses the targets, so a part counts as an attempt at a target only where the relay's
 // failure domain has a single one for it.
-func (run *Run) startRelay(now time.Time, vm place.Endpoint, indices []int) Action {
-	call := run.newRelayedCall(now, vm)
+func (run *Run) startRelay(now time.Time, vm place.Endpoint, indices []int) []Action {
+	var permits []permit
 	for _, i := range indices {
-		part := &run.parts[i]
-		run.addPart(call, part)
-		if target, ok := run.shared.Fleet.OnlyUsable(now, part.service, vm.FailureDomain); ok {
+		if permit, ok := run.permitCall(&run.parts[i]); ok {
+			permits = append(permits, permit)
+		}
+	}
+	if len(permits) == 0 {
+		return nil
+	}
+	call := run.newRelayedCall(now, vm)
+	relay := Relay{Call: call.index, VM: vm, ReportAfter: run.reportAfter(now)}
+	for _, permit := range permits {
+		call.add(permit)
+		i := permit.part.index
+		relay.Parts = append(relay.Parts, i)
+		if target, ok := run.shared.Fleet.OnlyUsable(now, permit.part.service, vm.FailureDomain); ok {
 			call.targetAttempts[i] = run.shared.Fleet.StartRelayedAttempt(now, target, run.spec.Route, vm.FailureDomain)
 		}
 	}
-	return Relay{Call: call.index, VM: vm, Parts: indices, ReportAfter: run.reportAfter(now)}
+	return []Action{relay}
 }
 
 // newRelayedCall adds a call without parts to a relay.
@@ -129,14 +140,6 @@
 	return call
 }
 
-// addPart adds a part to a relayed call.
-func (run *Run) addPart(call *call, part *partState) {
-	call.parts = append(call.parts, part)
-	part.calls = append(part.calls, call)
-	part.inFlight++
-	part.tries++
-}
-
 // reportAfter returns how long a relay that is asked now waits for all parts before it reports the ones it has.
 func (run *Run) reportAfter(now time.Time) time.Duration {
 	baseline := run.shared.Fleet.Baseline(run.spec.Route)
--- a/core/fanout/reports.go
+++ b/core/fanout/reports.go
@@ -85,7 +85,7 @@
 		for _, domain := range fleet.LimitedDomains(now, service, run.outOfReach(service)) {
 			vm, ok := fleet.Choose(now, RelayService(domain), relayPrefix+run.spec.Route, fleet.VMsWithoutShare(now, service, domain))
 			if ok && !fleet.Stuck(now, vm.ID) {
-				actions, relayed[i] = append(actions, run.startRelay(now, vm, []int{i})), true
+				actions, relayed[i] = append(actions, run.startRelay(now, vm, []int{i})...), true
 				break
 			}
 		}
--- a/core/fanout/simulation_test.go
+++ b/core/fanout/simulation_test.go
@@ -22,6 +22,9 @@
 	forwarded    map[int]map[int]string // by call and part, the targets that the relay must call
 	parts        map[int][]int          // by call or merged report, the parts that it answered
 	openCalls    []int
+	ranCalls     map[int]bool        // by call, those that may have run
+	reported     map[int]bool        // by call, the relays that have reported
+	reports      []relayReport       // all reports so far
 	mayHaveRunOn map[string][]string // by service, the targets that may have processed the request
 	arrivals     map[string]int      // by service
 	responses    []fanout.Response
@@ -29,7 +32,7 @@
 
 func newSimulation(t *rapid.T, spec fanout.Spec, shared fanout.SharedState) *simulation {
 	return &simulation{t: t, spec: spec, run: fanout.New(spec, shared, start), now: start, sends: map[int]fanout.Send{},
-		relays: map[int][]int{}, forwarded: map[int]map[int]string{}, parts: map[int][]int{}, mayHaveRunOn: map[string][]string{}, arrivals: map[string]int{}}
+		relays: map[int][]int{}, forwarded: map[int]map[int]string{}, parts: map[int][]int{}, ranCalls: map[int]bool{}, reported: map[int]bool{}, mayHaveRunOn: map[string][]string{}, arrivals: map[string]int{}}
 }
 
 func (simulation *simulation) apply(actions []fanout.Action) {
@@ -37,11 +40,13 @@
 		switch action := action.(type) {
 		case fanout.Send:
 			assert.Assert(simulation.t, len(simulation.responses) == 0, "call after the response")
+			simulation.assertMayCall(action.Call)
 			simulation.sends[action.Call] = action
 			simulation.parts[action.Call] = []int{slices.Index(simulation.spec.Parts, action.Target.Service)}
 			simulation.openCalls = append(simulation.openCalls, action.Call)
 		case fanout.Relay:
 			assert.Assert(simulation.t, len(simulation.responses) == 0, "relayed after the response")
+			simulation.assertMayCall(action.Call)
 			simulation.relays[action.Call], simulation.forwarded[action.Call] = slices.Clone(action.Parts), map[int]string{}
 			for i, target := range action.Targets {
 				simulation.forwarded[action.Call][action.Parts[i]] = target
@@ -56,12 +61,21 @@
 	}
 }
 
+// assertMayCall requires that no other call of a request that is not idempotent is in flight or may have run.
+func (simulation *simulation) assertMayCall(call int) {
+	if !simulation.spec.Idempotent {
+		assert.Equal(simulation.t, len(simulation.openCalls), 0, "call %d beside %v", call, simulation.openCalls)
+		assert.Equal(simulation.t, len(simulation.ranCalls), 0, "call %d after %v", call, simulation.ranCalls)
+	}
+}
+
 func (simulation *simulation) close(call int) {
 	simulation.openCalls = slices.DeleteFunc(simulation.openCalls, func(other int) bool { return other == call })
 }
 
 // mayHaveRun records that the target of a call may have processed the request, or the targets of all parts in flight at a relay.
 func (simulation *simulation) mayHaveRun(call int) {
+	simulation.ranCalls[call] = true
 	if send, ok := simulation.sends[call]; ok {
 		simulation.mayHaveRunAt(send.Target.Service, send.Target.ID)
 	}
@@ -72,6 +86,7 @@
 
 // partMayHaveRun is mayHaveRun for one part of a relayed call, if the relay was told its target.
 func (simulation *simulation) partMayHaveRun(call, part int) {
+	simulation.ranCalls[call] = true
 	if target, ok := simulation.forwarded[call][part]; ok {
 		simulation.mayHaveRunAt(simulation.spec.Parts[part], target)
 	}
@@ -86,6 +101,9 @@
 var outcomes = []fanout.Outcome{fanout.Answered, fanout.Answered, fanout.Answered, fanout.Failed, fanout.Refused, fanout.Displaced,
 	fanout.NotSent, fanout.ConnectionLimit, fanout.NoCapacity, fanout.Lost, fanout.InvalidResponse}
 
+// relayedOutcomes are the outcomes that a relay of this or any other build may report for a missing part.
+var relayedOutcomes = append([]fanout.Outcome{fanout.Unreached, fanout.Unpaid, "ofLaterBuild", ""}, outcomes[3:]...)
+
 // strandRandomly lets this VM lose its own links to the targets of some failure domains, with and without a second VM in its own.
 func strandRandomly(t *rapid.T, fleet *place.Fleet, services []string) {
 	if rapid.Bool().Draw(t, "neighbour") {
@@ -127,10 +145,15 @@
 // ran reports whether a call with this outcome may have been processed.
 func ran(outcome fanout.Outcome) bool {
 	switch outcome {
-	case fanout.Answered, fanout.Failed, fanout.Lost, fanout.InvalidResponse:
-		return true
+	case fanout.Refused, fanout.Displaced, fanout.NotSent, fanout.ConnectionLimit, fanout.NoCapacity, fanout.Unreached, fanout.Unpaid:
+		return false
 	}
-	return false
+	return true
+}
+
+type relayReport struct {
+	call   int
+	report fanout.Report
 }
 
 // reportFromRelay makes a relay answer some of its parts and miss others, or fails the relayed call.
@@ -138,7 +161,7 @@
 	if rapid.IntRange(0, 9).Draw(simulation.t, "vanish") == 0 {
 		simulation.close(call)
 		outcome := rapid.SampledFrom([]fanout.Outcome{fanout.Lost, fanout.Refused, fanout.NotSent}).Draw(simulation.t, "loss")
-		if outcome == fanout.Lost {
+		if outcome == fanout.Lost || simulation.reported[call] {
 			simulation.mayHaveRun(call)
 		}
 		simulation.apply(simulation.run.RelayFailed(simulation.now, call, outcome))
@@ -153,7 +176,7 @@
 			report.Answered = append(report.Answered, part)
 			report.Latencies = append(report.Latencies, simulation.now.Sub(start))
 		case 2:
-			missing := fanout.Missing{Part: part, Outcome: rapid.SampledFrom(outcomes[3:]).Draw(simulation.t, "miss")}
+			missing := fanout.Missing{Part: part, Outcome: rapid.SampledFrom(relayedOutcomes).Draw(simulation.t, "miss")}
 			if ran(missing.Outcome) {
 				simulation.partMayHaveRun(call, part)
 			}
@@ -162,11 +185,40 @@
 			left = append(left, part)
 		}
 	}
-	report.Final = len(left) == 0
-	simulation.relays[call] = left
+	report.Early = rapid.Bool().Draw(simulation.t, "early")
+	report.Final = len(left) == 0 || rapid.IntRange(0, 4).Draw(simulation.t, "final") == 0
+	if rapid.IntRange(0, 4).Draw(simulation.t, "unasked") == 0 {
+		simulation.addUnasked(&report)
+	}
+	if usable := !slices.ContainsFunc(report.Answered, simulation.isUnasked); !usable {
+		left = append(left, slices.DeleteFunc(slices.Clone(report.Answered), simulation.isUnasked)...)
+	}
 	if report.Final {
+		for _, part := range left {
+			simulation.partMayHaveRun(call, part)
+		}
 		simulation.close(call)
 	}
+	simulation.relays[call], simulation.reported[call] = left, true
+	simulation.reports = append(simulation.reports, relayReport{call, report})
+	simulation.report(call, report)
+}
+
+// addUnasked adds parts to a report that no VM asks for.
+func (simulation *simulation) addUnasked(report *fanout.Report) {
+	part := rapid.SampledFrom([]int{-1, len(simulation.spec.Parts)}).Draw(simulation.t, "unasked part")
+	if rapid.Bool().Draw(simulation.t, "unasked answer") {
+		report.Answered, report.Latencies = append(report.Answered, part), append(report.Latencies, 0)
+	} else {
+		report.Missing = append(report.Missing, fanout.Missing{Part: part, Outcome: rapid.SampledFrom(relayedOutcomes).Draw(simulation.t, "unasked miss")})
+	}
+}
+
+func (simulation *simulation) isUnasked(part int) bool {
+	return part < 0 || part >= len(simulation.spec.Parts)
+}
+
+func (simulation *simulation) report(call int, report fanout.Report) {
 	merged, actions := simulation.run.RelayReport(simulation.now, call, report)
 	if merged >= 0 {
 		simulation.parts[merged] = report.Answered
@@ -174,12 +226,37 @@
 	simulation.apply(actions)
 }
 
+// repeat lets a relay say again what it has said, or its link fail, whether the call has ended or not.
+func (simulation *simulation) repeat() {
+	earlier := rapid.SampledFrom(simulation.reports).Draw(simulation.t, "earlier report")
+	if rapid.IntRange(0, 2).Draw(simulation.t, "repeated") > 0 {
+		if earlier.report.Final {
+			simulation.close(earlier.call)
+		}
+		simulation.report(earlier.call, earlier.report)
+		return
+	}
+	if slices.Contains(simulation.openCalls, earlier.call) {
+		simulation.mayHaveRun(earlier.call)
+		simulation.close(earlier.call)
+	}
+	outcome := rapid.SampledFrom(relayedOutcomes).Draw(simulation.t, "late loss")
+	simulation.apply(simulation.run.RelayFailed(simulation.now, earlier.call, outcome))
+}
+
 // runToEnd runs the simulation with random events until the request has a response.
 func (simulation *simulation) runToEnd() {
 	simulation.apply(simulation.run.Start(simulation.now))
 	for len(simulation.responses) == 0 {
+		if len(simulation.reports) > 0 && rapid.IntRange(0, 5).Draw(simulation.t, "repeat") == 0 {
+			simulation.repeat()
+			continue
+		}
 		if len(simulation.openCalls) > 0 && rapid.IntRange(0, 3).Draw(simulation.t, "step") > 0 {
 			simulation.now = simulation.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(simulation.t, "ms")) * time.Millisecond)
+			if deadline := start.Add(timeout); simulation.now.After(deadline) {
+				simulation.now = deadline
+			}
 			simulation.endOneCall()
 			continue
 		}
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -130,6 +130,10 @@
 mutant "refusal after a report believed" fanout relay.go 's/if call.reported && !outcome.possiblyRan\(\) \{/if false {/'
 mutant "contradictory outcome forgotten" fanout forward.go 's/ \|\| outcome.possiblyRan\(\) && !forwarded.outcome.possiblyRan\(\)\)/)/'
 mutant "earlier outcome not heeded" fanout relay.go 's/call.worstOutcome\(missing\)/missing.Outcome/'
+mutant "call in flight forgotten" fanout once.go 's/part.inFlight > 0 \|\| part.possibleRuns > 0/part.possibleRuns > 0/'
+mutant "stopped call not counted" fanout once.go 's/\t\trun.stoppedCalls\+\+\n//'
+mutant "second call of a part permitted" fanout once.go 's/if !run.spec.Idempotent && \(part/if false \&\& (part/'
+mutant_of poplarpind "stopped calls not reported" gateway job.go 's/\tjob.reportStopped\(stopped\)\n/\t_ = stopped\n/' TestStoppedCallsAreSeen
 mutant "lost forwarded call sent again" fanout relay.go 's/if outcome.possiblyRan\(\) \{\n\t\tpart.possibleRuns\+\+\n\t\}\n\tif part.answeredBy/if part.answeredBy/'
 mutant "forwarded call not counted as run" fanout forward.go 's/case !ended \|\| outcome.possiblyRan\(\):\n\t\t\tdirect, forwarded = append\(direct, target\), append\(forwarded, target\)/case !ended || outcome.possiblyRan():/'
 mutant "request cancelled that runs once" fanout calls.go 's/CloseConnection: run.spec.Idempotent/CloseConnection: true/'
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -48,6 +48,7 @@
 	cancelled    map[int]fanout.Cancel // by call; also holds calls cancelled before their exchange is stored
 	relayQueries map[int]string        // query IDs of relayed calls, by call
 	relayResults map[int]rpc.GatherResult
+	stoppedCalls int // of machine, when they were last reported
 	timer        *time.Timer
 	timerAt      time.Time
 	started      time.Time
@@ -64,7 +65,9 @@
 	gateway.signalObservations()
 	gateway.watchSuspects()
 	job.schedule(now)
+	stopped := job.newlyStopped()
 	gateway.mu.Unlock()
+	job.reportStopped(stopped)
 	for _, action := range actions {
 		switch action := action.(type) {
 		case fanout.Send:
