A refusal without an id on a used connection may be of an earlier request

Callers of requests that must run once: a target that sends a late, extra refusal (X-Not-Executed or 421) without an id, where the next response is expected, made its VM send the request once more, or answer 503, although the target ran it. The check for late copies needs a signature, which refusals lack.

Change: PROTOCOL.md says that servers echo the id, that the id identifies an extra response, and that they refuse without one what has none; all our requests have one. So a refusal without an id is taken for this request's only on a connection that has carried no other; else its call may have run and the connection is closed. Requests that may be repeated are retried as after other invalid responses.

Evidence: TestLateRefusal with a raw target failed in its three cases ("2 (runs int) != 1", a 503 for a request that ran) and passes; TestUnidentifiedRefusal.

--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -217,8 +217,9 @@
 		gateway.callEnded(job, send, platform.Reply{Outcome: outcome, Detail: err.Error()})
 		return false, 0
 	}
-	previous, _ := response.Previous.(platform.Origin) // none for the first response on the connection
-	response.Remembered = platform.OriginOf(response.Response)
+	previous, _ := response.Previous.(*platform.Origin) // nil for the first response on the connection
+	origin := platform.OriginOf(response.Response)
+	response.Remembered = &origin
 	reply, reusable := platform.DecodeReply(job.request, response.Response, response.Body, previous)
 	reply.Report.AskedAt = sentAt
 	gateway.noteOutcome(job, send.Target, sentAt, reply.Outcome)
