A repeat of a request does not follow its own refusal on a connection

Callers of requests that must run once, with a target that has sent an extra copy of a refusal: refused in truth, the request was sent to the same target again on the same connection, where the late copy of the refusal came first. It has the request's own id, so it was taken for the answer to the second call, and the request was sent a third time although the second call ran.

Change: such a request gets no connection whose last response was to itself (http1.Call.Avoid); it opens another or counts as not sent.

Evidence: TestLateRefusal/of_the_same_request failed ("2 (runs int) != 1") and passes; one mutant.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -136,6 +136,7 @@
 mutant_of poplarpind "stopped calls not reported" gateway job.go 's/\tjob.reportStopped\(stopped\)\n/\t_ = stopped\n/' TestStoppedCallsAreSeen
 mutant_of platform "refusal without id believed" . reply.go 's/case id == "" && previous != nil && saysNotRun/case false \&\& saysNotRun/' TestUnidentifiedRefusal
 mutant_of poplarpind "previous response forgotten" gateway job.go 's/response.Remembered = &origin/_ = origin/' TestLateRefusal
+mutant_of poplarpind "repeat behind a late copy" gateway job.go 's/, call.Avoid = nonIdempotentDialTimeout, job.answeredBefore/ = nonIdempotentDialTimeout/' TestLateRefusal
 mutant "lost forwarded call sent again" fanout relay.go 's/if outcome.possiblyRan\(\) \{\n\t\tpart.possibleRuns\+\+\n\t\}\n\tif part.answeredBy/if part.answeredBy/'
 mutant "forwarded call not counted as run" fanout forward.go 's/case !ended \|\| outcome.possiblyRan\(\):\n\t\t\tdirect, forwarded = append\(direct, target\), append\(forwarded, target\)/case !ended || outcome.possiblyRan():/'
 mutant "request cancelled that runs once" fanout calls.go 's/CloseConnection: run.spec.Idempotent/CloseConnection: true/'
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -147,7 +147,7 @@
 		},
 	}
 	if !job.route.Idempotent {
-		call.DialTimeout = nonIdempotentDialTimeout
+		call.DialTimeout, call.Avoid = nonIdempotentDialTimeout, job.answeredBefore
 	}
 	exchange, err := gateway.pool.Start(call)
 	if err != nil {
@@ -163,6 +163,13 @@
 	}
 }
 
+// answeredBefore reports whether the last response on a connection was to this request. A late copy of it, for instance of a refusal, could not be
+// told from the response to a second call.
+func (job *job) answeredBefore(remembered any) bool {
+	origin, ok := remembered.(*platform.Origin)
+	return ok && origin.ID == job.request.ID
+}
+
 // maxResponseBody returns the limit on the body of a target's response, 0 for the default.
 func (job *job) maxResponseBody() int64 {
 	if gather, ok := job.route.Destination.(route.Gather); ok {
--- a/poplarpind/http1/pool.go
+++ b/poplarpind/http1/pool.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -64,12 +65,13 @@
 	Target      string // id of the target; connections are pooled by it
 	Address     string // of the target, which may have another one after a restart
 	Method      string
-	Encode      func() []byte // encodes the request when it is sent, which may be later if a connection must be opened first
-	FreshConn   bool          // must not use a connection that the target may have closed in the meantime
-	DialTimeout time.Duration // for a new connection; 0 for the default
-	Deadline    time.Time     // when the call's time ends; its connection is closed soon after. Zero for none
-	MaxBody     int64         // bytes of the response's body; 0 for the default
-	Priority    int           // of the request, 0 is the highest; the memory for responses goes to the highest
+	Encode      func() []byte             // encodes the request when it is sent, which may be later if a connection must be opened first
+	FreshConn   bool                      // must not use a connection that the target may have closed in the meantime
+	Avoid       func(remembered any) bool // reports whether the call must not follow a response for which Done has remembered this; nil for any
+	DialTimeout time.Duration             // for a new connection; 0 for the default
+	Deadline    time.Time                 // when the call's time ends; its connection is closed soon after. Zero for none
+	MaxBody     int64                     // bytes of the response's body; 0 for the default
+	Priority    int                       // of the request, 0 is the highest; the memory for responses goes to the highest
 	// Done is called once with the response or with an Error. It returns whether the connection may be reused and how long the
 	// target keeps it open while idle, 0 if unknown. It is not called after Abort.
 	Done func(response *Response, err error) (reusable bool, keepAlive time.Duration)
@@ -159,7 +161,7 @@
 		conns = &targetConns{}
 		pool.targets[call.Target] = conns
 	}
-	if conn := conns.takeIdle(now, call.Address, call.FreshConn); conn != nil {
+	if conn := conns.takeIdle(now, call); conn != nil {
 		pool.mu.Unlock()
 		conn.begin(exchange)
 		return exchange, nil
@@ -180,16 +182,19 @@
 	return exchange, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection to an address of the target, or nil if none is usable. If fresh is
+// takeIdle removes and returns the most recently used idle connection that a call may use, or nil if there is none. If FreshConn is
 // set, the connection must not have been idle for longer than maxFreshIdle. Connections to an earlier address of the target are closed.
-func (targetConns *targetConns) takeIdle(now time.Time, address string, fresh bool) *conn {
-	for len(targetConns.idle) > 0 {
-		last := targetConns.idle[len(targetConns.idle)-1]
-		current := last.address == address
-		if current && fresh && now.Sub(last.idleSince) > maxFreshIdle {
+func (targetConns *targetConns) takeIdle(now time.Time, call Call) *conn {
+	for i := len(targetConns.idle) - 1; i >= 0; i-- {
+		last := targetConns.idle[i]
+		current := last.address == call.Address
+		if current && call.FreshConn && now.Sub(last.idleSince) > maxFreshIdle {
 			return nil
 		}
-		targetConns.idle = targetConns.idle[:len(targetConns.idle)-1]
+		if current && call.Avoid != nil && call.Avoid(last.previous) {
+			continue
+		}
+		targetConns.idle = slices.Delete(targetConns.idle, i, i+1)
 		if current && last.usable(now) {
 			return last
 		}
