A message that its link closes on before it is sent counts as unsent

Callers of a stranded VM: a call forwarded on a link that closed between the message's leaving the queue and its sending was neither reported as unsent nor as lost, as closing notifies of a lost link only if a message was sent before. Its request waited until its time was over, and the message might even go out on a connection about to be closed.

--- a/poplarpind/peer/peer_test.go
+++ b/poplarpind/peer/peer_test.go
@@ -310,3 +310,21 @@
 	waitFor(t, "the end of the second message", func() bool { return receiver.lastMethod.Load() == rpc.MethodGatherCancel || ended.Load() > 0 })
 	assert.Assert(t, receiver.notified.Load() <= 1)
 }
+
+// TestClosedBeforeSending guards against a message that nobody hears of again, as its link closes after it has left the queue and before it is sent.
+func TestClosedBeforeSending(t *testing.T) {
+	mesh, handler, receiver, proxy := newPair(t, false)
+	var unsent atomic.Int64
+	mesh.Notify("b", proxy.listener.Addr().String(), peer.Message{
+		Method: rpc.MethodGather,
+		Build: func() (any, bool) {
+			mesh.Close()
+			return struct{}{}, true
+		},
+		OnUnsent: func(peer.Kind) { unsent.Add(1) },
+	})
+	waitFor(t, "the end of the message", func() bool { return unsent.Load()+handler.linksLost.Load() > 0 })
+	assert.Equal(t, unsent.Load(), int64(1))
+	assert.Equal(t, handler.linksLost.Load(), int64(0), "no message was sent on the link")
+	assert.Equal(t, receiver.notified.Load(), int64(0))
+}
