Only the VM that was asked for a call may refuse it

A refusal ended the query with its number whichever peer sent it, so that a request that must run once would be sent to another VM while the one that was asked runs it.

Evidence: TestRefusalOfAnotherPeer failed ("gateway.isRelayed" is false) and passes; one mutant.

--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -151,10 +151,13 @@
 func (gateway *Gateway) endRelay(queryID, relayVM string, outcome fanout.Outcome) {
 	gateway.mu.Lock()
 	call, ok := gateway.relayedCalls[queryID]
-	delete(gateway.relayedCalls, queryID)
+	ok = ok && call.relayVM == relayVM
+	if ok {
+		delete(gateway.relayedCalls, queryID)
+	}
 	gateway.mu.Unlock()
 	if !ok {
-		return // cancelled meanwhile
+		return // cancelled meanwhile, or relayed by another peer
 	}
 	callCounts.Add("relay."+string(outcome), 1)
 	gateway.log.Info("relayed call failed", zap.String("request", truncate(call.job.request.ID)),
