The end of a relayed call does not forget one of the peer's next incarnation

VMs number their queries from 1 at each start, and a relay keeps the calls in flight by peer and number. When a call for a peer that had restarted ended, the relay forgot the call of the new incarnation with the same number: a stop did not wait for it, so that a request that must run once was cut off, and it could not be cancelled. It cannot run twice by this: replies go out on the link of the incarnation that asked.

--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -255,7 +255,9 @@
 	job.report = func(report fanout.Report) {
 		if report.Final {
 			gateway.mu.Lock()
-			delete(gateway.relayJobs, key)
+			if gateway.relayJobs[key] == job { // a peer's numbers start again when it restarts
+				delete(gateway.relayJobs, key)
+			}
 			gateway.mu.Unlock()
 		}
 		if report.Refused {
--- a/poplarpind/gateway/relayed_calls_test.go
+++ b/poplarpind/gateway/relayed_calls_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"net"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"poplarpin.dev/core/config"
 	"poplarpin.dev/core/fanout"
 	"poplarpin.dev/core/place"
 	"poplarpin.dev/core/route"
@@ -26,3 +28,34 @@
 	gateway.receiveGatherResult("vm-b1", rpc.GatherResult{QueryID: "1", Refused: true, Final: true})
 	assert.Assert(t, !gateway.isRelayed("1"))
 }
+
+// TestQueryIDOfEarlierIncarnation guards against the end of a call for a peer that has restarted since, which forgets the call of its new
+// incarnation with the same number: a stop would not wait for it.
+func TestQueryIDOfEarlierIncarnation(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	gateway := New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, "test", zap.NewNop())
+	table, errs := route.New(route.Config{Version: 1, Services: []route.Service{{Name: "one", MaxTargetConnections: 25}},
+		Routes: []route.Route{{Name: "o", Host: "h", PathPrefix: "/o/", Destination: route.Single{Service: "one"}}}})
+	assert.Equal(t, len(errs), 0)
+	gateway.table.Store(table)
+	gateway.fleet.Update(time.Now(), place.Endpoint{ID: "i-1", Service: "one", Address: listener.Addr().String(), FailureDomain: "a", Slots: 2, State: place.Ready})
+	ended := make(chan any, 2)
+	relay := func(id string) net.Conn {
+		gateway.serveGather("vm-b1", func(_ string, result any) { ended <- result }, rpc.Gather{QueryID: "1", Route: "o", Parts: []int{0}, Targets: []string{"i-1"}, Once: true,
+			RequestID: id, Method: "POST", Head: []byte("POST / HTTP/1.1\r\n"), Timeout: config.Duration(time.Minute), ReportAfter: config.Duration(time.Minute)})
+		conn, err := listener.Accept()
+		assert.NilError(t, err)
+		return conn
+	}
+	earlier, current := relay("id-1"), relay("id-2")
+	t.Cleanup(func() { _ = current.Close() })
+	assert.NilError(t, earlier.Close())
+	assert.Assert(t, (<-ended).(rpc.GatherResult).Final)
+	gateway.mu.Lock()
+	job := gateway.relayJobs["vm-b1/1"]
+	gateway.mu.Unlock()
+	assert.Assert(t, job != nil)
+	assert.Equal(t, job.request.ID, "id-2")
+}
