A target's 503, 429 or 408 that does not say "not executed" is not passed on

Clients take these statuses for the promise that a request has not run, and send one that must run once again. A target that responded with one of them, without X-Not-Executed, counted as having run the request, rightly, but its status went to the client, which would run it a second time.

Change: such a response becomes 502, "may have run", counted as calls.falsePromise and logged with the request's id. Also for requests that may be repeated: the promise would be as false, and clients repeat them after a 502.

--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -19,6 +19,7 @@
 const (
 	noConfigurationRetry     = 200 * time.Millisecond // retry delay for clients of a VM without a configuration, which it reads within that time
 	pausedRetry              = 100 * time.Millisecond // retry delay for clients whose request may have waited while the process stood still
+	falsePromiseReason       = "the target's status promises that the request has not run, but the target does not say so"
 	pausedReason             = "the request may have waited past its time"
 	idempotentDialTimeout    = 100 * time.Millisecond // many round trips between regions; the kernel repeats a lost first packet after a second only
 	nonIdempotentDialTimeout = 250 * time.Millisecond // short, so that the request can still run on another target
@@ -187,7 +188,7 @@
 	case fanout.ForwardFailure:
 		gateway.recordOutcome(job, "serverFailed")
 		gateway.logSummary(job, "serverFailed", "")
-		return platform.Relayed{Reply: job.reply(response.Call)}
+		return gateway.relayed(job, response.Call)
 	case fanout.Refuse:
 		gateway.refundUnsent(job)
 		gateway.recordOutcome(job, "refused")
@@ -210,11 +211,23 @@
 func (gateway *Gateway) deliver(job *job, deliver fanout.Deliver) platform.Answer {
 	gather, ok := job.route.Destination.(route.Gather)
 	if !ok {
-		return platform.Relayed{Reply: job.reply(deliver.Calls[0])}
+		return gateway.relayed(job, deliver.Calls[0])
 	}
 	return gateway.merge(job, deliver, gather)
 }
 
+// relayed passes on the response of a target that has run the request, unless its status would promise the client the opposite.
+func (gateway *Gateway) relayed(job *job, call int) platform.Answer {
+	reply := job.reply(call)
+	if !reply.PromisesNotRun() {
+		return platform.Relayed{Reply: reply}
+	}
+	callCounts.Add("falsePromise", 1)
+	gateway.log.Info("response of a target not passed on", zap.String("request", truncate(job.request.ID)), zap.String("route", job.route.Name),
+		zap.Int("status", reply.Status), zap.String("reason", falsePromiseReason))
+	return platform.Failure{Reason: falsePromiseReason}
+}
+
 // merge combines the records of the calls that make up a response and keeps the top ones.
 func (gateway *Gateway) merge(job *job, deliver fanout.Deliver, gather route.Gather) platform.Merged {
 	merged := platform.Merged{Missing: deliver.Missing}
