A 2xx, 500 or 504 that says "not executed" may have run

A response whose status says that the target ran the request and whose X-Not-Executed says that it did not counted as a refusal: a request that must run once was sent again. PROTOCOL.md names 503, 429, 421 and 400 for refusals, and 500 and 504 as run; such a response is invalid now, so that its call may have run.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -134,6 +134,7 @@
 mutant "stopped call not counted" fanout once.go 's/\t\trun.stoppedCalls\+\+\n//'
 mutant "second call of a part permitted" fanout once.go 's/if !run.spec.Idempotent && \(part/if false \&\& (part/'
 mutant_of poplarpind "stopped calls not reported" gateway job.go 's/\tjob.reportStopped\(stopped\)\n/\t_ = stopped\n/' TestStoppedCallsAreSeen
+mutant_of platform "contradictory response believed" . reply.go 's/case saysNotRun\(response\) && saysRun\(response\):/case false:/' TestReply
 mutant_of platform "refusal without id believed" . reply.go 's/case id == "" && previous != nil && saysNotRun/case false \&\& saysNotRun/' TestUnidentifiedRefusal
 mutant_of poplarpind "previous response forgotten" gateway job.go 's/response.Remembered = &origin/_ = origin/' TestLateRefusal
 mutant_of poplarpind "repeat behind a late copy" gateway job.go 's/, call.Avoid = nonIdempotentDialTimeout, job.answeredBefore/ = nonIdempotentDialTimeout/' TestLateRefusal
