A call that is abandoned while its connection opens is not sent

Abandon between the opening of a connection and the taking of it by the call had no effect: the call was sent although nobody needed it any more. It cannot run a request twice, as only calls of requests that have their response are abandoned, but targets work for nothing.

--- a/poplarpind/http1/conn.go
+++ b/poplarpind/http1/conn.go
@@ -74,6 +74,7 @@
 	}
 	if !exchange.attach(conn) {
 		conn.close()
+		exchange.end(nil, &Error{"send", Abandoned, "the call is no longer needed"})
 		return
 	}
 	if exchange.expired(time.Now()) {
--- a/poplarpind/http1/exchange.go
+++ b/poplarpind/http1/exchange.go
@@ -89,5 +89,5 @@
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
 	exchange.conn = conn
-	return !exchange.ended
+	return !exchange.ended && !exchange.abandoned
 }
