--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -26,13 +26,13 @@
 	InvalidResponse Outcome = "spoilt"    // the response was unusable; the call may have been processed
 )
 
-// possiblyRan reports whether the target may have processed a call with this outcome.
+// possiblyRan reports whether the target may have processed a call with this outcome. A peer may report an outcome that this build does not know.
 func (outcome Outcome) possiblyRan() bool {
 	switch outcome {
-	case Answered, Failed, Lost, InvalidResponse:
-		return true
+	case Refused, Displaced, NotSent, ConnectionLimit, NoCapacity, Unreached, Unpaid:
+		return false
 	}
-	return false
+	return true
 }
 
 // concernsPath reports whether a call with this outcome has not reached the target, so that it may reach it on another path.
@@ -160,6 +160,7 @@
 	hedged         bool
 	hedgeAfter     time.Time // of a relayed call whose hedges were postponed; zero if they were not
 	noEarlyHedge   bool      // no other target was likely to be faster when its target reported that work is slow
+	reported       bool      // the relay has sent a report, so that it may have called the targets
 	ended          bool
 	outcome        Outcome
 }
@@ -182,6 +183,7 @@
 	halfAnsweredAt      time.Time // when half of directParts were answered
 	cutOffCheckAt       time.Time // when unanswered parts are next looked at by replaceCutOff
 	extraCalls          int
+	stoppedCalls        int // see StoppedCalls
 	suppressedHedges    int // parts of slow calls that were not hedged for lack of a good target or budget
 	missingCauses       MissingCauses
 	targetLost          bool         // a target broke off the connection of a call
--- a/core/fanout/forward.go
+++ b/core/fanout/forward.go
@@ -100,8 +100,12 @@
 	return names
 }
 
-// forward adds a part to the message that asks a VM to call a target. It is sent at the end of the step, see takeForwards.
-func (run *Run) forward(now time.Time, part *partState, chosen chosen, reason ForwardReason, cause string) {
+// forward adds a part to the message that asks a VM to call a target, and reports whether it may. It is sent at the end of the step, see takeForwards.
+func (run *Run) forward(now time.Time, part *partState, chosen chosen, reason ForwardReason, cause string) bool {
+	permit, ok := run.permitCall(part)
+	if !ok {
+		return false
+	}
 	i := slices.IndexFunc(run.unsent, func(unsent *call) bool {
 		return unsent.endpoint.ID == chosen.relay.ID && unsent.near == chosen.target.FailureDomain && unsent.reason == reason
 	})
@@ -114,7 +118,8 @@
 	call := run.unsent[i]
 	call.forwarded[part.index] = &forwarded{target: chosen.target, cause: cause}
 	call.targetAttempts[part.index] = run.shared.Fleet.StartRelayedAttempt(now, chosen.target.ID, run.spec.Route, chosen.relay.FailureDomain)
-	run.addPart(call, part)
+	call.add(permit)
+	return true
 }
 
 // takeForwards adds the messages to other VMs that a step has filled to its actions.
@@ -147,13 +152,21 @@
 	return call.outcome, call.ended
 }
 
-// endForwarded records the outcome of a part whose call was forwarded.
+// endForwarded records the outcome of a part whose call was forwarded. If a relay contradicts itself, the outcome counts that may have run.
 func (call *call) endForwarded(part int, outcome Outcome) {
-	if forwarded := call.forwarded[part]; forwarded != nil && forwarded.outcome == "" {
+	if forwarded := call.forwarded[part]; forwarded != nil && (forwarded.outcome == "" || outcome.possiblyRan() && !forwarded.outcome.possiblyRan()) {
 		forwarded.outcome = outcome
 	}
 }
 
+// worstOutcome returns the outcome of a missing part: what the relay says now, unless it has said of a forwarded call that it may have run.
+func (call *call) worstOutcome(missing Missing) Outcome {
+	if forwarded := call.forwarded[missing.Part]; forwarded != nil && forwarded.outcome.possiblyRan() {
+		return forwarded.outcome
+	}
+	return missing.Outcome
+}
+
 // tried returns the targets that the next call of a part must not go to, for calls of this VM and for forwarded ones: a target that may have
 // processed the part, has it in flight or could not be reached on that path. After a refusal, only the next call must go elsewhere.
 func (run *Run) tried(part *partState) (direct, forwarded []string) {
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -126,6 +126,18 @@
 mutant "forwarding though target is reached" place path.go 's/ && !fleet.reaches\(now, endpoint\)//'
 mutant "relay outside the regions" place path.go 's/ \|\| !allows\(fleet.regions\[vms\[0\].FailureDomain\]\)//'
 mutant "relay asked twice" fanout forward.go 's/asked := part.relays\(\)/var asked []string/'
+mutant "unknown outcome counts as not run" fanout fanout.go 's/\t\treturn false\n\t\}\n\treturn true\n\}/\t\treturn false\n\tcase Answered, Failed, Lost, InvalidResponse:\n\t\treturn true\n\t}\n\treturn false\n}/'
+mutant "refusal after a report believed" fanout relay.go 's/if call.reported && !outcome.possiblyRan\(\) \{/if false {/'
+mutant "contradictory outcome forgotten" fanout forward.go 's/ \|\| outcome.possiblyRan\(\) && !forwarded.outcome.possiblyRan\(\)\)/)/'
+mutant "earlier outcome not heeded" fanout relay.go 's/call.worstOutcome\(missing\)/missing.Outcome/'
+mutant "call in flight forgotten" fanout once.go 's/part.inFlight > 0 \|\| part.possibleRuns > 0/part.possibleRuns > 0/'
+mutant "stopped call not counted" fanout once.go 's/\t\trun.stoppedCalls\+\+\n//'
+mutant "second call of a part permitted" fanout once.go 's/if !run.spec.Idempotent && \(part/if false \&\& (part/'
+mutant_of poplarpind "stopped calls not reported" gateway job.go 's/\tjob.reportStopped\(stopped\)\n/\t_ = stopped\n/' TestStoppedCallsAreSeen
+mutant_of platform "contradictory response believed" . reply.go 's/case saysNotRun\(response\) && saysRun\(response\):/case false:/' TestReply
+mutant_of platform "refusal without id believed" . reply.go 's/case id == "" && previous != nil && saysNotRun/case false \&\& saysNotRun/' TestUnidentifiedRefusal
+mutant_of poplarpind "previous response forgotten" gateway job.go 's/response.Remembered = &origin/_ = origin/' TestLateRefusal
+mutant_of poplarpind "repeat behind a late copy" gateway job.go 's/, call.Avoid = nonIdempotentDialTimeout, job.answeredBefore/ = nonIdempotentDialTimeout/' TestLateRefusal
 mutant "lost forwarded call sent again" fanout relay.go 's/if outcome.possiblyRan\(\) \{\n\t\tpart.possibleRuns\+\+\n\t\}\n\tif part.answeredBy/if part.answeredBy/'
 mutant "forwarded call not counted as run" fanout forward.go 's/case !ended \|\| outcome.possiblyRan\(\):\n\t\t\tdirect, forwarded = append\(direct, target\), append\(forwarded, target\)/case !ended || outcome.possiblyRan():/'
 mutant "request cancelled that runs once" fanout calls.go 's/CloseConnection: run.spec.Idempotent/CloseConnection: true/'
@@ -147,6 +159,11 @@
 mutant "field of a message dropped" rpc gather.go 's/`json:"once,omitempty"`/`json:"-"`/'
 mutant "later field rejected" member message.go 's/json.Unmarshal\(data, \(\*plain\)\(message\)\)/func() error { decoder := json.NewDecoder(bytes.NewReader(data)); decoder.DisallowUnknownFields(); return decoder.Decode((*plain)(message)) }()/; s/import \(/import (\n\t"bytes"/'
 mutant_of core "capability not needed" rpc gather.go 's/if len\(gather.Targets\) > 0 \|\| gather.Once \{/if false {/' TestNeeds
+mutant_of poplarpind "message sent on a closed link" peer link.go 's/if link.closed \{\n\t\treturn false\n\t\}\n\tlink.lastSent/link.lastSent/' TestClosedBeforeSending
+mutant_of poplarpind "refusal of any peer believed" gateway relay.go 's/\tok = ok && call.relayVM == relayVM\n//' TestRefusalOfAnotherPeer
+mutant_of poplarpind "call of a new incarnation forgotten" gateway relay.go 's/if gateway.relayJobs\[key\] == job \{/if true {/' TestQueryIDOfEarlierIncarnation
+mutant_of poplarpind "false promise passed on" gateway serve.go 's/if !reply.PromisesNotRun\(\) \{/if true {/' TestFalsePromise
+mutant_of poplarpind "abandoned call sent" http1 exchange.go 's/return !exchange.ended && !exchange.abandoned/return !exchange.ended/' TestAbandonedWhileOpening
 mutant_of poplarpind "capability not checked" peer link.go 's/if !link.peer.Can\(capabilityFor\(params\)\) \{/if false {/' TestCapabilities
 mutant "better source taken unasked" follow follow.go 's/best, candidate = follower.plan.Source, best/candidate = ""/'
 mutant_of poplarpind "silence counted anew" peer link.go 's/if link.silentSince.IsZero\(\) \{/if true {/' TestSilence
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -48,6 +48,7 @@
 	cancelled    map[int]fanout.Cancel // by call; also holds calls cancelled before their exchange is stored
 	relayQueries map[int]string        // query IDs of relayed calls, by call
 	relayResults map[int]rpc.GatherResult
+	stoppedCalls int // of machine, when they were last reported
 	timer        *time.Timer
 	timerAt      time.Time
 	started      time.Time
@@ -64,7 +65,9 @@
 	gateway.signalObservations()
 	gateway.watchSuspects()
 	job.schedule(now)
+	stopped := job.newlyStopped()
 	gateway.mu.Unlock()
+	job.reportStopped(stopped)
 	for _, action := range actions {
 		switch action := action.(type) {
 		case fanout.Send:
@@ -145,7 +148,7 @@
 		},
 	}
 	if !job.route.Idempotent {
-		call.DialTimeout = nonIdempotentDialTimeout
+		call.DialTimeout, call.Avoid = nonIdempotentDialTimeout, job.answeredBefore
 	}
 	exchange, err := gateway.pool.Start(call)
 	if err != nil {
@@ -161,6 +164,13 @@
 	}
 }
 
+// answeredBefore reports whether the last response on a connection was to this request. A late copy of it, for instance of a refusal, could not be
+// told from the response to a second call.
+func (job *job) answeredBefore(remembered any) bool {
+	origin, ok := remembered.(*platform.Origin)
+	return ok && origin.ID == job.request.ID
+}
+
 // maxResponseBody returns the limit on the body of a target's response, 0 for the default.
 func (job *job) maxResponseBody() int64 {
 	if gather, ok := job.route.Destination.(route.Gather); ok {
@@ -215,8 +225,9 @@
 		gateway.callEnded(job, send, platform.Reply{Outcome: outcome, Detail: err.Error()})
 		return false, 0
 	}
-	previous, _ := response.Previous.(platform.Origin) // none for the first response on the connection
-	response.Remembered = platform.OriginOf(response.Response)
+	previous, _ := response.Previous.(*platform.Origin) // nil for the first response on the connection
+	origin := platform.OriginOf(response.Response)
+	response.Remembered = &origin
 	reply, reusable := platform.DecodeReply(job.request, response.Response, response.Body, previous)
 	reply.Report.AskedAt = sentAt
 	gateway.noteOutcome(job, send.Target, sentAt, reply.Outcome)
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -150,10 +150,13 @@
 func (gateway *Gateway) endRelay(queryID, relayVM string, outcome fanout.Outcome) {
 	gateway.mu.Lock()
 	call, ok := gateway.relayedCalls[queryID]
-	delete(gateway.relayedCalls, queryID)
+	ok = ok && call.relayVM == relayVM
+	if ok {
+		delete(gateway.relayedCalls, queryID)
+	}
 	gateway.mu.Unlock()
 	if !ok {
-		return // cancelled meanwhile
+		return // cancelled meanwhile, or relayed by another peer
 	}
 	callCounts.Add("relay."+string(outcome), 1)
 	gateway.log.Info("relayed call failed", zap.String("request", truncate(call.job.request.ID)),
@@ -257,7 +260,9 @@
 			defer func() {
 				gateway.mu.Lock()
 				defer gateway.mu.Unlock()
-				delete(gateway.relayJobs, key)
+				if gateway.relayJobs[key] == job { // a peer's numbers start again when it restarts
+					delete(gateway.relayJobs, key)
+				}
 			}()
 		}
 		if report.Refused {
