An outcome that proves nothing does not release the claim

What could happen: a VM gets a call's result with an outcome that its build doesn't know, or without one, from an owner of another build. The claim of the request that is not idempotent was released and its caller told "not run"; the next submission ran the request again.

Cause: claim.Runner listed the outcomes after which a request may have run (lost, ownerLost) and took all others as a proof that it did not.

Change: rpc.Outcome.ProvesNotRun lists the outcomes that prove it, in one place; all others end as unknown, and the claim stays held.

Evidence: TestUnknownOutcome failed for a missing and an unknown outcome ("the claim is written"); mutant "unknown outcome releases claim".

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -224,12 +224,12 @@
 
 // result handles the outcome of the call; the claim is released only if the outcome proves that the request did not run.
 func (runner *Runner) result(outcome rpc.Outcome) Action {
-	switch outcome {
-	case rpc.OK:
+	switch {
+	case outcome == rpc.OK:
 		return runner.finish(api.Ran, "", runner.completedWrite(api.Ran))
-	case rpc.Failed:
+	case outcome == rpc.Failed:
 		return runner.finish(api.Failed, "the target failed the request", runner.completedWrite(api.Failed))
-	case rpc.Lost, rpc.OwnerLost:
+	case !outcome.ProvesNotRun():
 		return runner.finish(api.Unknown, replyLost, nil)
 	}
 	runner.releaseSent = true
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -143,3 +143,18 @@
 		assert.Equal(t, environment.runs, 0, "all submissions were answered not run, but the request ran")
 	}
 }
+
+// TestUnknownOutcome guards against a claim that is released, so that the request runs again, after an outcome that does not prove that it has not run.
+func TestUnknownOutcome(t *testing.T) {
+	for name, outcome := range map[string]rpc.Outcome{"missing": "", "of a later build": "later", "lost": rpc.Lost, "owner lost": rpc.OwnerLost} {
+		t.Run(name, func(t *testing.T) {
+			runner := claim.New("vm0/1/1")
+			runner.Step(claim.Begin{})
+			assert.Equal(t, runner.Step(claim.Written{Version: 1}), claim.Action(claim.Send{}))
+			finish, ok := runner.Step(claim.Result{Outcome: outcome}).(claim.Finish)
+			assert.Assert(t, ok, "the claim is written")
+			assert.Equal(t, finish.Outcome, api.Unknown)
+			assert.Assert(t, finish.Record == nil)
+		})
+	}
+}
--- a/core/rpc/rpc.go
+++ b/core/rpc/rpc.go
@@ -72,6 +72,16 @@
 	OwnerNotReached Outcome = "ownerNotReached" // no byte reached the owner
 )
 
+// ProvesNotRun reports whether a call that ended with this outcome has certainly not run and will not run. Only then may a request
+// that is not idempotent be sent again. An outcome that this build does not know proves nothing.
+func (outcome Outcome) ProvesNotRun() bool {
+	switch outcome {
+	case NotSent, Shed, Draining, VersionNotHeld, Expired, OwnerNotReached:
+		return true
+	}
+	return false
+}
+
 // Result is the result of one call.
 type Result struct {
 	CallID    int64                `json:"call"`
