An owner's result cannot say that the owner was not reached

What could happen: the entry VM sends a call of a request that is not idempotent once more when its owner was not reached. Its own link says so, but a result from the owner with this outcome counted the same, although the call had arrived. No build sends it; a faulty one would have requests run twice.

Change: BatchResults.Validate refuses the outcome, so that the link is closed and the call counts as lost with its owner.

Evidence: TestOwnerCannotReportItselfUnreached failed ("expected an error, got nil"); mutant "owner reports itself unreached".

--- a/core/rpc/validate.go
+++ b/core/rpc/validate.go
@@ -43,6 +43,11 @@
 	if batchResults.QueryID == "" || len(batchResults.Results) > MaxCalls {
 		return invalid("part", "query %q with %d results", batchResults.QueryID, len(batchResults.Results))
 	}
+	for _, result := range batchResults.Results {
+		if result.Outcome == OwnerNotReached { // only the sender of a batch can know that; it would send the call again
+			return invalid("part", "query %q with an outcome that an owner cannot report", batchResults.QueryID)
+		}
+	}
 	return nil
 }
 
