A 503 that does not name the target's state may be of a call that ran

What could happen: the owner took every 503 for a refusal before the call ran, also one that ends in the middle, or that a proxy or a sidecar answers for a target that takes too long. The claim of the request that is not idempotent was released, its caller told "not run", and the next submission ran it again. API.md relies on a 503 with a state only.

Change: a body without a state in which targets refuse (shedding, cold, draining) counts as a lost call. Idempotent calls are retried as after any lost call.

Evidence: TestCallMadeOnce has a target that speaks HTTP/2 by frames and ends a kept connection after the call, in the answer, by GOAWAY and by REFUSED_STREAM.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -107,7 +107,7 @@
 mutant "window limit of budget ignored" budget budget.go 's/float64\(spent\+extra\) > budget.fraction\*float64\(calls\)\+budget.slack/spent+calls < 0/'
 mutant "lost call reported not run" claim claim.go 's/case !outcome.ProvesNotRun\(\):/case false:/'
 mutant "unknown outcome releases claim" claim claim.go 's/case !outcome.ProvesNotRun\(\):/case outcome == rpc.Lost, outcome == rpc.OwnerLost:/'
-mutant "owner reports itself unreached" rpc validate.go 's/if result.Outcome == OwnerNotReached \{/if false {/'
+mutant "owner reports itself unreached" rpc validate.go 's/if result.Outcome == OwnerNotReached \{/if result.Outcome == OwnerNotReached \&\& false {/'
 mutant "held claim taken over" claim claim.go 's/case found.Claim.State == Released:/case found.Claim.State == Released || found.Claim.State == Held:/'
 mutant "sent call reported not run" claim claim.go 's/if runner.sent \{\n\t\treturn runner.finish\(api.Unknown, replyLost, nil\)/if runner.sent {\n\t\treturn runner.finish(api.NotRun, replyLost, nil)/'
 mutant "false suspicion not refuted" member receive.go 's/list.self.Incarnation = update.Incarnation \+ 1//'
@@ -154,6 +154,8 @@
 mutant_of poplarpind "withdrawn message sent" peer link.go 's/if !wanted \{/if false \&\& !wanted {/' TestWithdrawnWhileOpening
 mutant_of poplarpind "dials outlast clients" gateway serve.go 's/idempotentDialTimeout    = 100 \* time.Millisecond/idempotentDialTimeout    = time.Second/' TestDarkTarget
 mutant_of poplarpind "relay does not pay" gateway serve.go 's/if gather.Pays \{/if false {/' TestLentBudget
+mutant_of poplarpind "any 503 counts as refused" target target.go 's/if json.NewDecoder\(body\).Decode\(&refusal\) != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/if json.NewDecoder(body).Decode(\&refusal) != nil {\n\t\treturn rpc.Result{Outcome: rpc.Shed}/' TestCallMadeOnce
+mutant_of poplarpind "failed call counts as unsent" target target.go 's/response, err := conn.RoundTrip\(request\)\n\tif err != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/response, err := conn.RoundTrip(request)\n\tif err != nil {\n\t\treturn rpc.Result{Outcome: rpc.NotSent}/' TestCallMadeOnce
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 
 echo "$passed passed, $failed failed"
--- a/poplarpind/target/target.go
+++ b/poplarpind/target/target.go
@@ -211,16 +211,27 @@
 	case http.StatusConflict:
 		return rpc.Result{Outcome: rpc.VersionNotHeld}
 	case http.StatusServiceUnavailable:
-		var refusal search.Refusal
-		_ = json.NewDecoder(body).Decode(&refusal)
-		if refusal.State == search.Draining {
-			return rpc.Result{Outcome: rpc.Draining, Leaving: true}
-		}
-		return rpc.Result{Outcome: rpc.Shed}
+		return decodeRefusal(body)
 	}
 	return rpc.Result{Outcome: rpc.Failed}
 }
 
+// decodeRefusal returns Lost for a body that does not name a state in which targets refuse calls: a 503 of something between this VM and
+// the target, or one that is cut off, does not show that the call has not run.
+func decodeRefusal(body io.Reader) rpc.Result {
+	var refusal search.Refusal
+	if json.NewDecoder(body).Decode(&refusal) != nil {
+		return rpc.Result{Outcome: rpc.Lost}
+	}
+	switch refusal.State {
+	case search.Draining:
+		return rpc.Result{Outcome: rpc.Draining, Leaving: true}
+	case search.Shedding, search.Cold:
+		return rpc.Result{Outcome: rpc.Shed}
+	}
+	return rpc.Result{Outcome: rpc.Lost}
+}
+
 // finish completes a result with the call's id, target and queue wait, and reports it.
 func (job *job) finish(result rpc.Result) {
 	result.CallID, result.Target = job.call.ID, job.call.Target
