Stand-in targets do not refuse a call that has run until its timeout

What could happen: a stand-in answered 503 "shedding" when a call ran longer than its timeout, although it counted the run. An entry VM that takes the answer (it owns the target and stood still over the deadline, so that answer and deadline are there at once) says "not run": the load tool would report falseNotRun, or a second run, for a fault of the stand-in.

Change: a call that got a slot has its stream reset instead.

Evidence: TestStartedCallNotRefused failed ("true (refused bool) != false").

--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -192,10 +192,13 @@
 		<-request.Context().Done()
 		return
 	}
-	if !target.run(ctx, faults, call) {
+	if started, ended := target.run(ctx, faults, call); !ended {
 		target.mu.Lock()
 		target.counters.Cancelled++
 		target.mu.Unlock()
+		if started {
+			panic(http.ErrAbortHandler) // the call can't be refused any more
+		}
 		writeJSON(writer, http.StatusServiceUnavailable, search.Refusal{State: search.Shedding})
 		return
 	}
@@ -241,12 +244,12 @@
 	target.inFlight--
 }
 
-// run holds a slot for the service time; it reports whether the call ended before its context was done.
-func (target *Target) run(ctx context.Context, faults Faults, call search.Call) bool {
+// run holds a slot for the service time; it reports whether the call got a slot and whether it ended before its context was done.
+func (target *Target) run(ctx context.Context, faults Faults, call search.Call) (started, ended bool) {
 	select {
 	case target.slots <- struct{}{}:
 	case <-ctx.Done():
-		return false
+		return false, false
 	}
 	defer func() { <-target.slots }()
 	if call.NonIdempotent {
@@ -258,9 +261,9 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+		return true, true
 	case <-ctx.Done():
-		return false
+		return true, false
 	}
 }
 
