poplarpin query: a lost answer to a request that runs once is unknown, and names the id

When the answer was lost it printed "EOF" and ended with 1 (failed or refused), and nobody knew the id: the way on was the same command again, under a new id, which is a second run.

Change: exit code 4 (unknown) and the id, unless the request was refused as not run or no connection was opened.

Evidence: TestUnansweredOnce failed in three cases (exit code 1 instead of 4); its cases also show that the client sends the request once.

--- a/poplarpin/commands.go
+++ b/poplarpin/commands.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 
 	"github.com/google/uuid"
+	"github.com/juju/errors"
 
 	"poplarpin.dev/core/api"
 	"poplarpin.dev/core/config"
@@ -147,7 +149,7 @@
 	}
 	answer, err := client.Query(context.Background(), request)
 	if err != nil {
-		return err
+		return requestError(request, err)
 	}
 	if err := globals.print(answer); err != nil {
 		return err
@@ -155,6 +157,19 @@
 	return outcomeError(answer)
 }
 
+// requestError returns the error of a request without an answer. A non-idempotent one may have run, unless it was refused or no entry VM was
+// reached, and must not be sent again with another id.
+func requestError(request api.Request, err error) error {
+	var apiError *api.Error
+	var operation *net.OpError
+	refused := errors.As(err, &apiError) && apiError.Outcome == api.NotRun
+	unsent := errors.As(err, &operation) && operation.Op == "dial"
+	if !request.NonIdempotent || refused || unsent {
+		return err
+	}
+	return &exitError{exitUnknown, fmt.Sprintf("unknown whether request %s ran, ask again with the same id: %s", request.ID, err)}
+}
+
 // outcomeError returns an error with the exit code of an unsuccessful or insufficient answer.
 func outcomeError(answer api.Answer) error {
 	switch {
