A message whose link is closed just before it is sent is reported as unsent

What callers saw: nothing arrived, and neither OnUnsent nor LinkDown told the sender, so that a request waited until a hedge or its deadline; one that runs once ended as unknown although it had not been sent.

Cause: the first message was taken from the queue while link.close ran, which had found hasSent false; the failed write then found the link closed.

Change: markSent refuses on a closed link, under the same lock as close, and the message counts as unsent. A message is now either unsent or followed by LinkDown.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -154,6 +154,7 @@
 mutant_of poplarpind "withdrawn message sent" peer link.go 's/if !wanted \{/if false \&\& !wanted {/' TestWithdrawnWhileOpening
 mutant_of poplarpind "dials outlast clients" gateway serve.go 's/idempotentDialTimeout    = 100 \* time.Millisecond/idempotentDialTimeout    = time.Second/' TestDarkTarget
 mutant_of poplarpind "relay does not pay" gateway serve.go 's/if gather.Pays \{/if false {/' TestLentBudget
+mutant_of poplarpind "message sent on closed link" peer link.go 's/if link.closed \{\n\t\treturn false\n\t\}\n\tlink.lastSent/link.lastSent/' TestMessageOnClosingLink
 mutant_of poplarpind "any 503 counts as refused" target target.go 's/if json.NewDecoder\(body\).Decode\(&refusal\) != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/if json.NewDecoder(body).Decode(\&refusal) != nil {\n\t\treturn rpc.Result{Outcome: rpc.Shed}/' TestCallMadeOnce
 mutant_of poplarpind "failed call counts as unsent" target target.go 's/response, err := conn.RoundTrip\(request\)\n\tif err != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/response, err := conn.RoundTrip(request)\n\tif err != nil {\n\t\treturn rpc.Result{Outcome: rpc.NotSent}/' TestCallMadeOnce
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -53,7 +53,10 @@
 				message.unsent(Incapable)
 				continue
 			}
-			link.markSent(message.Prompt)
+			if !link.markSent(message.Prompt) {
+				message.unsent(Unreachable)
+				return
+			}
 			sentMessages.Add(message.Method, 1)
 			if err := link.rpc.Notify(ctx, message.Method, params); err != nil {
 				link.close()
@@ -155,15 +158,20 @@
 	link.markReceived()
 }
 
-// markSent records that a message is being sent.
-func (link *link) markSent(prompt bool) {
+// markSent records that a message is being sent, so that the handler is notified when the link is closed. It returns false if the link is
+// closed already; the message must not be sent then.
+func (link *link) markSent(prompt bool) bool {
 	link.mu.Lock()
 	defer link.mu.Unlock()
+	if link.closed {
+		return false
+	}
 	link.lastSent, link.hasSent = time.Now(), true
 	if link.silentSince.IsZero() {
 		link.silentSince = link.lastSent
 	}
 	link.promptSent = link.promptSent || prompt
+	return true
 }
 
 // markReceived records that data has arrived, which shows that the link works.
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -162,7 +162,9 @@
 	if link.rpc == nil {
 		return &Error{method, Unreachable, "no link to " + name}
 	}
-	link.markSent(false)
+	if !link.markSent(false) {
+		return &Error{method, Unreachable, "the link to " + name + " was closed"}
+	}
 	if err := link.rpc.Call(ctx, method, params, result); err != nil {
 		return &Error{method, Broken, err.Error()}
 	}
--- a/poplarpind/peer/peer_test.go
+++ b/poplarpind/peer/peer_test.go
@@ -57,6 +57,7 @@
 	peerAddress string
 	bytesToPeer atomic.Int64
 	silent      atomic.Bool
+	ended       atomic.Bool // one of the connections has ended
 }
 
 func newProxy(t *testing.T, peerAddress string) *proxy {
@@ -87,6 +88,7 @@
 	for {
 		count, err := from.Read(data)
 		if err != nil {
+			proxy.ended.Store(true)
 			_, _ = from.Close(), to.Close()
 			return
 		}
