The claim of a request that did not run is released in the background if the platform does not answer in time

What could happen: a request that runs once is refused before it runs, at its deadline or while the platform does not answer. Its caller is told "not run" with retryAfter, but the claim stays held for good, since its release was tried once, within the request's time: each further submission of the id ends as unknown. It never runs twice, but it never runs either.

Change: the answer comes as soon as before, with the release as its record, which is written in the background like the other outcomes. The write replaces only the version that this submission wrote, so that it may be late or repeated.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -206,7 +206,7 @@
 // noAnswer reads the claim, since only the stored claim shows whether the write took effect.
 func (runner *Runner) noAnswer() Action {
 	if runner.releaseSent {
-		return runner.finish(api.NotRun, "", nil)
+		return runner.finish(api.NotRun, "", runner.release())
 	}
 	if runner.waiting {
 		return Read{Waiting: true}
@@ -233,7 +233,13 @@
 		return runner.finish(api.Unknown, replyLost, nil)
 	}
 	runner.releaseSent = true
-	return Write{Claim{Holder: runner.holder, State: Released}, runner.version}
+	return *runner.release()
+}
+
+// release returns the write that lets another submission acquire the claim. It may be repeated, as it replaces the version that this
+// submission wrote, and no other.
+func (runner *Runner) release() *Write {
+	return &Write{Claim{Holder: runner.holder, State: Released}, runner.version}
 }
 
 func (runner *Runner) completedWrite(outcome api.Outcome) *Write {
@@ -243,7 +249,7 @@
 // abort answers at once: with not run if the outcome of the call has already proved that it did not run, and with unknown otherwise.
 func (runner *Runner) abort() Action {
 	if runner.releaseSent {
-		return runner.finish(api.NotRun, "", nil)
+		return runner.finish(api.NotRun, "", runner.release())
 	}
 	if runner.sent {
 		return runner.finish(api.Unknown, replyLost, nil)
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -158,3 +158,21 @@
 		})
 	}
 }
+
+// TestReleaseIsTriedAgain guards against a claim that stays held by a request that did not run, since the platform does not answer or the request's time
+// is over: its caller is told to submit it again, and every submission ends as unknown.
+func TestReleaseIsTriedAgain(t *testing.T) {
+	for name, event := range map[string]claim.Event{"no answer": claim.NoAnswer{}, "at the deadline": claim.Aborted{}} {
+		t.Run(name, func(t *testing.T) {
+			runner := claim.New("vm0/1/1")
+			runner.Step(claim.Begin{})
+			runner.Step(claim.Written{Version: 7})
+			release := claim.Write{Claim: claim.Claim{Holder: "vm0/1/1", State: claim.Released}, Version: 7}
+			assert.Equal(t, runner.Step(claim.Result{Outcome: rpc.Expired}), claim.Action(release))
+			finish, ok := runner.Step(event).(claim.Finish)
+			assert.Assert(t, ok)
+			assert.Equal(t, finish.Outcome, api.NotRun)
+			assert.DeepEqual(t, finish.Record, &release)
+		})
+	}
+}
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -107,6 +107,7 @@
 mutant "window limit of budget ignored" budget budget.go 's/float64\(spent\+extra\) > budget.fraction\*float64\(calls\)\+budget.slack/spent+calls < 0/'
 mutant "lost call reported not run" claim claim.go 's/case !outcome.ProvesNotRun\(\):/case false:/'
 mutant "unknown outcome releases claim" claim claim.go 's/case !outcome.ProvesNotRun\(\):/case outcome == rpc.Lost, outcome == rpc.OwnerLost:/'
+mutant "release of claim not tried again" claim claim.go 's/return runner.finish\(api.NotRun, "", runner.release\(\)\)/return runner.finish(api.NotRun, "", nil)/g'
 mutant "owner reports itself unreached" rpc validate.go 's/if result.Outcome == OwnerNotReached \{/if result.Outcome == OwnerNotReached \&\& false {/'
 mutant "held claim taken over" claim claim.go 's/case found.Claim.State == Released:/case found.Claim.State == Released || found.Claim.State == Held:/'
 mutant "sent call reported not run" claim claim.go 's/if runner.sent \{\n\t\treturn runner.finish\(api.Unknown, replyLost, nil\)/if runner.sent {\n\t\treturn runner.finish(api.NotRun, replyLost, nil)/'
