--- a/model/check.sh
+++ b/model/check.sh
@@ -69,6 +69,7 @@
 expect_rejected once allNotRun LOST_NOTRUN
 expect_rejected once atMostOnce RELEASE_LOST
 expect_rejected once atMostOnce ASSUME_CREATED
+expect_rejected once atMostOnce TRUST_REFUSAL
 expect_holds snapshot sameRequest
 expect_holds snapshot notDoubled
 expect_holds snapshot oneSnapshot
--- a/model/once.pml
+++ b/model/once.pml
@@ -11,6 +11,7 @@
  *   LOST_NOTRUN     a lost result is reported as "not run"
  *   RELEASE_LOST    a lost result releases the claim
  *   ASSUME_CREATED  a create without an answer counts as successful
+ *   TRUST_REFUSAL   an answer that does not prove that the call has not run counts as a refusal
  */
 #define SUBMISSIONS 2
 #define FREE 0
@@ -38,6 +39,9 @@
        :: runs++; result[me] = 1            /* ran and answered */
        :: runs++                            /* ran, answer lost */
        :: result[me] = 2                    /* refused before it ran */
+#ifdef TRUST_REFUSAL
+       :: runs++; result[me] = 2            /* ran; a proxy's 503, or an outcome that the entry VM does not know */
+#endif
        :: skip                              /* owner crashed or unreachable */
        fi }
   od
@@ -92,10 +96,14 @@
   :: result[me] == 1 -> answer[me] = RAN; break
   :: result[me] == 2 ->
      if
-     :: atomic { holder == me -> claim = RELEASED }  /* released */
-     :: skip                                          /* the release is lost; the claim stays held */
+     :: atomic { holder == me -> claim = RELEASED }; answer[me] = NOTRUN
+     :: answer[me] = NOTRUN;                          /* the platform does not answer in time */
+        if
+        :: atomic { claim == HELD && holder == me -> claim = RELEASED } /* released later */
+        :: skip                                                         /* the claim stays held */
+        fi
      fi;
-     answer[me] = NOTRUN; break
+     break
   :: true -> /* deadline, or the link to the owner broke */
 #ifdef LOST_NOTRUN
      answer[me] = NOTRUN;
