--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -206,7 +206,7 @@
 // noAnswer reads the claim, since only the stored claim shows whether the write took effect.
 func (runner *Runner) noAnswer() Action {
 	if runner.releaseSent {
-		return runner.finish(api.NotRun, "", nil)
+		return runner.finish(api.NotRun, "", runner.release())
 	}
 	if runner.waiting {
 		return Read{Waiting: true}
@@ -224,16 +224,22 @@
 
 // result handles the outcome of the call; the claim is released only if the outcome proves that the request did not run.
 func (runner *Runner) result(outcome rpc.Outcome) Action {
-	switch outcome {
-	case rpc.OK:
+	switch {
+	case outcome == rpc.OK:
 		return runner.finish(api.Ran, "", runner.completedWrite(api.Ran))
-	case rpc.Failed:
+	case outcome == rpc.Failed:
 		return runner.finish(api.Failed, "the target failed the request", runner.completedWrite(api.Failed))
-	case rpc.Lost, rpc.OwnerLost:
+	case !outcome.ProvesNotRun():
 		return runner.finish(api.Unknown, replyLost, nil)
 	}
 	runner.releaseSent = true
-	return Write{Claim{Holder: runner.holder, State: Released}, runner.version}
+	return *runner.release()
+}
+
+// release returns the write that lets another submission acquire the claim. It may be repeated, as it replaces the version that this
+// submission wrote, and no other.
+func (runner *Runner) release() *Write {
+	return &Write{Claim{Holder: runner.holder, State: Released}, runner.version}
 }
 
 func (runner *Runner) completedWrite(outcome api.Outcome) *Write {
@@ -243,7 +249,7 @@
 // abort answers at once: with not run if the outcome of the call has already proved that it did not run, and with unknown otherwise.
 func (runner *Runner) abort() Action {
 	if runner.releaseSent {
-		return runner.finish(api.NotRun, "", nil)
+		return runner.finish(api.NotRun, "", runner.release())
 	}
 	if runner.sent {
 		return runner.finish(api.Unknown, replyLost, nil)
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -105,7 +105,10 @@
 mutant "shard merged twice" query results.go 's/if shard.merged \{\n\t\t\tcontinue\n\t\t\}\n\t\tshard.merged = true/shard.merged = true/'
 mutant "hedges without budget" query calls.go 's/len\(shards\) == 0 \|\| !run.budget.Spend\(now, 1\)/len(shards) == 0/'
 mutant "window limit of budget ignored" budget budget.go 's/float64\(spent\+extra\) > budget.fraction\*float64\(calls\)\+budget.slack/spent+calls < 0/'
-mutant "lost call reported not run" claim claim.go 's/case rpc.Lost, rpc.OwnerLost:/case rpc.Outcome("none"):/'
+mutant "lost call reported not run" claim claim.go 's/case !outcome.ProvesNotRun\(\):/case false:/'
+mutant "unknown outcome releases claim" claim claim.go 's/case !outcome.ProvesNotRun\(\):/case outcome == rpc.Lost, outcome == rpc.OwnerLost:/'
+mutant "release of claim not tried again" claim claim.go 's/return runner.finish\(api.NotRun, "", runner.release\(\)\)/return runner.finish(api.NotRun, "", nil)/g'
+mutant "owner reports itself unreached" rpc validate.go 's/if result.Outcome == OwnerNotReached \{/if result.Outcome == OwnerNotReached \&\& false {/'
 mutant "held claim taken over" claim claim.go 's/case found.Claim.State == Released:/case found.Claim.State == Released || found.Claim.State == Held:/'
 mutant "sent call reported not run" claim claim.go 's/if runner.sent \{\n\t\treturn runner.finish\(api.Unknown, replyLost, nil\)/if runner.sent {\n\t\treturn runner.finish(api.NotRun, replyLost, nil)/'
 mutant "false suspicion not refuted" member receive.go 's/list.self.Incarnation = update.Incarnation \+ 1//'
@@ -175,6 +178,9 @@
 mutant_of poplarpind "cut head taken for invalid" http1 response.go 's/case conn.source.ended:/case false:/' TestStoppedResponse
 mutant_of platform "empty answer is a list" . store.go 's/if page == nil \{/if page == nil { page = \&listPage{} }\n\t\tif false {/' TestStoppedList
 mutant_of poplarpind "reset stream answers" target target.go 's/err != nil \|\| json.Unmarshal/err != nil \&\& false || json.Unmarshal/' TestStoppedResponse
+mutant_of poplarpind "message sent on closed link" peer link.go 's/if link.closed \{\n\t\treturn false\n\t\}\n\tlink.lastSent/link.lastSent/' TestMessageOnClosingLink
+mutant_of poplarpind "any 503 counts as refused" target target.go 's/if json.NewDecoder\(body\).Decode\(&refusal\) != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/if json.NewDecoder(body).Decode(\&refusal) != nil {\n\t\treturn rpc.Result{Outcome: rpc.Shed}/' TestCallMadeOnce
+mutant_of poplarpind "failed call counts as unsent" target target.go 's/response, err := conn.RoundTrip\(request\)\n\tif err != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/response, err := conn.RoundTrip(request)\n\tif err != nil {\n\t\treturn rpc.Result{Outcome: rpc.NotSent}/' TestCallMadeOnce
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 mutant_of platform "odd object spoils the list" . bounds.go 's/if !ok \|\| json.Unmarshal\(repaired, reply\) != nil \{/if repaired != nil || !ok {/' TestOddObjects
 mutant_of platform "deep object passed on" . bounds.go 's/ \|\| depthExceeds\(spec, maxSpecDepth\)//' TestDeepConfiguration
--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -158,7 +158,8 @@
 	link.markReceived()
 }
 
-// markSent records that a message is being sent, and reports whether it may be: closing a link reports the messages that were marked before.
+// markSent records that a message is being sent, so that the handler is notified when the link is closed. It returns false if the link is
+// closed already; the message must not be sent then.
 func (link *link) markSent(prompt bool) bool {
 	link.mu.Lock()
 	defer link.mu.Unlock()
