Tests of targets write HTTP/2 frames in one way; a refusal counts once its stream has ended

A 503 was taken as a refusal from its JSON alone, before the end of its stream, as a 200 was until. One of two equal new mutants of peer/link.go went.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -177,9 +177,8 @@
 mutant_of poplarpind "reset taken for an end" http1 response.go 's/endsWithConn\(response\) && !conn/endsWithConn(response) \&\& false \&\& !conn/' TestResetWhileSending
 mutant_of poplarpind "cut head taken for invalid" http1 response.go 's/case conn.source.ended:/case false:/' TestStoppedResponse
 mutant_of platform "empty answer is a list" . store.go 's/if page == nil \{/if page == nil { page = \&listPage{} }\n\t\tif false {/' TestStoppedList
-mutant_of poplarpind "reset stream answers" target target.go 's/err != nil \|\| json.Unmarshal/err != nil \&\& false || json.Unmarshal/' TestStoppedResponse
-mutant_of poplarpind "message sent on closed link" peer link.go 's/if link.closed \{\n\t\treturn false\n\t\}\n\tlink.lastSent/link.lastSent/' TestMessageOnClosingLink
-mutant_of poplarpind "any 503 counts as refused" target target.go 's/if json.NewDecoder\(body\).Decode\(&refusal\) != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/if json.NewDecoder(body).Decode(\&refusal) != nil {\n\t\treturn rpc.Result{Outcome: rpc.Shed}/' TestCallMadeOnce
+mutant_of poplarpind "reset stream answers" target target.go 's/err != nil \|\| json.Unmarshal\(data, &reply\)/err != nil \&\& false || json.Unmarshal(data, \&reply)/' TestStoppedResponse
+mutant_of poplarpind "any 503 counts as refused" target target.go 's/json.Unmarshal\(data, &refusal\) != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/json.Unmarshal(data, \&refusal) != nil {\n\t\treturn rpc.Result{Outcome: rpc.Shed}/' TestCallMadeOnce
 mutant_of poplarpind "failed call counts as unsent" target target.go 's/response, err := conn.RoundTrip\(request\)\n\tif err != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/response, err := conn.RoundTrip(request)\n\tif err != nil {\n\t\treturn rpc.Result{Outcome: rpc.NotSent}/' TestCallMadeOnce
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 mutant_of platform "odd object spoils the list" . bounds.go 's/if !ok \|\| json.Unmarshal\(repaired, reply\) != nil \{/if repaired != nil || !ok {/' TestOddObjects
--- a/poplarpind/target/repeat_test.go
+++ b/poplarpind/target/repeat_test.go
@@ -15,19 +15,7 @@
 	"poplarpin.dev/poplarpind/target"
 )
 
-const (
-	clientPreface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
-	callTimeout   = 20 * time.Second
-)
-
-// The types, flags and an error code of HTTP/2 frames.
-const (
-	dataFrame, headersFrame, resetFrame, settingsFrame, goAwayFrame = 0, 1, 3, 4, 7
-
-	endStream, ack, endHeaders = 1, 1, 4
-
-	refusedStream = 7
-)
+const callTimeout = 20 * time.Second
 
 // rawTarget is a target that speaks HTTP/2 frame by frame, so that a test decides at which moment of a call its connection ends.
 type rawTarget struct {
@@ -66,7 +54,7 @@
 		return
 	}
 	writeFrame(conn, settingsFrame, 0, 0, nil)
-	for header := make([]byte, 9); ; {
+	for header := make([]byte, frameHeaderBytes); ; {
 		if _, err := io.ReadFull(conn, header); err != nil {
 			return
 		}
@@ -87,9 +75,7 @@
 }
 
 func writeFrame(conn net.Conn, kind, flags byte, id uint32, payload []byte) {
-	length := len(payload)
-	frame := append([]byte{byte(length >> 16), byte(length >> 8), byte(length), kind, flags}, binary.BigEndian.AppendUint32(nil, id)...)
-	_, _ = conn.Write(append(frame, payload...))
+	_, _ = io.WriteString(conn, frame(kind, flags, id, string(payload)))
 }
 
 func (stream rawStream) header(status string) {
--- a/poplarpind/target/stopped_test.go
+++ b/poplarpind/target/stopped_test.go
@@ -17,25 +17,7 @@
 	"poplarpin.dev/poplarpind/target"
 )
 
-// HTTP/2 frame types and flags.
-const (
-	dataFrame, headersFrame, resetFrame, settingsFrame, goAwayFrame, continuationFrame = 0, 1, 3, 4, 7, 9
-
-	endStream, settingsAck, endHeaders = 1, 1, 4
-)
-
-const (
-	prefaceBytes     = 24
-	frameHeaderBytes = 9
-	internalError    = "\x00\x00\x00\x02"
-)
-
-// frame returns an HTTP/2 frame of a stream.
-func frame(kind, flags byte, stream uint32, payload string) string {
-	header := binary.BigEndian.AppendUint32(nil, uint32(len(payload)))[1:]
-	header = append(header, kind, flags)
-	return string(binary.BigEndian.AppendUint32(header, stream)) + payload
-}
+const internalError = "\x00\x00\x00\x02"
 
 // response returns the frames of a response to the first request of a connection: its head in two, its body in two or three.
 func response(body string, withLength, endsApart bool) []string {
@@ -71,7 +53,7 @@
 
 func answerOnce(conn *net.TCPConn, answer string, end func(conn *net.TCPConn)) {
 	defer conn.Close()
-	_, err := io.CopyN(io.Discard, conn, prefaceBytes)
+	_, err := io.CopyN(io.Discard, conn, int64(len(clientPreface)))
 	_, _ = io.WriteString(conn, frame(settingsFrame, 0, 0, ""))
 	for ended := false; err == nil; {
 		header := make([]byte, frameHeaderBytes)
@@ -79,8 +61,8 @@
 			return
 		}
 		_, err = io.CopyN(io.Discard, conn, int64(binary.BigEndian.Uint32(append([]byte{0}, header[:3]...))))
-		if header[3] == settingsFrame && header[4]&settingsAck == 0 {
-			_, _ = io.WriteString(conn, frame(settingsFrame, settingsAck, 0, ""))
+		if header[3] == settingsFrame && header[4]&ack == 0 {
+			_, _ = io.WriteString(conn, frame(settingsFrame, ack, 0, ""))
 		}
 		if !ended && (header[3] == headersFrame || header[3] == dataFrame) && header[4]&endStream != 0 {
 			ended = true
--- a/poplarpind/target/target.go
+++ b/poplarpind/target/target.go
@@ -221,7 +221,8 @@
 // the target, or one that is cut off, does not show that the call has not run.
 func decodeRefusal(body io.Reader) rpc.Result {
 	var refusal search.Refusal
-	if json.NewDecoder(body).Decode(&refusal) != nil {
+	data, err := io.ReadAll(body)
+	if err != nil || json.Unmarshal(data, &refusal) != nil {
 		return rpc.Result{Outcome: rpc.Lost}
 	}
 	switch refusal.State {
