The end of a call that was accepted for a peer is logged

A VM that is asked for a call of a request that must run once logs "relay request accepted" before it looks whether it may call the target. If not, it declined without a line, and the asking VM logs nothing either while another call of the request is under way: the logs then look as if two VMs made the call.

Change: "relay request ended" with the outcome. TestDeclinedCallIsLogged failed ("0 (int) != 1 (int)"), as no line had the outcome.

--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -269,6 +269,10 @@
 			refuse("this VM does not reach the targets")
 			return
 		}
+		if gather.Once {
+			gateway.log.Info("relay request ended", zap.String("request", truncate(gather.RequestID)), zap.String("peer", from),
+				zap.String("outcome", string(outcomeOfReport(report))), zap.Duration("elapsed", time.Since(job.started)))
+		}
 		reply(rpc.MethodGatherResult, gateway.inTermsOf(from, gateway.gatherResult(job, gather, report)))
 		if report.Final {
 			job.releaseResponses()
@@ -280,6 +284,14 @@
 	gateway.step(job, func(now time.Time) []fanout.Action { return job.relayRun.Start(now) })
 }
 
+// outcomeOfReport returns the outcome of the only call that a report is about.
+func outcomeOfReport(report fanout.Report) fanout.Outcome {
+	if len(report.Missing) > 0 {
+		return report.Missing[0].Outcome
+	}
+	return fanout.Answered
+}
+
 // servicesOf returns the services of the parts that a peer asks for, and reports whether this VM's configuration has them.
 func (gateway *Gateway) servicesOf(matched *route.Route, gather rpc.Gather) ([]string, bool) {
 	services := make([]string, len(gather.Parts))
--- a/poplarpind/gateway/relayed_calls_test.go
+++ b/poplarpind/gateway/relayed_calls_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"poplarpin.dev/core/config"
@@ -59,3 +60,23 @@
 	assert.Assert(t, job != nil)
 	assert.Equal(t, job.request.ID, "id-2")
 }
+
+// TestDeclinedCallIsLogged guards against logs that show an accepted call of a request that must run once, but not that it was never made.
+func TestDeclinedCallIsLogged(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	gateway := New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, "test", zap.New(core))
+	table, errs := route.New(route.Config{Version: 1, Services: []route.Service{{Name: "one", MaxTargetConnections: 25}},
+		Routes: []route.Route{{Name: "o", Host: "h", PathPrefix: "/o/", Destination: route.Single{Service: "one"}}}})
+	assert.Equal(t, len(errs), 0)
+	gateway.table.Store(table)
+	gateway.fleet.Update(time.Now(), place.Endpoint{ID: "i-1", Service: "one", Address: "127.0.0.1:1", FailureDomain: "a", Slots: 2, State: place.Draining})
+	var results []rpc.GatherResult
+	gateway.serveGather("vm-b1", func(_ string, result any) { results = append(results, result.(rpc.GatherResult)) }, rpc.Gather{QueryID: "1", Route: "o",
+		Parts: []int{0}, Targets: []string{"i-1"}, Once: true, RequestID: "id-1", Method: "POST", Head: []byte("POST / HTTP/1.1\r\n"),
+		Timeout: config.Duration(time.Minute), ReportAfter: config.Duration(time.Minute)})
+	assert.Equal(t, len(results), 1)
+	assert.Equal(t, results[0].Missing[0].Outcome, fanout.NoCapacity)
+	lines := logs.FilterField(zap.String("request", "id-1")).FilterField(zap.String("outcome", string(fanout.NoCapacity))).All()
+	assert.Equal(t, len(lines), 1)
+	assert.Equal(t, lines[0].Message, "relay request ended")
+}
