A call for a peer does not begin once a stop waits for the last ones

What callers saw: nothing so far; found in review. A VM that stops refuses further calls for peers and waits until it makes none. A call whose request was checked just before and was added just after was neither refused nor waited for: the process could end during it, and the VM that asked had to answer 502 for a request that must run once and runs.

Change: the check and the addition are one step under the lock under which the stop looks. TestRelayRequestWhileStopEnds lets the stop look in between; it failed as the call was made ("(<-results).Refused" was false). Mutant "job behind the last look".

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -162,6 +162,7 @@
 mutant_of poplarpind "message sent on a closed link" peer link.go 's/if link.closed \{\n\t\treturn false\n\t\}\n\tlink.lastSent/link.lastSent/' TestClosedBeforeSending
 mutant_of poplarpind "refusal of any peer believed" gateway relay.go 's/\tok = ok && call.relayVM == relayVM\n//' TestRefusalOfAnotherPeer
 mutant_of poplarpind "call of a new incarnation forgotten" gateway relay.go 's/if gateway.relayJobs\[key\] == job \{/if true {/' TestQueryIDOfEarlierIncarnation
+mutant_of poplarpind "job behind the last look" gateway relay.go 's/if gateway.refusesRelays.Load\(\) \{/if false {/' TestRelayRequestWhileStopEnds
 mutant_of poplarpind "false promise passed on" gateway serve.go 's/if !reply.PromisesNotRun\(\) \{/if true {/' TestFalsePromise
 mutant_of poplarpind "abandoned call sent" http1 exchange.go 's/return !exchange.ended && !exchange.abandoned/return !exchange.ended/' TestAbandonedWhileOpening
 mutant_of poplarpind "capability not checked" peer link.go 's/if !link.peer.Can\(capabilityFor\(params\)\) \{/if false {/' TestCapabilities
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -242,7 +242,7 @@
 		refuse("the route's shards, targets or kind, or the part indices do not match this VM's configuration")
 		return
 	}
-	if gateway.refusesRelays.Load() || !gateway.takesGather(matched, gather) {
+	if !gateway.takesGather(matched, gather) {
 		refuse(stoppingReason)
 		return
 	}
@@ -278,10 +278,22 @@
 			job.releaseResponses()
 		}
 	}
+	if !gateway.addRelayJob(key, job) {
+		refuse(stoppingReason)
+		return
+	}
+	gateway.step(job, func(now time.Time) []fanout.Action { return job.relayRun.Start(now) })
+}
+
+// addRelayJob adds a job for a peer, unless the stop has begun to wait for the last ones.
+func (gateway *Gateway) addRelayJob(key string, job *job) bool {
 	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if gateway.refusesRelays.Load() {
+		return false
+	}
 	gateway.relayJobs[key] = job
-	gateway.mu.Unlock()
-	gateway.step(job, func(now time.Time) []fanout.Action { return job.relayRun.Start(now) })
+	return true
 }
 
 // outcomeOfReport returns the outcome of the only call that a report is about.
--- a/poplarpind/gateway/relayed_calls_test.go
+++ b/poplarpind/gateway/relayed_calls_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
@@ -80,3 +82,28 @@
 	assert.Equal(t, len(lines), 1)
 	assert.Equal(t, lines[0].Message, "relay request ended")
 }
+
+// TestRelayRequestWhileStopEnds guards against a call for a peer that begins once a stop has seen that there is none to wait for.
+func TestRelayRequestWhileStopEnds(t *testing.T) {
+	var gateway *Gateway
+	log := zap.New(zapcore.NewNopCore()).WithOptions(zap.WrapCore(func(zapcore.Core) zapcore.Core {
+		core, _ := observer.New(zap.InfoLevel)
+		return zapcore.RegisterHooks(core, func(entry zapcore.Entry) error {
+			if entry.Message == "relay request accepted" {
+				gateway.awaitRelayed(context.Background())
+			}
+			return nil
+		})
+	}))
+	gateway = New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, "test", log)
+	table, errs := route.New(route.Config{Version: 1, Services: []route.Service{{Name: "one", MaxTargetConnections: 25}},
+		Routes: []route.Route{{Name: "o", Host: "h", PathPrefix: "/o/", Destination: route.Single{Service: "one"}}}})
+	assert.Equal(t, len(errs), 0)
+	gateway.table.Store(table)
+	gateway.fleet.Update(time.Now(), place.Endpoint{ID: "i-1", Service: "one", Address: "127.0.0.1:1", FailureDomain: "a", Slots: 2, State: place.Ready})
+	results := make(chan rpc.GatherResult, 1)
+	gateway.serveGather("vm-b1", func(_ string, result any) { results <- result.(rpc.GatherResult) }, rpc.Gather{QueryID: "1", Route: "o",
+		Parts: []int{0}, Targets: []string{"i-1"}, Once: true, RequestID: "id-1", Method: "POST", Head: []byte("POST / HTTP/1.1\r\n"),
+		Timeout: config.Duration(time.Minute), ReportAfter: config.Duration(time.Minute)})
+	assert.Assert(t, (<-results).Refused)
+}
