--- a/core/fanout/fanout_test.go
+++ b/core/fanout/fanout_test.go
@@ -87,6 +87,10 @@
 		shared := newSharedState(services)
 		strandRandomly(t, shared.Fleet, services)
 		simulation := newSimulation(t, spec, shared)
+		if rapid.Bool().Draw(t, "the VM stops") {
+			at := time.Duration(rapid.Int64Range(0, int64(timeout)).Draw(t, "endBy"))
+			simulation.run.EndBy(start.Add(at), time.Duration(rapid.Int64Range(0, int64(at)).Draw(t, "needed")))
+		}
 		simulation.runToEnd()
 		simulation.assertResponse()
 		assert.Assert(t, len(simulation.ranCalls) <= 1, "calls %v may have run, on %v", simulation.ranCalls, simulation.mayHaveRunOn)
