--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -242,7 +242,7 @@
 		refuse("the route's shards, targets or kind, or the part indices do not match this VM's configuration")
 		return
 	}
-	if gateway.refusesRelays.Load() || !gateway.takesGather(matched, gather) {
+	if !gateway.takesGather(matched, gather) {
 		refuse(stoppingReason)
 		return
 	}
@@ -269,15 +269,39 @@
 			refuse("this VM does not reach the targets")
 			return
 		}
+		if gather.Once {
+			gateway.log.Info("relay request ended", zap.String("request", truncate(gather.RequestID)), zap.String("peer", from),
+				zap.String("outcome", string(outcomeOfReport(report))), zap.Duration("elapsed", time.Since(job.started)))
+		}
 		reply(rpc.MethodGatherResult, gateway.inTermsOf(from, gateway.gatherResult(job, gather, report)))
 		if report.Final {
 			job.releaseResponses()
 		}
 	}
+	if !gateway.addRelayJob(key, job) {
+		refuse(stoppingReason)
+		return
+	}
+	gateway.step(job, func(now time.Time) []fanout.Action { return job.relayRun.Start(now) })
+}
+
+// addRelayJob adds a job for a peer, unless the stop has begun to wait for the last ones.
+func (gateway *Gateway) addRelayJob(key string, job *job) bool {
 	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if gateway.refusesRelays.Load() {
+		return false
+	}
 	gateway.relayJobs[key] = job
-	gateway.mu.Unlock()
-	gateway.step(job, func(now time.Time) []fanout.Action { return job.relayRun.Start(now) })
+	return true
+}
+
+// outcomeOfReport returns the outcome of the only call that a report is about.
+func outcomeOfReport(report fanout.Report) fanout.Outcome {
+	if len(report.Missing) > 0 {
+		return report.Missing[0].Outcome
+	}
+	return fanout.Answered
 }
 
 // servicesOf returns the services of the parts that a peer asks for, and reports whether this VM's configuration has them.
