A connection that is not kept has left its place by the end of its call

Callers at a target's limit would have been sent to another target.

Cause: Done was called before the connection was closed and taken out of the pool's count, so that the next call of the same goroutine could come first, twice.

Change: a connection that is known not to be kept, for bytes behind its response or Connection: close, is given up before Done.

Result: the new case of TestCalls, which counts connections within Done, failed before (1 != 0) and passes; one mutant.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -175,6 +175,7 @@
 mutant_of poplarpind "withdrawn message sent" peer link.go 's/if !wanted \{/if false \&\& !wanted {/' TestWithdrawnWhileOpening
 mutant_of poplarpind "dials outlast clients" gateway serve.go 's/idempotentDialTimeout    = 100 \* time.Millisecond/idempotentDialTimeout    = time.Second/' TestDarkTarget
 mutant_of poplarpind "relay does not pay" gateway serve.go 's/if gather.Pays \{/if false {/' TestLentBudget
+mutant_of poplarpind "place left after the call" http1 conn.go 's/\tif !keepable \{\n\t\tconn.giveUp\(\)\n\t\}/\tif !keepable {\n\t\tdefer conn.giveUp()\n\t}/' TestCalls
 mutant_of poplarpind "reset taken for an end" http1 response.go 's/endsWithConn\(response\) && !conn/endsWithConn(response) \&\& false \&\& !conn/' TestResetWhileSending
 mutant_of poplarpind "cut head taken for invalid" http1 response.go 's/case conn.source.ended:/case false:/' TestTruncatedResponse
 mutant_of platform "empty answer is a list" . store.go 's/if page == nil \{/if page == nil { page = \&listPage{} }\n\t\tif false {/' TestTruncatedList
--- a/poplarpind/http1/conn.go
+++ b/poplarpind/http1/conn.go
@@ -138,8 +138,6 @@
 			return
 		}
 		if !conn.finish(exchange, response, body) {
-			conn.close()
-			conn.pool.remove(conn)
 			return
 		}
 	}
@@ -169,7 +167,8 @@
 	return conn.written
 }
 
-// finish completes a call with its response and reports whether the connection is kept.
+// finish completes a call with its response and reports whether the connection is kept. One that cannot be kept is given up before Done is called, so
+// that the next call finds its place free.
 func (conn *conn) finish(exchange *Exchange, response *http.Response, body []byte) bool {
 	written := conn.isWritten()
 	conn.mu.Lock()
@@ -178,10 +177,18 @@
 	conn.idleSince = time.Now()
 	conn.usableUntil = time.Time{}
 	conn.mu.Unlock()
+	keepable := clean && !response.Close
+	if !keepable {
+		conn.giveUp()
+	}
 	complete := &Response{Response: response, Body: body, Previous: conn.previous}
 	reusable, keepAlive := exchange.end(complete, nil)
 	conn.previous = complete.Remembered
-	if !reusable || !clean || response.Close {
+	if !keepable {
+		return false
+	}
+	if !reusable {
+		conn.giveUp()
 		return false
 	}
 	if keepAlive > 0 {
@@ -191,6 +198,12 @@
 	return true
 }
 
+// giveUp closes the connection and frees its place in the pool.
+func (conn *conn) giveUp() {
+	conn.close()
+	conn.pool.remove(conn)
+}
+
 // fail closes the connection and fails the call on it.
 func (conn *conn) fail(err *Error) {
 	conn.close()
--- a/poplarpind/http1/pool_test.go
+++ b/poplarpind/http1/pool_test.go
@@ -220,6 +220,20 @@
 		}
 		assert.Equal(t, connections.Load(), int64(3))
 	})
+	t.Run("a connection that is not kept has left its place by the end of the call", func(t *testing.T) {
+		for _, response := range []string{okResponse + "x", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"} {
+			address, _ := serve(t, func(int, int) []byte { return []byte(response) })
+			pool, open := newPoolOf(1), make(chan int, 1)
+			_, err := pool.Start(http1.Call{Target: "s", Address: address, Method: "GET", Encode: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n") },
+				Done: func(*http1.Response, error) (bool, time.Duration) {
+					_, count := pool.Counts()
+					open <- count
+					return true, 0
+				}})
+			assert.NilError(t, err)
+			assert.Equal(t, <-open, 0)
+		}
+	})
 	t.Run("nothing listens at the address", func(t *testing.T) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
