--- a/core/place/path.go
+++ b/core/place/path.go
@@ -140,7 +140,7 @@
 			if !vm.declines(now) || now.Sub(vm.declinedAt) < lastResortInterval || longest != nil && !vm.declinedAt.Before(longest.declinedAt) {
 				continue
 			}
-			if fleet.callable(now, vm) && !now.Before(vm.incapableUntil) && allows(fleet.regions[vm.FailureDomain]) && !slices.Contains(exclude, vm.ID) {
+			if fleet.understandsCalls(now, vm) && allows(fleet.regions[vm.FailureDomain]) && !slices.Contains(exclude, vm.ID) {
 				longest = vm
 			}
 		}
@@ -169,7 +169,12 @@
 
 // mayRelay reports whether an entry VM answers and, as far as is known, calls the targets of a failure domain for others.
 func (fleet *Fleet) mayRelay(now time.Time, vm *trackedEndpoint, failureDomain string) bool {
-	return fleet.callable(now, vm) && !vm.down(now, Direct) && !vm.cutOffFrom(now, failureDomain) && !now.Before(vm.incapableUntil)
+	return fleet.understandsCalls(now, vm) && !vm.down(now, Direct) && !vm.cutOffFrom(now, failureDomain)
+}
+
+// understandsCalls reports whether an entry VM is in reach and of a build that calls the targets that others name, as far as is known.
+func (fleet *Fleet) understandsCalls(now time.Time, vm *trackedEndpoint) bool {
+	return fleet.callable(now, vm) && !now.Before(vm.incapableUntil)
 }
 
 // RelayCapable records whether the build of an entry VM calls the targets that other VMs name, as its greeting says. One that does not is
