--- a/core/fanout/once.go
+++ b/core/fanout/once.go
@@ -3,7 +3,7 @@
 // permit allows one call of a part; only permitCall issues it.
 type permit struct{ part *partState }
 
-// permitCall decides on each call of a part, whoever makes it: a request that is not idempotent gets none while another call of the part is in
+// permitCall decides on each call of a part, on every way to one: a request that is not idempotent gets none while another call of the part is in
 // flight or may have run. Callers ask earlier whether they may hedge or retry, so that a call prevented here is a fault.
 func (run *Run) permitCall(part *partState) (permit, bool) {
 	if !run.spec.Idempotent && (part.inFlight > 0 || part.possibleRuns > 0) {
--- a/core/fanout/simulation_test.go
+++ b/core/fanout/simulation_test.go
@@ -226,7 +226,7 @@
 	simulation.apply(actions)
 }
 
-// repeat lets a relay say again what it has said, or its link fail, whether the call has ended or not.
+// repeat lets a relay repeat its reports, or its link fail, before and after the end of the call.
 func (simulation *simulation) repeat() {
 	earlier := rapid.SampledFrom(simulation.reports).Draw(simulation.t, "earlier report")
 	if rapid.IntRange(0, 2).Draw(simulation.t, "repeated") > 0 {
--- a/core/stop/stop_test.go
+++ b/core/stop/stop_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// TestTakesMostThatEndInTime guards against a rule that refuses more than what would be too late, or takes more requests that run once than it must:
+// TestTakesMostThatEndInTime guards against a rule that refuses requests which would end in time, or takes requests that run once and end too late:
 // requests come at random in the grace and take times as targets do, the slowest of 100 eight times the median.
 func TestTakesMostThatEndInTime(t *testing.T) {
 	const requests, median, spread = 200_000, 80 * time.Millisecond, 0.9
--- a/poplarpind/peer/unsent_test.go
+++ b/poplarpind/peer/unsent_test.go
@@ -14,7 +14,7 @@
 	"poplarpin.dev/poplarpind/peer"
 )
 
-// fates records what becomes of numbered messages.
+// fates records the ends of numbered messages.
 type fates struct {
 	handler
 	mu              sync.Mutex
--- a/poplarpind/process_test.go
+++ b/poplarpind/process_test.go
@@ -127,7 +127,7 @@
 	return len(threads) > 0
 }
 
-// get returns what the process answers on its address for other VMs.
+// get returns the body of the process's response on its address for other VMs.
 func (process *process) get(t *testing.T, path string) string {
 	t.Helper()
 	response, err := http.Get(process.peerURL + path)
--- a/poplarpind/stop_test.go
+++ b/poplarpind/stop_test.go
@@ -23,7 +23,7 @@
 	stopForever = time.Minute            // of targets that do not
 )
 
-// stopDeployment is an entry VM beside targets that take some time, two of which take longer than any grace.
+// stopDeployment is an entry VM beside slow targets; those of two services take longer than any grace.
 type stopDeployment struct {
 	process  *process
 	recorder *platformtest.Recorder
@@ -53,7 +53,7 @@
 	return deployment
 }
 
-// stopAnswer is what a client saw of one request.
+// stopAnswer is the answer to one request, as its client received it.
 type stopAnswer struct {
 	id, path string
 	status   int // 0 if the connection ended without a complete answer
--- a/poplarpind/truncated_test.go
+++ b/poplarpind/truncated_test.go
@@ -59,7 +59,7 @@
 	return startProcess(t, build(t), store), service
 }
 
-// answered is what a client received.
+// answered is an answer, as its client received it.
 type answered struct {
 	status int
 	stamp  string
--- a/testbed/cuts_test.go
+++ b/testbed/cuts_test.go
@@ -25,7 +25,7 @@
 	"poplarpin.dev/testbed/fleet"
 )
 
-// doorway forwards the links of other VMs to a VM. It can hold what passes in a direction, and deliver it late, or close all links.
+// doorway forwards the links of other VMs to a VM. It can hold the bytes of a direction, and deliver them late, or close all links.
 type doorway struct {
 	net.Listener
 	address  string // of the VM
@@ -66,7 +66,7 @@
 	go doorway.copy(outer, inner, &doorway.heldFrom)
 }
 
-// copy delivers what it has read even if the sender has closed the link in the meantime.
+// copy delivers all bytes that it has read, even if the sender has closed the link in the meantime.
 func (doorway *doorway) copy(to, from *net.TCPConn, held *atomic.Bool) {
 	for data := make([]byte, 32<<10); ; {
 		count, err := from.Read(data)
@@ -87,7 +87,7 @@
 	}
 }
 
-// closeLinks closes all links, which loses what is on the way.
+// closeLinks closes all links, which loses the bytes on the way.
 func (doorway *doorway) closeLinks() {
 	doorway.mu.Lock()
 	defer doorway.mu.Unlock()
@@ -97,7 +97,7 @@
 	}
 }
 
-// disturb holds what passes to the VM, from it or both, or closes its links.
+// disturb holds the bytes to the VM, from it or both, or closes its links.
 func (doorway *doorway) disturb(random *rand.Rand) (undo func()) {
 	switch random.IntN(4) {
 	case 0:
--- a/testbed/once_test.go
+++ b/testbed/once_test.go
@@ -105,7 +105,7 @@
 	assert.Assert(t, counts[api.Ran] > 0 && counts[api.Unknown] > 0, "%v", counts)
 }
 
-// disturb repeats random faults until the end, each for a while and followed by a quiet time; fault starts one and returns what ends it.
+// disturb repeats random faults until the end, each for a while and followed by a quiet time; fault starts one and returns the function that ends it.
 func disturb(seed uint64, end time.Time, quiet time.Duration, fault func(random *rand.Rand) (undo func())) {
 	random := rand.New(rand.NewPCG(*onceSeed, seed))
 	for time.Now().Before(end) {
