Models and mutants of the core are checked four at a time; failures are printed last

Change: model/check.sh runs four checks at a time, each in a directory of its own. model/mutants.sh does so with the mutants of the core, whose tests have no clock; those of other modules still run by themselves. Copies are built with -trimpath, so that unchanged packages come from the cache, and tested with -count=1, so that no result does. Both scripts repeat what failed below the list. What counts as passed is as before.

On a list with an unnoticed, a missing and a broken mutant, and with failing models, both print these below the list and exit with 1.

--- a/model/check.sh
+++ b/model/check.sh
@@ -5,52 +5,56 @@
 here=$(cd "$(dirname "$0")" && pwd)
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-failed=0
-passed=0
+parallel=${JOBS:-4} # checks at a time
+count=0
 
-# verify MODEL PROPERTY FLAGS...: builds and runs the verifier; its report is in $work/out.
+# verify DIRECTORY MODEL PROPERTY FLAGS...: builds and runs the verifier in a directory; its report is in the file out there.
 verify() {
-  local model=$1 property=$2
-  shift 2
-  rm -f "$work"/pan* "$work"/*.trail
-  (cd "$work" && spin -a -N /dev/null "$@" "$here/$model.pml" >/dev/null 2>&1 || spin -a "$@" "$here/$model.pml" >spin.out 2>&1) || { cat "$work/spin.out"; return 1; }
-  (cd "$work" && gcc -O2 -DMEMLIM=4096 -DNFAIR=4 -o pan pan.c 2>gcc.out) || { cat "$work/gcc.out"; return 1; }
-  (cd "$work" && ./pan -a -f -m1000000 -N "$property" >out 2>&1)
+  local directory=$1 model=$2 property=$3
+  shift 3
+  cd "$directory" || return 1
+  spin -a -N /dev/null "$@" "$here/$model.pml" >/dev/null 2>&1 || spin -a "$@" "$here/$model.pml" >spin.out 2>&1 || { cat spin.out; return 1; }
+  gcc -O2 -DMEMLIM=4096 -DNFAIR=4 -o pan pan.c 2>gcc.out || { cat gcc.out; return 1; }
+  ./pan -a -f -m1000000 -N "$property" >out 2>&1
 }
 
-stored_states() { awk '/states, stored/ {print $1; exit}' "$work/out"; }
-error_count() { sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$work/out" | head -1; }
-search_completed() { ! grep -qi 'search not completed\|max search depth too small\|out of memory\|MEMLIM bound' "$work/out"; }
-trail_length() { cat "$work"/*.trail 2>/dev/null | grep -vc '^-'; }
+stored_states() { awk '/states, stored/ {print $1; exit}' out; }
+error_count() { sed -n 's/.*errors: \([0-9]*\).*/\1/p' out | head -1; }
+search_completed() { ! grep -qi 'search not completed\|max search depth too small\|out of memory\|MEMLIM bound' out; }
+trail_length() { cat *.trail 2>/dev/null | grep -vc '^-'; }
 
-# expect_holds MODEL PROPERTY FLAGS...
-expect_holds() {
-  local model=$1 property=$2
-  shift 2
-  verify "$model" "$property" "$@"
-  if [ "$(error_count)" = 0 ] && search_completed; then
-    printf '%-10s %-17s %-16s %10s states  holds\n' "$model" "$property" - "$(stored_states)"
-    passed=$((passed + 1))
-  else
-    printf '%-10s %-17s %-16s %10s states  FAILS\n' "$model" "$property" - "$(stored_states)"
-    tail -5 "$work/out"
-    failed=$((failed + 1))
-  fi
+# check_holds DIRECTORY MODEL PROPERTY FLAGS...: prints the result in one line that ends in "holds" or "FAILS", after the end of the report if it fails.
+check_holds() {
+  local model=$2 property=$3 result=holds
+  verify "$@"
+  [ "$(error_count)" = 0 ] && search_completed || { result=FAILS; tail -5 out; }
+  printf '%-10s %-17s %-16s %10s states  %s\n' "$model" "$property" - "$(stored_states)" "$result"
 }
 
-# expect_rejected MODEL PROPERTY VARIANT
-expect_rejected() {
-  local model=$1 property=$2 variant=$3
-  verify "$model" "$property" "-D$variant"
-  if [ "$(error_count)" = 1 ]; then
-    printf '%-10s %-17s %-16s %10s states  rejected, counterexample of %s steps\n' "$model" "$property" "$variant" "$(stored_states)" "$(trail_length)"
-    passed=$((passed + 1))
-  else
-    printf '%-10s %-17s %-16s %10s states  NOT REJECTED\n' "$model" "$property" "$variant" "$(stored_states)"
-    failed=$((failed + 1))
-  fi
+# check_rejected DIRECTORY MODEL PROPERTY VARIANT: prints the result in one line, with "NOT REJECTED" if no counterexample was found.
+check_rejected() {
+  local result='NOT REJECTED'
+  verify "$1" "$2" "$3" "-D$4"
+  [ "$(error_count)" = 1 ] && result="rejected, counterexample of $(trail_length) steps"
+  printf '%-10s %-17s %-16s %10s states  %s\n' "$2" "$3" "$4" "$(stored_states)" "$result"
 }
 
+# start CHECK MODEL PROPERTY...: runs a check in the background, in a directory of its own.
+start() {
+  local check=$1
+  shift
+  count=$((count + 1))
+  [ "$(jobs -rp | wc -l)" -lt "$parallel" ] || wait -n
+  mkdir "$work/$count"
+  (
+    "$check" "$work/$count" "$@"
+    rm -f "$work/$count"/pan*
+  ) >"$work/$count.result" 2>&1 &
+}
+
+expect_holds() { start check_holds "$@"; }
+expect_rejected() { start check_rejected "$@"; }
+
 expect_holds release once
 expect_holds release kept
 expect_rejected release once NO_ID_CHECK
@@ -124,5 +128,10 @@
 expect_rejected era neverBack NO_FULL_LIST
 expect_rejected era neverBack KEEP_STAMP
 
-echo "$passed passed, $failed failed"
-[ "$failed" = 0 ]
+wait
+for number in $(seq "$count"); do cat "$work/$number.result"; done >"$work/results"
+cat "$work/results"
+passed=$(grep -cE ' states  (holds|rejected, counterexample of [0-9]+ steps)$' "$work/results")
+grep -E 'FAILS$|NOT REJECTED$' "$work/results" | sed 's/^/failed: /'
+echo "$passed passed, $((count - passed)) failed"
+[ "$passed" = "$count" ]
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -4,36 +4,41 @@
 here=$(cd "$(dirname "$0")" && pwd)
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-passed=0
-failed=0
+parallel=${JOBS:-4} # mutants of the core at a time
+count=0
 known_red=$(sed -n 's/^test: //p' "$here/../KNOWN-RED.txt" | paste -sd'|') # these fail without any mutant
 
-
-# mutant NAME PACKAGE FILE PERL-SUBSTITUTION: fails if the substitution changes nothing, the copy does not build or its tests pass.
-mutant() {
-  mutant_of core "$@"
-}
-
-# mutant_of MODULE NAME PACKAGE FILE PERL-SUBSTITUTION [TEST...]: the same in any module, with the named tests only.
-mutant_of() {
-  local module=$1
-  shift
-  rm -rf "$work/core" "$work/platform" "$work/poplarpind"
-  cp -r "$here/../core" "$here/../platform" "$here/../poplarpind" "$work"
-  perl -0pi -e "$4" "$work/$module/$2/$3"
-  if cmp -s "$work/$module/$2/$3" "$here/../$module/$2/$3"; then
+# check NUMBER MODULE NAME PACKAGE FILE PERL-SUBSTITUTION [TEST...]: writes what the tests make of a mutant into its result, "noticed by" if they fail.
+check() {
+  local copy=$work/$1 result=$work/$1.result module=$2
+  shift 2
+  mkdir "$copy"
+  cp -r "$here/../core" "$here/../platform" "$here/../poplarpind" "$copy"
+  perl -0pi -e "$4" "$copy/$module/$2/$3"
+  if cmp -s "$copy/$module/$2/$3" "$here/../$module/$2/$3"; then
     printf '%-28s the rule was not found in %s\n' "$1" "$2/$3"
-    failed=$((failed + 1))
-  elif (cd "$work/$module" && GOWORK=off go test -timeout 5m ${known_red:+-skip "^($known_red)\$"} ${5:+-run "$5"} "./$2" >"$work/out" 2>&1); then
+  elif (cd "$copy/$module" && GOWORK=off go test -trimpath -count=1 -timeout 5m ${known_red:+-skip "^($known_red)\$"} ${5:+-run "$5"} "./$2" >"$copy/out" 2>&1); then
     printf '%-28s NOT NOTICED by %s\n' "$1" "$2"
-    failed=$((failed + 1))
-  elif grep -q 'build failed\|setup failed' "$work/out"; then
+  elif grep -q 'build failed\|setup failed' "$copy/out"; then
     printf '%-28s does not build\n' "$1"
-    failed=$((failed + 1))
   else
     printf '%-28s noticed by %s\n' "$1" "$2"
-    passed=$((passed + 1))
-  fi
+  fi >"$result"
+  rm -rf "$copy"
+}
+
+# mutant NAME PACKAGE FILE PERL-SUBSTITUTION: of the core, whose tests have no clock, so that several can run at once.
+mutant() {
+  count=$((count + 1))
+  [ "$(jobs -rp | wc -l)" -lt "$parallel" ] || wait -n
+  check "$count" core "$@" &
+}
+
+# mutant_of MODULE NAME PACKAGE FILE PERL-SUBSTITUTION [TEST...]: of any module, by itself, since its tests may measure time.
+mutant_of() {
+  count=$((count + 1))
+  wait
+  check "$count" "$@"
 }
 
 mutant "non-idempotent call sent again" fanout calls.go 's/if part.possibleRuns > 0 && !run.spec.Idempotent \{/if false {/'
@@ -206,5 +211,10 @@
 mutant_of poplarpind "read request dropped" . conns/conns.go 's/_ = listener.Close\(\)\n\tstates.server.SetKeepAlivesEnabled\(false\)/go func() { _ = states.server.Shutdown(ctx) }()/' TestLateInTheGrace
 mutant_of platform "bodies outlast the process" . bodies.go 's/return bodies.closed \|\| held.Ended\(\)/return held.Ended()/' TestEndedBodies
 
-echo "$passed passed, $failed failed"
-[ "$failed" = 0 ]
+wait
+for number in $(seq "$count"); do cat "$work/$number.result"; done >"$work/results"
+cat "$work/results"
+passed=$(grep -c ' noticed by ' "$work/results")
+grep -v ' noticed by ' "$work/results" | sed 's/^/failed: /'
+echo "$passed passed, $((count - passed)) failed"
+[ "$passed" = "$count" ]
