--- a/poplarpind/entry/entry.go
+++ b/poplarpind/entry/entry.go
@@ -62,6 +62,7 @@
 	stopping   atomic.Bool
 	refusing   atomic.Bool  // the stop no longer waits for callers to turn to other VMs
 	requests   atomic.Int64 // requests of callers in flight
+	storing    atomic.Int64 // background tasks that write to the platform
 }
 
 // New returns a VM; Run starts it.
--- a/poplarpind/entry/once.go
+++ b/poplarpind/entry/once.go
@@ -199,14 +199,12 @@
 	if write == nil {
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
-		defer cancel()
+	claimedRequest.vm.storeInBackground(func(ctx context.Context) {
 		for range claim.MaxAttempts {
 			if _, ok := claimedRequest.write(ctx, *write).(claim.NoAnswer); !ok {
 				return
 			}
 			sleepJittered(ctx, maxAcceptBackoff)
 		}
-	}()
+	})
 }
--- a/poplarpind/entry/stop.go
+++ b/poplarpind/entry/stop.go
@@ -56,12 +56,27 @@
 	}
 }
 
-// Leave announces that this VM has left and closes its links; it must be called after the last request has ended.
-func (vm *VM) Leave() {
+// Leave announces that this VM has left, closes its links and returns once the background writes to the platform have ended; it must be
+// called after the last request has ended.
+func (vm *VM) Leave(ctx context.Context) {
 	vm.announceLeave(member.Left)
 	time.Sleep(drainPollInterval) // lets the links send the announcement
 	vm.mesh.Close()
-	vm.log.Info("planned stop finished", zap.Int64("requests", vm.requests.Load()))
+	for ctx.Err() == nil && vm.storing.Load() > 0 {
+		time.Sleep(drainPollInterval)
+	}
+	vm.log.Info("planned stop finished", zap.Int64("requests", vm.requests.Load()), zap.Int64("storing", vm.storing.Load()))
+}
+
+// storeInBackground runs a task that writes to the platform after the answer to its request; a planned stop waits for it.
+func (vm *VM) storeInBackground(store func(ctx context.Context)) {
+	vm.storing.Add(1)
+	go func() {
+		defer vm.storing.Add(-1)
+		ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+		defer cancel()
+		store(ctx)
+	}()
 }
 
 func (vm *VM) announceLeave(state member.State) {
--- a/poplarpind/main.go
+++ b/poplarpind/main.go
@@ -188,7 +188,7 @@
 	}
 }
 
-// shutdown finishes requests in flight, closes the servers and announces to the peers that the VM leaves.
+// shutdown finishes requests in flight, closes the servers, announces to the peers that the VM leaves and finishes its writes to the platform.
 func shutdown(vm *entry.VM, servers []*server, drainWait time.Duration, cancel context.CancelFunc) error {
 	ctx, cancelTimeout := context.WithTimeout(context.Background(), entry.StopTimeout(drainWait))
 	defer cancelTimeout()
@@ -199,6 +199,6 @@
 		}
 	}
 	cancel()
-	vm.Leave()
+	vm.Leave(ctx)
 	return nil
 }
