Test: callers who ask for HTTP/2 lose nothing in a planned stop (sound; own interface)

Suspected: streams that overlap without end keep a connection of HTTP/2 active, and conns.States knows connections by their http.ConnState only. Found: the callers' and the operators' interface speak no HTTP/2. Their TLS configurations name no protocols, and net/http then configures none. Probe on the real process, both interfaces: ALPN offers "h2, http/1.1" and "h2" are answered with none, the preface of HTTP/2 with 400, on plain TCP (callers) as well; net/http's client with ForceAttemptHTTP2, and with HTTP/2 alone, gets HTTP/1.1. No product code is changed. Other clients were not tried. Change to the fleet: TLSOptions.Callers.

--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -48,8 +48,9 @@
 // TLSOptions holds the certificates of a fleet that uses TLS.
 type TLSOptions struct {
 	Issue     func(name string) (*settings.TLS, error) // issues the certificate of an entry VM
+	Callers   bool                                     // callers use TLS, too
 	Operators []string
-	Operator  client.TLS // certificate files for the fleet's own calls to the operator interfaces
+	Operator  client.TLS // certificate files for the fleet's own calls to the operator interfaces, and to the callers' if they use TLS
 }
 
 // VM is an entry VM of a fleet and its process.
@@ -161,7 +162,7 @@
 		if err != nil {
 			return err
 		}
-		vmSettings.TLS, vmSettings.Operators = files, tls.Operators
+		vmSettings.TLS, vmSettings.Operators, vmSettings.PlainCallers = files, tls.Operators, !tls.Callers
 	}
 	path, err := fleet.writeYAML(vm.Name+".yaml", vmSettings)
 	if err != nil {
@@ -197,7 +198,10 @@
 
 // CallerClient returns a client of the entry VM's caller interface.
 func (vm *VM) CallerClient() *client.Client {
-	return mustClient("http://"+vm.CallerAddress, client.TLS{})
+	if vm.tls == nil || !vm.tls.Callers {
+		return mustClient("http://"+vm.CallerAddress, client.TLS{})
+	}
+	return mustClient("https://"+vm.CallerAddress, vm.tls.Operator)
 }
 
 func mustClient(url string, files client.TLS) *client.Client {
