A planned stop waits for the notes of accepted releases

What operators saw: a release that a VM accepted just before its stop, or during it, is in force, but its note can be missing for good ("no such release is kept"), and parts that it replaced stay in the platform. Shown on the real VM with a slow platform, not reported by anyone. Cause: as with outcomes, storeNote writes after the answer in a goroutine that the stop does not know of. Change: storeNote is a background task that Leave awaits; it ends within acceptTimeout. Sound before: the operator's answer.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -205,6 +205,7 @@
 mutant_of poplarpind "relay drops parts" . gateway/stop.go 's/return len\(gateway.relayJobs\) > 0/return false/' TestStoppingRelay
 mutant_of poplarpind "read request dropped" . conns/conns.go 's/_ = listener.Close\(\)\n\tstates.server.SetKeepAlivesEnabled\(false\)/go func() { _ = states.server.Shutdown(ctx) }()/' TestLateInTheGrace
 mutant_of poplarpind "outcome not awaited" entry stop.go 's/ && vm.storing.Load\(\) > 0 \{/ \&\& false {/' TestStopStoresOutcome
+mutant_of poplarpind "note not awaited" entry accept.go 's/\tvm.storeInBackground\((func.*?\n)\t\}\)/\tgo ($1\t})(context.Background())/s' TestStopStoresNote
 mutant_of poplarpind "stop waits without limit" entry stop.go 's/ctx.Err\(\) == nil && vm.storing/vm.storing/' TestStopWithoutPlatform
 mutant_of platform "bodies outlast the process" . bodies.go 's/return bodies.closed \|\| held.Ended\(\)/return held.Ended()/' TestEndedBodies
 
--- a/poplarpind/entry/accept.go
+++ b/poplarpind/entry/accept.go
@@ -135,9 +135,7 @@
 
 // storeNote stores the note for the history and deletes expired parts in the background; the release is valid without either.
 func (vm *VM) storeNote(note release.Note, done release.Done, previous release.Head) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
-		defer cancel()
+	vm.storeInBackground(func(ctx context.Context) {
 		value, err := json.Marshal(note)
 		if err == nil {
 			_, err = vm.platform.Put(ctx, notePrefix+strconv.FormatInt(done.Accepted.Release, 10), 0, value)
@@ -148,7 +146,7 @@
 		for _, digest := range append(release.ExpiredParts(previous, done.State.Head), done.Orphans...) {
 			_ = vm.platform.Delete(ctx, partPrefix+string(digest))
 		}
-	}()
+	})
 }
 
 // Note reads the note of a release from the platform.
--- a/poplarpind/entry/once_stop_test.go
+++ b/poplarpind/entry/once_stop_test.go
@@ -26,15 +26,19 @@
 	"poplarpin.dev/poplarpind/settings"
 )
 
-const watchTime = 100 * time.Millisecond // after which the platform ends a watch without a change
+const (
+	watchTime = 100 * time.Millisecond // after which the platform ends a watch without a change
+	writeTime = 600 * time.Millisecond
+)
 
-// platform is an object store that refuses some of the writes.
+// platform is an object store that refuses some of the writes and delays others.
 type platform struct {
 	*httptest.Server
 	mu      sync.Mutex
 	objects map[string]object.Object
 	version int64
 	refuses func(name, value string) bool // called under mu
+	slow    string                        // prefix of the objects whose writes take writeTime
 }
 
 func newPlatform(t *testing.T) *platform {
@@ -65,6 +69,9 @@
 func (platform *platform) put(writer http.ResponseWriter, request *http.Request) {
 	name := request.PathValue("name")
 	value, _ := io.ReadAll(request.Body)
+	if platform.slow != "" && strings.HasPrefix(name, platform.slow) {
+		time.Sleep(writeTime)
+	}
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	switch {
@@ -183,3 +190,13 @@
 	stop(vm, time.Second)
 	assert.Assert(t, time.Since(began) < 2*time.Second) // the VM makes attempts for 2.5 s or longer
 }
+
+// TestStopStoresNote guards against an accepted release whose note nobody can read, as the VM has stopped before it was stored.
+func TestStopStoresNote(t *testing.T) {
+	platform := newPlatform(t)
+	platform.slow = "notes/"
+	vm := startVM(t, platform, http.StatusOK, search.Reply{})
+	stop(vm, entry.StopTimeout(0))
+	_, stored := platform.object("notes/1")
+	assert.Assert(t, stored)
+}
--- /dev/null
+++ b/testbed/operator_stop_test.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarpin.dev/core/api"
+	"poplarpin.dev/core/config"
+	"poplarpin.dev/standin/platform"
+)
+
+// TestStopWhileNoteIsAccepted guards against a planned stop that ends before it has answered an operator who has submitted a note.
+func TestStopWhileNoteIsAccepted(t *testing.T) {
+	running := startFleet(t)
+	before := running.VMs[0].Release()
+	assert.NilError(t, running.SetPlatform(platform.Faults{Slow: config.Duration(800 * time.Millisecond)}))
+	type result struct {
+		accepted api.Release
+		err      error
+	}
+	results := make(chan result)
+	go func() {
+		accepted, err := running.Apply(running.VMs[0], noteAddingClasses("late", before, "late"))
+		results <- result{accepted, err}
+	}()
+	time.Sleep(200 * time.Millisecond)
+	assert.NilError(t, running.VMs[0].Signal(syscall.SIGTERM))
+	answered := <-results
+	assert.NilError(t, answered.err)
+	assert.NilError(t, running.VMs[0].Wait())
+	assert.NilError(t, running.SetPlatform(platform.Faults{}))
+	note, err := running.VMs[1].OperatorClient().Show(context.Background(), answered.accepted.Release)
+	assert.NilError(t, err)
+	assert.Equal(t, note.ID, "late")
+}
