--- a/poplarpind/main.go
+++ b/poplarpind/main.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"poplarpin.dev/platform"
 	"poplarpin.dev/poplarpind/caller"
@@ -193,10 +194,12 @@
 	ctx, cancelTimeout := context.WithTimeout(context.Background(), entry.StopTimeout(drainWait))
 	defer cancelTimeout()
 	vm.Stop(ctx)
+	var drains errgroup.Group // all at once, so that a long call of an operator does not keep the VM open for callers
 	for _, server := range servers {
-		if err := server.states.Drain(ctx, server.listener); err != nil {
-			return errors.Annotate(err, "stop")
-		}
+		drains.Go(func() error { return server.states.Drain(ctx, server.listener) })
+	}
+	if err := drains.Wait(); err != nil {
+		return errors.Annotate(err, "stop")
 	}
 	cancel()
 	vm.Leave(ctx)
--- a/testbed/operator_stop_test.go
+++ b/testbed/operator_stop_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -37,3 +40,25 @@
 	assert.NilError(t, err)
 	assert.Equal(t, note.ID, "late")
 }
+
+// TestStopUnderOperator guards against a stopping VM that accepts connections of callers until its limit, and then cuts them, as an operator's call lasts.
+func TestStopUnderOperator(t *testing.T) {
+	running := startFleet(t)
+	vm := running.VMs[0]
+	profiled := make(chan error)
+	go func() {
+		response, err := http.Get("http://" + vm.OperatorAddress + "/debug/pprof/profile?seconds=8")
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		profiled <- err
+	}()
+	time.Sleep(200 * time.Millisecond)
+	assert.NilError(t, vm.Signal(syscall.SIGTERM))
+	time.Sleep(4 * time.Second)
+	_, err := net.Dial("tcp", vm.CallerAddress)
+	assert.Check(t, err != nil, "a caller is still accepted")
+	assert.NilError(t, <-profiled)
+	assert.NilError(t, vm.Wait())
+}
