A late copy of a refusal is not taken for a second one after another answer

A request that must run once ran twice, with a 200. Cause: a repeat avoids a connection whose last response was its own refusal. A connection remembered the last response only, so that an answer to another request in between hid the refusal, and a late copy of it counted as a refusal of the second call, which the target ran: the third call ran too. Evidence: TestLateRefusalAfterAnotherRequest, a raw target that refuses a request twice and answers another one on the same connection before the next call. Change: a connection remembers which requests that must run once it has refused, and none of them is sent on it again.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -141,6 +141,7 @@
 mutant_of platform "refusal without id believed" . reply.go 's/case id == "" && previous != nil && saysNotRun/case false \&\& saysNotRun/' TestUnidentifiedRefusal
 mutant_of poplarpind "previous response forgotten" gateway job.go 's/response.Remembered = &origin/_ = origin/' TestLateRefusal
 mutant_of poplarpind "repeat behind a late copy" gateway job.go 's/, call.Avoid = nonIdempotentDialTimeout, job.answeredBefore/ = nonIdempotentDialTimeout/' TestLateRefusal
+mutant_of poplarpind "refusal forgotten after another answer" gateway conn_history.go 's/ \|\| slices.Contains\(/ || false \&\& slices.Contains(/' TestLateRefusal
 mutant "lost forwarded call sent again" fanout relay.go 's/if outcome.possiblyRan\(\) \{\n\t\tpart.possibleRuns\+\+\n\t\}\n\tif part.answeredBy/if part.answeredBy/'
 mutant "forwarded call not counted as run" fanout forward.go 's/case !ended \|\| outcome.possiblyRan\(\):\n\t\t\tdirect, forwarded = append\(direct, target\), append\(forwarded, target\)/case !ended || outcome.possiblyRan():/'
 mutant "request cancelled that runs once" fanout calls.go 's/CloseConnection: run.spec.Idempotent/CloseConnection: true/'
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -164,13 +164,6 @@
 	}
 }
 
-// answeredBefore reports whether the last response on a connection was to this request. A late copy of it, for instance of a refusal, could not be
-// told from the response to a second call.
-func (job *job) answeredBefore(remembered any) bool {
-	origin, ok := remembered.(*platform.Origin)
-	return ok && origin.ID == job.request.ID
-}
-
 // maxResponseBody returns the limit on the body of a target's response, 0 for the default.
 func (job *job) maxResponseBody() int64 {
 	if gather, ok := job.route.Destination.(route.Gather); ok {
@@ -225,10 +218,14 @@
 		gateway.callEnded(job, send, platform.Reply{Outcome: outcome, Detail: err.Error()})
 		return false, 0
 	}
-	previous, _ := response.Previous.(*platform.Origin) // nil for the first response on the connection
-	origin := platform.OriginOf(response.Response)
-	response.Remembered = &origin
+	history, used := historyOf(response.Previous)
+	var previous *platform.Origin // nil for the first response on the connection
+	if used {
+		previous = &history.last
+	}
 	reply, reusable := platform.DecodeReply(job.request, response.Response, response.Body, previous)
+	remembered, roomLeft := history.add(job, platform.OriginOf(response.Response), reply.Outcome)
+	response.Remembered = remembered
 	reply.Report.AskedAt = sentAt
 	gateway.noteOutcome(job, send.Target, sentAt, reply.Outcome)
 	if reply.Outcome == fanout.Answered {
@@ -237,7 +234,7 @@
 		}
 	}
 	gateway.callEnded(job, send, reply)
-	return reusable, platform.KeepAliveTimeout(response.Response)
+	return reusable && roomLeft, platform.KeepAliveTimeout(response.Response)
 }
 
 func outcomeOf(err error) fanout.Outcome {
--- a/poplarpind/gateway/late_refusal_test.go
+++ b/poplarpind/gateway/late_refusal_test.go
@@ -137,3 +137,81 @@
 		})
 	}
 }
+
+const refusalsBefore = 2 // the pause before the next call doubles with each
+
+// refusingTarget refuses each slow request a few times. One that comes again on the connection of its refusal gets a late copy of that first, even if
+// another request was answered there since.
+type refusingTarget struct {
+	slow     map[string]int    // refusals so far, by id of the request
+	between  map[string]string // id of a request that was answered after a refusal on the same connection, to that of the refused one
+	refused  chan struct{}     // receives when a slow request has been refused for the last time
+	repeated int               // requests that were answered after a refusal on the same connection
+}
+
+func (refusing *refusingTarget) respond(target *rawTarget, id, previous string) string {
+	refused := refusal(503, platformtest.NotExecutedField+platformtest.IDField(id))
+	count, slow := refusing.slow[id]
+	if !slow {
+		if _, ok := refusing.slow[previous]; ok {
+			refusing.between[id] = previous
+			refusing.repeated++
+		}
+		return target.answer(id)
+	}
+	if count < refusalsBefore {
+		refusing.slow[id]++
+		if count+1 == refusalsBefore {
+			select {
+			case refusing.refused <- struct{}{}:
+			default:
+			}
+		}
+		return refused
+	}
+	if refusing.between[previous] == id {
+		return target.answerLate(id, refused)
+	}
+	return target.answer(id)
+}
+
+// TestLateRefusalAfterAnotherRequest guards against a second run of a request after a late copy of its own refusal, on a connection that has answered
+// another request since.
+func TestLateRefusalAfterAnotherRequest(t *testing.T) {
+	refusing := &refusingTarget{slow: map[string]int{}, between: map[string]string{}, refused: make(chan struct{}, 1)}
+	store := platformtest.NewStore(t)
+	target := newRawTarget(t, store, "i-1", refusing.respond)
+	store.Put("config", "main", platformtest.Config(1))
+	vm := startVM(t, "vm-a1", "a", store)
+	waitFor(t, "ready", vm.gateway.Ready)
+	post := func(request *http.Request) {
+		response, err := http.DefaultTransport.RoundTrip(request)
+		assert.Check(t, err)
+		assert.Check(t, response.Body.Close())
+		target.mu.Lock()
+		defer target.mu.Unlock()
+		runs := target.runs[platformtest.RequestID(request)]
+		assert.Check(t, runs <= 1, "ran %d times", runs)
+		assert.Check(t, runs == 0 || !platformtest.PromisesNotRun(response.StatusCode), "%d", response.StatusCode)
+	}
+	waitFor(t, "a request between a refusal and the next call", func() bool {
+		slow := platformtest.NewRequest(t, http.MethodPost, vm.clients.URL+"/o/x", []byte("b"))
+		target.mu.Lock()
+		refusing.slow[platformtest.RequestID(slow)] = 0
+		target.mu.Unlock()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			post(slow)
+		}()
+		select {
+		case <-refusing.refused:
+			post(platformtest.NewRequest(t, http.MethodPost, vm.clients.URL+"/o/x", []byte("b")))
+			<-ended
+		case <-ended: // it was not refused as often
+		}
+		target.mu.Lock()
+		defer target.mu.Unlock()
+		return refusing.repeated >= 3
+	})
+}
