A relay's message that refuses a request and has a result of it is no refusal

The request would be called again through another VM, or its client told by a 503 that it has not run. Cause: receiveGatherResult looked at Refused first, and at the results in the same message not at all: a relay that contradicts itself in one message was believed, one that does it in two was not. Evidence: TestContradictoryRefusal, with an outcome, an answer, a response and a signature beside Refused, failed in all four cases before the change: "assertion failed: expression is false: delivered || givenUp: fanout.Refuse". Change: a message counts as a refusal only if it has no results; else it is a report like any other, and what it leaves open may have run. The messages are the same.

--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -108,7 +108,7 @@
 
 // receiveGatherResult handles a peer's results for a relayed call.
 func (gateway *Gateway) receiveGatherResult(from string, message rpc.GatherResult) {
-	if message.Refused {
+	if message.Refused && !hasResults(message) {
 		gateway.endRelay(message.QueryID, from, fanout.Refused)
 		return
 	}
@@ -132,6 +132,11 @@
 	})
 }
 
+// hasResults reports whether a message of a relay tells of a call to a target.
+func hasResults(message rpc.GatherResult) bool {
+	return len(message.Parts) > 0 || len(message.Missing) > 0 || message.Response != nil
+}
+
 // keepResult stores the results of a relayed call, under the index of its merged results if it has any; the caller holds the gateway's mu.
 func (job *job) keepResult(index, merged int, result rpc.GatherResult) {
 	if result.Response == nil {
--- a/poplarpind/gateway/relayed_calls_test.go
+++ b/poplarpind/gateway/relayed_calls_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -32,6 +33,41 @@
 	assert.Assert(t, !gateway.isRelayed("1"))
 }
 
+// TestContradictoryRefusal guards against a second call of a request after a message of its relay that refuses it and has a result of the target too.
+func TestContradictoryRefusal(t *testing.T) {
+	for name, message := range map[string]rpc.GatherResult{
+		"an outcome":  {Missing: []fanout.Missing{{Part: 0, Outcome: fanout.Lost}}},
+		"an answer":   {Parts: []int{0}, Stamps: []string{"s"}, LatenciesMicros: []int{1}, Response: &rpc.Response{Status: http.StatusOK}},
+		"a response":  {Response: &rpc.Response{Status: http.StatusInternalServerError}},
+		"a signature": {Parts: []int{1}, Stamps: []string{"s"}, LatenciesMicros: []int{1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gateway := New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, "test", zap.NewNop())
+			now := time.Now()
+			gateway.fleet.Update(now, place.Endpoint{ID: "i-1", Service: "one", FailureDomain: "b", Slots: 2, State: place.Ready})
+			gateway.setPeers([]platform.VM{{Name: "vm-b1", FailureDomain: "b"}, {Name: "vm-b2", FailureDomain: "b"}})
+			for range 10 { // until the failure domain counts as cut off
+				gateway.fleet.StartAttempt(now.Add(-time.Second), "i-1", "o").Discard()
+			}
+			for _, peer := range []string{"vm-b1", "vm-b2"} {
+				gateway.Greeted(rpc.Hello{VM: peer, Capabilities: rpc.OwnCapabilities()})
+			}
+			job := gateway.newJob(&platform.Request{ID: "id-7"}, &route.Route{Name: "o", Destination: route.Single{Service: "one"}, Timeout: 10 * time.Second}, nil, fanout.ClientPath{}, 1, false)
+			actions := job.clientRun.Start(now)
+			assert.Equal(t, len(actions), 1)
+			relay := actions[0].(fanout.Relay)
+			gateway.relayedCalls["1"] = relayedCall{job: job, index: relay.Call, relayVM: relay.VM.ID}
+			message.QueryID, message.Refused, message.Final = "1", true, true
+			gateway.receiveGatherResult(relay.VM.ID, message)
+			response := <-job.response
+			_, delivered := response.(fanout.Deliver)
+			_, givenUp := response.(fanout.GiveUp)
+			assert.Assert(t, delivered || givenUp, "%T", response)
+			assert.Equal(t, job.clientRun.ExtraCalls(), 0)
+		})
+	}
+}
+
 // TestQueryIDOfEarlierIncarnation guards against the end of a call for a peer that has restarted since, which forgets the call of its new
 // incarnation with the same number: a stop would not wait for it.
 func TestQueryIDOfEarlierIncarnation(t *testing.T) {
