Own interface: a result of a VM that was not asked does not end a request that must run once

A refusal by a VM that was not asked released the claim and let the caller be told that the request has not run, while the owner that was asked ran it. Cause: the gateway checks who sent a result (TestRefusalOfAnotherPeer), the own interface dropped the sender's name. Evidence: TestRefusalOfAnotherVM failed before the change: "once_test.go:21: assertion failed: 1 (int) != 0 (int)". Change: results come with the name of the owner, and a claimed request takes only those of the owner that it asked last. An earlier owner was certainly not reached, so that it has no result. Queries that may run more than once take results from any VM as before. The messages are the same. Result: the test passes.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -166,6 +166,7 @@
 mutant_of poplarpind "message sent on a closed link" peer link.go 's/if link.closed \{\n\t\treturn false\n\t\}\n\tlink.lastSent/link.lastSent/' TestClosedBeforeSending
 mutant_of poplarpind "refusal of any peer believed" gateway relay.go 's/\tok = ok && call.relayVM == relayVM\n//' TestRefusalOfAnotherPeer
 mutant_of poplarpind "refusal with results believed" gateway relay.go 's/if message.Refused && !hasResults\(message\) \{/if message.Refused {/' TestContradictoryRefusal
+mutant_of poplarpind "result of any VM believed" entry once.go 's/if owner != claimedRequest.lastOwner.Load\(\) \{/if false {/' TestRefusalOfAnotherVM
 mutant_of poplarpind "call of a new incarnation forgotten" gateway relay.go 's/if gateway.relayJobs\[key\] == job \{/if true {/' TestQueryIDOfEarlierIncarnation
 mutant_of poplarpind "job behind the last look" gateway relay.go 's/if gateway.refusesRelays.Load\(\) \{/if false {/' TestRelayRequestWhileStopEnds
 mutant_of poplarpind "false promise passed on" gateway serve.go 's/if !reply.PromisesNotRun\(\) \{/if true {/' TestFalsePromise
--- a/poplarpind/entry/handler.go
+++ b/poplarpind/entry/handler.go
@@ -11,7 +11,7 @@
 )
 
 // Notify implements peer.Handler: it dispatches a notification from a peer.
-func (vm *VM) Notify(_ string, reply peer.Reply, method string, params json.RawMessage) error {
+func (vm *VM) Notify(from string, reply peer.Reply, method string, params json.RawMessage) error {
 	switch method {
 	case rpc.MethodMembership:
 		return peer.Handle(params, vm.receive)
@@ -20,7 +20,7 @@
 	case rpc.MethodBatchCancel:
 		return peer.Handle(params, vm.owner.Cancel)
 	case rpc.MethodBatchResults:
-		return peer.Handle(params, vm.deliverResults)
+		return peer.Handle(params, func(batchResults rpc.BatchResults) { vm.deliverResults(from, batchResults) })
 	case rpc.MethodStatusReport:
 		return peer.Handle(params, vm.recordStatus)
 	case rpc.MethodLeavingTargets:
@@ -54,9 +54,9 @@
 	})
 }
 
-func (vm *VM) deliverResults(batchResults rpc.BatchResults) {
+func (vm *VM) deliverResults(from string, batchResults rpc.BatchResults) {
 	for _, result := range batchResults.Results {
-		vm.deliverResult(batchResults.QueryID, result)
+		vm.deliverResult(from, batchResults.QueryID, result)
 	}
 }
 
--- a/poplarpind/entry/once.go
+++ b/poplarpind/entry/once.go
@@ -179,8 +179,11 @@
 	}
 }
 
-// onResult implements pendingQuery.
-func (claimedRequest *claimedRequest) onResult(result rpc.Result) {
+// onResult implements pendingQuery. A result of a VM that was not asked says nothing of the call.
+func (claimedRequest *claimedRequest) onResult(owner string, result rpc.Result) {
+	if owner != claimedRequest.lastOwner.Load() {
+		return
+	}
 	select {
 	case claimedRequest.results <- result:
 	default:
@@ -189,9 +192,7 @@
 
 // onOwnerLost implements pendingQuery.
 func (claimedRequest *claimedRequest) onOwnerLost(owner string) {
-	if owner == claimedRequest.lastOwner.Load() {
-		claimedRequest.onResult(rpc.Result{Outcome: rpc.OwnerLost})
-	}
+	claimedRequest.onResult(owner, rpc.Result{Outcome: rpc.OwnerLost})
 }
 
 // storeOutcome records the outcome for later submissions of the same id, in the background and as a best effort.
--- a/poplarpind/entry/query.go
+++ b/poplarpind/entry/query.go
@@ -175,7 +175,7 @@
 }
 
 // onResult implements pendingQuery.
-func (scatter *scatter) onResult(result rpc.Result) {
+func (scatter *scatter) onResult(_ string, result rpc.Result) {
 	scatter.service.Lock()
 	defer scatter.service.Unlock()
 	if scatter.finished {
--- a/poplarpind/entry/route.go
+++ b/poplarpind/entry/route.go
@@ -12,8 +12,8 @@
 
 // pendingQuery receives the results of the calls of one query.
 type pendingQuery interface {
-	onResult(result rpc.Result)
-	onOwnerLost(owner string) // results of calls through this owner may not arrive any more
+	onResult(owner string, result rpc.Result) // of a call through this owner
+	onOwnerLost(owner string)                 // results of calls through this owner may not arrive any more
 }
 
 // ownerOf returns the VM through which a target is called now: the highest-ranked reachable VM, or this VM if there is none.
@@ -34,20 +34,20 @@
 // results.
 func (vm *VM) send(owner member.Member, batch rpc.Batch) {
 	if owner.Name == vm.settings.Name {
-		go vm.owner.Run(&batch, func(result rpc.Result) { vm.deliverResult(batch.QueryID, result) })
+		go vm.owner.Run(&batch, func(result rpc.Result) { vm.deliverResult(owner.Name, batch.QueryID, result) })
 		return
 	}
 	vm.mesh.Notify(owner.Name, owner.Address, peer.Message{Method: rpc.MethodBatch, Params: batch, Prompt: true, OnUnsent: func(peer.Kind) {
 		go func() {
 			for _, call := range batch.Calls {
-				vm.deliverResult(batch.QueryID, rpc.Result{CallID: call.ID, Target: call.Target, Outcome: rpc.OwnerNotReached})
+				vm.deliverResult(owner.Name, batch.QueryID, rpc.Result{CallID: call.ID, Target: call.Target, Outcome: rpc.OwnerNotReached})
 			}
 		}()
 	}})
 }
 
-// deliverResult passes a result to its pending query; a result body that cannot be unpacked counts as a lost call.
-func (vm *VM) deliverResult(queryID string, result rpc.Result) {
+// deliverResult passes a result of an owner to its pending query; a result body that cannot be unpacked counts as a lost call.
+func (vm *VM) deliverResult(owner, queryID string, result rpc.Result) {
 	vm.queries.Lock()
 	pendingQuery, ok := vm.queries.active[queryID]
 	vm.queries.Unlock()
@@ -60,7 +60,7 @@
 			result.Outcome = rpc.Lost
 		}
 	}
-	pendingQuery.onResult(result)
+	pendingQuery.onResult(owner, result)
 }
 
 func (vm *VM) register(queryID string, pendingQuery pendingQuery) {
