A late cancellation breaks off no call of a request that must run once

The relay made the call and reported nothing. By the code, it closes the connection to the target, and the client gets a 504 at its deadline. Cause: query numbers start again when a VM restarts. A cancellation that the earlier incarnation had sent ended the relayed call of the new one with the same number, whatever it was, though VMs leave calls of requests that must run once to complete. Evidence: TestCancellationOfEarlierIncarnation failed before the change: "relayed_calls_test.go:133: the call was not reported". Change: a cancellation ends calls of idempotent requests only.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -168,6 +168,7 @@
 mutant_of poplarpind "refusal with results believed" gateway relay.go 's/if message.Refused && !hasResults\(message\) \{/if message.Refused {/' TestContradictoryRefusal
 mutant_of poplarpind "result of any VM believed" entry once.go 's/if owner != claimedRequest.lastOwner.Load\(\) \{/if false {/' TestRefusalOfAnotherVM
 mutant_of poplarpind "call of a new incarnation forgotten" gateway relay.go 's/if gateway.relayJobs\[key\] == job \{/if true {/' TestQueryIDOfEarlierIncarnation
+mutant_of poplarpind "call that runs once broken off" gateway relay.go 's/cancels := job != nil && job.route.Idempotent/cancels := job != nil/' TestCancellationOfEarlierIncarnation
 mutant_of poplarpind "job behind the last look" gateway relay.go 's/if gateway.refusesRelays.Load\(\) \{/if false {/' TestRelayRequestWhileStopEnds
 mutant_of poplarpind "false promise passed on" gateway serve.go 's/if !reply.PromisesNotRun\(\) \{/if true {/' TestFalsePromise
 mutant_of poplarpind "abandoned call sent" http1 exchange.go 's/return !exchange.ended && !exchange.abandoned/return !exchange.ended/' TestAbandonedWhileOpening
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -349,14 +349,18 @@
 	return ""
 }
 
-// serveGatherCancel ends the relay run that a peer cancels.
+// serveGatherCancel ends the relay run that a peer cancels. VMs do not cancel requests that must run once: such a cancellation is a late one of an
+// earlier incarnation of the peer, for a query with the same number.
 func (gateway *Gateway) serveGatherCancel(from string, cancel rpc.GatherCancel) {
 	key := from + "/" + cancel.QueryID
 	gateway.mu.Lock()
 	job := gateway.relayJobs[key]
-	delete(gateway.relayJobs, key)
+	cancels := job != nil && job.route.Idempotent
+	if cancels {
+		delete(gateway.relayJobs, key)
+	}
 	gateway.mu.Unlock()
-	if job != nil {
+	if cancels {
 		gateway.log.Info("relayed request cancelled", zap.String("request", truncate(job.request.ID)), zap.String("peer", from),
 			zap.Duration("elapsed", time.Since(job.started)), zap.Int("answeredParts", job.relayRun.AnsweredParts()))
 		gateway.step(job, func(now time.Time) []fanout.Action { return job.relayRun.Abort(now) })
--- a/poplarpind/gateway/relayed_calls_test.go
+++ b/poplarpind/gateway/relayed_calls_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -18,6 +20,7 @@
 	"poplarpin.dev/core/route"
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/platform"
+	"poplarpin.dev/platform/platformtest"
 )
 
 // TestRefusalOfAnotherPeer guards against a second call of a request after a refusal by a VM that was not asked, while the one that was runs it.
@@ -99,6 +102,38 @@
 	assert.Equal(t, job.request.ID, "id-2")
 }
 
+// TestCancellationOfEarlierIncarnation guards against a call of a request that must run once that is broken off by the late cancellation of an earlier
+// query with its number.
+func TestCancellationOfEarlierIncarnation(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	gateway := New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, "test", zap.NewNop())
+	table, errs := route.New(route.Config{Version: 1, Services: []route.Service{{Name: "one", MaxTargetConnections: 25}},
+		Routes: []route.Route{{Name: "o", Host: "h", PathPrefix: "/o/", Destination: route.Single{Service: "one"}}}})
+	assert.Equal(t, len(errs), 0)
+	gateway.table.Store(table)
+	gateway.fleet.Update(time.Now(), place.Endpoint{ID: "i-1", Service: "one", Address: listener.Addr().String(), FailureDomain: "a", Slots: 2, State: place.Ready})
+	ended := make(chan rpc.GatherResult, 1)
+	gateway.serveGather("vm-b1", func(_ string, result any) { ended <- result.(rpc.GatherResult) }, rpc.Gather{QueryID: "1", Route: "o", Parts: []int{0},
+		Targets: []string{"i-1"}, Once: true, RequestID: "id-1", Method: "POST", Head: []byte("POST / HTTP/1.1\r\n"), Timeout: config.Duration(time.Minute),
+		ReportAfter: config.Duration(time.Minute)})
+	conn, err := listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = http.ReadRequest(bufio.NewReader(conn))
+	assert.NilError(t, err)
+	gateway.fleet.StartAttempt(time.Now(), "i-1", "o") // else the call is left to complete anyway
+	gateway.serveGatherCancel("vm-b1", rpc.GatherCancel{QueryID: "1"})
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+platformtest.IDField("id-1")+platformtest.StampField("s")+"Content-Length: 0\r\n\r\n") // a failure shows below
+	select {
+	case result := <-ended:
+		assert.DeepEqual(t, result.Parts, []int{0})
+	case <-time.After(5 * time.Second):
+		t.Fatal("the call was not reported")
+	}
+}
+
 // TestDeclinedCallIsLogged guards against logs that show an accepted call of a request that must run once, but not that it was never made.
 func TestDeclinedCallIsLogged(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
