--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -146,6 +146,7 @@
 mutant_of platform "refusal without id believed" . reply.go 's/case id == "" && previous != nil && saysNotRun/case false \&\& saysNotRun/' TestUnidentifiedRefusal
 mutant_of poplarpind "previous response forgotten" gateway job.go 's/response.Remembered = &origin/_ = origin/' TestLateRefusal
 mutant_of poplarpind "repeat behind a late copy" gateway job.go 's/, call.Avoid = nonIdempotentDialTimeout, job.answeredBefore/ = nonIdempotentDialTimeout/' TestLateRefusal
+mutant_of poplarpind "refusal forgotten after another answer" gateway conn_history.go 's/ \|\| slices.Contains\(/ || false \&\& slices.Contains(/' TestLateRefusal
 mutant "lost forwarded call sent again" fanout relay.go 's/if outcome.possiblyRan\(\) \{\n\t\tpart.possibleRuns\+\+\n\t\}\n\tif part.answeredBy/if part.answeredBy/'
 mutant "forwarded call not counted as run" fanout forward.go 's/case !ended \|\| outcome.possiblyRan\(\):\n\t\t\tdirect, forwarded = append\(direct, target\), append\(forwarded, target\)/case !ended || outcome.possiblyRan():/'
 mutant "request cancelled that runs once" fanout calls.go 's/CloseConnection: run.spec.Idempotent/CloseConnection: true/'
@@ -169,7 +170,10 @@
 mutant_of core "capability not needed" rpc gather.go 's/if len\(gather.Targets\) > 0 \|\| gather.Once \{/if false {/' TestNeeds
 mutant_of poplarpind "message sent on a closed link" peer link.go 's/if link.closed \{\n\t\treturn false\n\t\}\n\tlink.lastSent/link.lastSent/' TestClosedBeforeSending
 mutant_of poplarpind "refusal of any peer believed" gateway relay.go 's/\tok = ok && call.relayVM == relayVM\n//' TestRefusalOfAnotherPeer
+mutant_of poplarpind "refusal with results believed" gateway relay.go 's/if message.Refused && !hasResults\(message\) \{/if message.Refused {/' TestContradictoryRefusal
+mutant_of poplarpind "result of any VM believed" entry once.go 's/if owner != claimedRequest.lastOwner.Load\(\) \{/if false {/' TestRefusalOfAnotherVM
 mutant_of poplarpind "call of a new incarnation forgotten" gateway relay.go 's/if gateway.relayJobs\[key\] == job \{/if true {/' TestQueryIDOfEarlierIncarnation
+mutant_of poplarpind "call that runs once broken off" gateway relay.go 's/cancels := job != nil && job.route.Idempotent/cancels := job != nil/' TestCancellationOfEarlierIncarnation
 mutant_of poplarpind "job behind the last look" gateway relay.go 's/if gateway.refusesRelays.Load\(\) \{/if false {/' TestRelayRequestWhileStopEnds
 mutant_of poplarpind "false promise passed on" gateway serve.go 's/if !reply.PromisesNotRun\(\) \{/if true {/' TestFalsePromise
 mutant_of poplarpind "abandoned call sent" http1 exchange.go 's/return !exchange.ended && !exchange.abandoned/return !exchange.ended/' TestAbandonedWhileOpening
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -108,7 +108,7 @@
 
 // receiveGatherResult handles a peer's results for a relayed call.
 func (gateway *Gateway) receiveGatherResult(from string, message rpc.GatherResult) {
-	if message.Refused {
+	if message.Refused && !hasResults(message) {
 		gateway.endRelay(message.QueryID, from, fanout.Refused)
 		return
 	}
@@ -132,6 +132,11 @@
 	})
 }
 
+// hasResults reports whether a message of a relay tells of a call to a target.
+func hasResults(message rpc.GatherResult) bool {
+	return len(message.Parts) > 0 || len(message.Missing) > 0 || message.Response != nil
+}
+
 // keepResult stores the results of a relayed call, under the index of its merged results if it has any; the caller holds the gateway's mu.
 func (job *job) keepResult(index, merged int, result rpc.GatherResult) {
 	if result.Response == nil {
@@ -344,14 +349,18 @@
 	return ""
 }
 
-// serveGatherCancel ends the relay run that a peer cancels.
+// serveGatherCancel ends the relay run that a peer cancels. VMs do not cancel requests that must run once: such a cancellation is a late one of an
+// earlier incarnation of the peer, for a query with the same number.
 func (gateway *Gateway) serveGatherCancel(from string, cancel rpc.GatherCancel) {
 	key := from + "/" + cancel.QueryID
 	gateway.mu.Lock()
 	job := gateway.relayJobs[key]
-	delete(gateway.relayJobs, key)
+	cancels := job != nil && job.route.Idempotent
+	if cancels {
+		delete(gateway.relayJobs, key)
+	}
 	gateway.mu.Unlock()
-	if job != nil {
+	if cancels {
 		gateway.log.Info("relayed request cancelled", zap.String("request", truncate(job.request.ID)), zap.String("peer", from),
 			zap.Duration("elapsed", time.Since(job.started)), zap.Int("answeredParts", job.relayRun.AnsweredParts()))
 		gateway.step(job, func(now time.Time) []fanout.Action { return job.relayRun.Abort(now) })
--- a/poplarpind/gateway/relayed_calls_test.go
+++ b/poplarpind/gateway/relayed_calls_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -17,6 +20,7 @@
 	"poplarpin.dev/core/route"
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/platform"
+	"poplarpin.dev/platform/platformtest"
 )
 
 // TestRefusalOfAnotherPeer guards against a second call of a request after a refusal by a VM that was not asked, while the one that was runs it.
@@ -32,6 +36,41 @@
 	assert.Assert(t, !gateway.isRelayed("1"))
 }
 
+// TestContradictoryRefusal guards against a second call of a request after a message of its relay that refuses it and has a result of the target too.
+func TestContradictoryRefusal(t *testing.T) {
+	for name, message := range map[string]rpc.GatherResult{
+		"an outcome":  {Missing: []fanout.Missing{{Part: 0, Outcome: fanout.Lost}}},
+		"an answer":   {Parts: []int{0}, Stamps: []string{"s"}, LatenciesMicros: []int{1}, Response: &rpc.Response{Status: http.StatusOK}},
+		"a response":  {Response: &rpc.Response{Status: http.StatusInternalServerError}},
+		"a signature": {Parts: []int{1}, Stamps: []string{"s"}, LatenciesMicros: []int{1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gateway := New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, "test", zap.NewNop())
+			now := time.Now()
+			gateway.fleet.Update(now, place.Endpoint{ID: "i-1", Service: "one", FailureDomain: "b", Slots: 2, State: place.Ready})
+			gateway.setPeers([]platform.VM{{Name: "vm-b1", FailureDomain: "b"}, {Name: "vm-b2", FailureDomain: "b"}})
+			for range 10 { // until the failure domain counts as cut off
+				gateway.fleet.StartAttempt(now.Add(-time.Second), "i-1", "o").Discard()
+			}
+			for _, peer := range []string{"vm-b1", "vm-b2"} {
+				gateway.Greeted(rpc.Hello{VM: peer, Capabilities: rpc.OwnCapabilities()})
+			}
+			job := gateway.newJob(&platform.Request{ID: "id-7"}, &route.Route{Name: "o", Destination: route.Single{Service: "one"}, Timeout: 10 * time.Second}, nil, fanout.ClientPath{}, 1, false)
+			actions := job.clientRun.Start(now)
+			assert.Equal(t, len(actions), 1)
+			relay := actions[0].(fanout.Relay)
+			gateway.relayedCalls["1"] = relayedCall{job: job, index: relay.Call, relayVM: relay.VM.ID}
+			message.QueryID, message.Refused, message.Final = "1", true, true
+			gateway.receiveGatherResult(relay.VM.ID, message)
+			response := <-job.response
+			_, delivered := response.(fanout.Deliver)
+			_, givenUp := response.(fanout.GiveUp)
+			assert.Assert(t, delivered || givenUp, "%T", response)
+			assert.Equal(t, job.clientRun.ExtraCalls(), 0)
+		})
+	}
+}
+
 // TestQueryIDOfEarlierIncarnation guards against the end of a call for a peer that has restarted since, which forgets the call of its new
 // incarnation with the same number: a stop would not wait for it.
 func TestQueryIDOfEarlierIncarnation(t *testing.T) {
@@ -63,6 +102,38 @@
 	assert.Equal(t, job.request.ID, "id-2")
 }
 
+// TestCancellationOfEarlierIncarnation guards against a call of a request that must run once that is broken off by the late cancellation of an earlier
+// query with its number.
+func TestCancellationOfEarlierIncarnation(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	gateway := New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, "test", zap.NewNop())
+	table, errs := route.New(route.Config{Version: 1, Services: []route.Service{{Name: "one", MaxTargetConnections: 25}},
+		Routes: []route.Route{{Name: "o", Host: "h", PathPrefix: "/o/", Destination: route.Single{Service: "one"}}}})
+	assert.Equal(t, len(errs), 0)
+	gateway.table.Store(table)
+	gateway.fleet.Update(time.Now(), place.Endpoint{ID: "i-1", Service: "one", Address: listener.Addr().String(), FailureDomain: "a", Slots: 2, State: place.Ready})
+	ended := make(chan rpc.GatherResult, 1)
+	gateway.serveGather("vm-b1", func(_ string, result any) { ended <- result.(rpc.GatherResult) }, rpc.Gather{QueryID: "1", Route: "o", Parts: []int{0},
+		Targets: []string{"i-1"}, Once: true, RequestID: "id-1", Method: "POST", Head: []byte("POST / HTTP/1.1\r\n"), Timeout: config.Duration(time.Minute),
+		ReportAfter: config.Duration(time.Minute)})
+	conn, err := listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = http.ReadRequest(bufio.NewReader(conn))
+	assert.NilError(t, err)
+	gateway.fleet.StartAttempt(time.Now(), "i-1", "o") // else the call is left to complete anyway
+	gateway.serveGatherCancel("vm-b1", rpc.GatherCancel{QueryID: "1"})
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+platformtest.IDField("id-1")+platformtest.StampField("s")+"Content-Length: 0\r\n\r\n") // a failure shows below
+	select {
+	case result := <-ended:
+		assert.DeepEqual(t, result.Parts, []int{0})
+	case <-time.After(5 * time.Second):
+		t.Fatal("the call was not reported")
+	}
+}
+
 // TestDeclinedCallIsLogged guards against logs that show an accepted call of a request that must run once, but not that it was never made.
 func TestDeclinedCallIsLogged(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
