A response before HTTP/1.1 that states a transfer coding is invalid

Callers saw: a target that answers HTTP/1.0 with 'Transfer-Encoding: chunked' and stops after its head: 200 with its signature and an empty body; one that goes on: 200 with the sizes of the chunks within the body, cut anywhere.

Cause: HTTP/1.0 has no transfer codings. http.ReadResponse removes the field without a trace, so that the body has no length and ends with the connection, or has the length of a Content-Length beside it. RFC 9112, 6.1: such a message is faulty, even with a Content-Length.

The head of a response that does not begin with HTTP/1.1 is kept while it is read, and looked at for the field. Other responses are read as before.

--- a/poplarpind/http1/response.go
+++ b/poplarpind/http1/response.go
@@ -1,12 +1,15 @@
 package http1
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"expvar"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"net/textproto"
 
 	"poplarpin.dev/poplarpind/tcp"
 )
@@ -29,8 +32,11 @@
 	memoryUsedUp   = "memory for responses used up"
 	responseTooOld = "not complete at the end of the call's time"
 	notHTTP        = "not HTTP"
+	unknownCoding  = "transfer coding that its HTTP version does not have"
 )
 
+const http11 = "HTTP/1.1" // the version of most responses
+
 var errHeadTooLarge = errors.New(headTooLarge)
 
 // limitedReader reads from a connection and fails after a number of bytes, for heads: http.ReadResponse limits neither a line nor the
@@ -38,7 +44,8 @@
 type limitedReader struct {
 	netConn   net.Conn
 	remaining int64
-	ended     bool // the connection has ended
+	ended     bool   // the connection has ended
+	head      []byte // what has been read of a head that is kept; nil for others
 }
 
 // Read implements io.Reader.
@@ -51,6 +58,9 @@
 	}
 	count, err := limitedReader.netConn.Read(buffer)
 	limitedReader.remaining -= int64(count)
+	if limitedReader.head != nil {
+		limitedReader.head = append(limitedReader.head, buffer[:count]...)
+	}
 	limitedReader.ended = limitedReader.ended || err != nil
 	return count, err
 }
@@ -60,10 +70,13 @@
 	defer func() { conn.source.remaining = maxHeadBytes }()
 	request := &http.Request{Method: exchange.call.Method}
 	for {
-		response, err := http.ReadResponse(conn.reader, request)
+		response, head, err := conn.readHead(request)
 		if err != nil {
 			return nil, nil, conn.responseError("response", err)
 		}
+		if !response.ProtoAtLeast(1, 1) && statesCoding(head) {
+			return nil, nil, invalid("response", unknownCoding)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue // its head counts towards the limit
 		}
@@ -76,6 +89,27 @@
 	}
 }
 
+// readHead reads the head of a response, and returns its text, followed by what has arrived after it, unless it is one of HTTP/1.1.
+func (conn *conn) readHead(request *http.Request) (*http.Response, []byte, error) {
+	if version, _ := conn.reader.Peek(len(http11)); string(version) != http11 {
+		arrived, _ := conn.reader.Peek(conn.reader.Buffered())
+		conn.source.head = append([]byte{}, arrived...)
+	}
+	response, err := http.ReadResponse(conn.reader, request)
+	head := conn.source.head
+	conn.source.head = nil
+	return response, head, err
+}
+
+// statesCoding reports whether a head that http.ReadResponse has read states a transfer coding. Before HTTP/1.1, http.ReadResponse drops the field
+// and takes the coded body for the body itself, so that one that stopped would be complete.
+func statesCoding(head []byte) bool {
+	reader := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
+	_, _ = reader.ReadLine() // the status line
+	header, _ := reader.ReadMIMEHeader()
+	return len(header.Values("Transfer-Encoding")) > 0
+}
+
 // readBody reads the body of a response into a buffer that grows with what has arrived, within the limit of the call and the memory
 // budget.
 func (conn *conn) readBody(exchange *Exchange, response *http.Response) ([]byte, *Error) {
