A response with a space after the name of a framing field is invalid

Callers saw: a target that writes 'Content-Length : 16' and stops: 200 with its signature and an empty or short body, framed as whole.

Cause: http.ReadResponse accepts spaces in names and takes 'Content-Length ' for another field. The body then ends with the connection.

Only these two fields are looked at, since a space in another name changes no framing; such responses are passed on as before.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -179,6 +179,7 @@
 mutant_of poplarpind "reset taken for an end" http1 response.go 's/endsWithConn\(response\) && !conn/endsWithConn(response) \&\& false \&\& !conn/' TestResetWhileSending
 mutant_of poplarpind "cut head taken for invalid" http1 response.go 's/case conn.source.ended:/case false:/' TestTruncatedResponse
 mutant_of poplarpind "coding before HTTP/1.1 ignored" http1 response.go 's/ && statesCoding\(head\)/ \&\& len(head) < 0 \&\& statesCoding(head)/' TestTruncatedResponse
+mutant_of poplarpind "space hides a length" http1 response.go 's/if hidesFraming\(/if false \&\& hidesFraming(/' TestTruncatedResponse
 mutant_of platform "empty answer is a list" . store.go 's/if page == nil \{/if page == nil { page = \&listPage{} }\n\t\tif false {/' TestTruncatedList
 mutant_of poplarpind "reset stream answers" target target.go 's/err != nil \|\| json.Unmarshal\(data, &reply\)/err != nil \&\& false || json.Unmarshal(data, \&reply)/' TestTruncatedResponse
 mutant_of poplarpind "any 503 counts as refused" target target.go 's/json.Unmarshal\(data, &refusal\) != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/json.Unmarshal(data, \&refusal) != nil {\n\t\treturn rpc.Result{Outcome: rpc.Shed}/' TestCallMadeOnce
--- a/poplarpind/http1/response.go
+++ b/poplarpind/http1/response.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"strings"
 
 	"poplarpin.dev/poplarpind/tcp"
 )
@@ -33,6 +34,7 @@
 	responseTooOld = "not complete at the end of the call's time"
 	notHTTP        = "not HTTP"
 	unknownCoding  = "transfer coding that its HTTP version does not have"
+	spaceInFraming = "space after the name of a field that frames the body"
 )
 
 const http11 = "HTTP/1.1" // the version of most responses
@@ -77,6 +79,9 @@
 		if !response.ProtoAtLeast(1, 1) && statesCoding(head) {
 			return nil, nil, invalid("response", unknownCoding)
 		}
+		if hidesFraming(response.Header) {
+			return nil, nil, invalid("response", spaceInFraming)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue // its head counts towards the limit
 		}
@@ -110,6 +115,17 @@
 	return len(header.Values("Transfer-Encoding")) > 0
 }
 
+// hidesFraming reports whether a space follows the name of a field that frames the body. http.ReadResponse takes it for another field, and the body
+// then ends with the connection.
+func hidesFraming(header http.Header) bool {
+	for name := range header {
+		if bare := strings.TrimRight(name, " "); bare != name && (strings.EqualFold(bare, "Content-Length") || strings.EqualFold(bare, "Transfer-Encoding")) {
+			return true
+		}
+	}
+	return false
+}
+
 // readBody reads the body of a response into a buffer that grows with what has arrived, within the limit of the call and the memory
 // budget.
 func (conn *conn) readBody(exchange *Exchange, response *http.Response) ([]byte, *Error) {
--- a/poplarpind/truncated_test.go
+++ b/poplarpind/truncated_test.go
@@ -108,7 +108,7 @@
 	number := 0
 	for _, shape := range platformtest.ResponseShapes("0123456789abcdef") {
 		switch shape.Name {
-		case "length", "trailers", "no length", "interim responses", "HTTP/1.0 with chunks":
+		case "length", "trailers", "no length", "interim responses", "HTTP/1.0 with chunks", "space after a length's name":
 		default:
 			continue
 		}
