An entry whose id cannot stand in a header field names no target

Cause: a call names its target's id in X-Expect-Instance, encoded by hand. The id is the name of an object, which another writer chose, and nobody looked at it. A line end in it ends the field, and an empty line ends the head.

Other texts in heads were looked at: clients' heads and account names go through net/http, which refuses or replaces line ends.

--- a/poplarpind/odd_entry_test.go
+++ b/poplarpind/odd_entry_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -155,3 +156,24 @@
 	}
 	t.Fatalf("version %d with the targets %v, not version %d with %v", dump.Version, known, version, targets)
 }
+
+// TestOddTargetID guards against an entry whose id ends the head of a call, so that its target runs requests that no client has sent.
+func TestOddTargetID(t *testing.T) {
+	var smuggled atomic.Int64
+	target := platformtest.NewTruncatingTarget(t, func(request *http.Request) platformtest.Truncated {
+		if request.URL.Path == "/o/smuggled" {
+			smuggled.Add(1)
+		}
+		return platformtest.Truncated{Ending: platformtest.Kept, Bytes: "HTTP/1.1 200 OK\r\n" + platformtest.IDField(platformtest.RequestID(request)) +
+			platformtest.StampField("stamp-2") + "Content-Length: 0\r\n\r\n"}
+	})
+	store := platformtest.NewStore(t)
+	odd := "i-2\r\n\r\nGET /o/smuggled HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1"
+	store.Put("servers", odd, platformtest.TargetSpec("one", target.Address, "a", "ready"))
+	store.PutConfig(platformtest.Config(1))
+	process := startProcess(t, build(t), store)
+	post(t, process, func() {})
+	assert.Check(t, smuggled.Load() == 0, "%d requests", smuggled.Load())
+	store.PutTarget(platformtest.NewTarget(t, "i-1"), "one", "a", "ready")
+	process.awaitView(t, 1, []string{"i-1"})
+}
