An address that is not that of one host names no target and no VM

Callers saw: an entry with the address 0.0.0.0:P was a target, and connections to it reached whatever listens on P on the VM itself, possibly the VM; with a multicast address, the broadcast address or a zone of another machine their calls failed at once and were sent once more from the budget.

Cause: only the form of addresses was checked.

A dial of 0.0.0.0, :: and ::ffff:0.0.0.0 was seen to reach a listener on 127.0.0.1.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -192,6 +192,7 @@
 mutant_of platform "brackets not matched" . bounds.go 's/ \|\| open\[len\(open\)-1\] != char \{/ {/' TestUnbalancedAnswers
 mutant_of platform "address not checked" . objects.go 's/if !isAddress\(wire.Address\) \{/if false {/' TestTarget
 mutant_of platform "id not checked" . objects.go 's/if !isID\(object.Name\) \{/if object.Name == "" \&\& !isID(object.Name) {/' TestOddTargetID
+mutant_of platform "own host is a target" . bounds.go 's/ && !host.IsUnspecified\(\)//' TestTarget
 mutant_of platform "slots not bounded" . objects.go 's/\*wire.Slots <= maxSlots/true/' TestTarget
 mutant_of poplarpind "unreadable watch repeated" . gateway/watch.go 's/case platform.Compacted, platform.Invalid:/case platform.Compacted:/' TestOddEntries/longer
 mutant_of poplarpind "other object configures" . gateway/watch.go 's/case object.Name == platform.ConfigName:/default:/' TestOtherConfigurations
--- a/poplarpind/odd_entry_test.go
+++ b/poplarpind/odd_entry_test.go
@@ -44,6 +44,11 @@
 		"no port":                          oddEntry(`:9"`, `"`),
 		"no host":                          oddEntry(`127.0.0.1:9`, `:9`),
 		"a name for a host":                oddEntry(`127.0.0.1:9`, `localhost:9`),
+		"an unspecified host":              oddEntry(`127.0.0.1:9`, `0.0.0.0:9`),
+		"a mapped unspecified host":        oddEntry(`127.0.0.1:9`, `[::ffff:0.0.0.0]:9`),
+		"a host of many":                   oddEntry(`127.0.0.1:9`, `224.0.0.1:9`),
+		"a host of all":                    oddEntry(`127.0.0.1:9`, `255.255.255.255:9`),
+		"a host with a zone":               oddEntry(`127.0.0.1:9`, `[fe80::1%eth0]:9`),
 		"longer than messages between VMs": oddEntry(`"seq":1`, `"seq":1,"extra":"`+strings.Repeat("x", 1<<20)+`"`),
 	} {
 		t.Run(name, func(t *testing.T) { playOddEntry(t, binary, entry) })
