Many odd entries do not fill the messages between VMs

Callers saw: with 1,500 odd entries of 15 KB, VMs that start from a seed never got ready, and those that get their updates from another one lose their link with each full list, as it is longer than 16 MB.

Cause: entries of up to 16 KB were stored and sent as they were, also those that name no target: 1,100 of them are more than a message holds.

Entries of servers have some 200 to 300 bytes.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -187,7 +187,8 @@
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 mutant_of platform "odd object spoils the list" . bounds.go 's/if !ok \|\| json.Unmarshal\(repaired, reply\) != nil \{/if repaired != nil || !ok {/' TestOddObjects
 mutant_of platform "deep object passed on" . bounds.go 's/ \|\| depthExceeds\(spec, maxSpecDepth\)//' TestDeepConfiguration
-mutant_of platform "long entry passed on" . bounds.go 's/kind == TargetsKind && len\(spec\) > maxTargetBytes \|\| //' TestOddObjects
+mutant_of platform "long entry passed on" . bounds.go 's/kind == TargetsKind && targetTooLong\(name, spec\) \|\| //' TestOddObjects
+mutant_of platform "long odd entry passed on" . bounds.go 's/len\(spec\) <= maxOddBytes \|\| len\(spec\) > maxTargetBytes/true/' TestLongEntries
 mutant_of platform "stray quote hides entries" . bounds.go 's/if inString && !endsValue\(text\[i\+1:\]\) \{/if false {/' TestUnbalancedAnswers
 mutant_of platform "brackets not matched" . bounds.go 's/ \|\| open\[len\(open\)-1\] != char \{/ {/' TestUnbalancedAnswers
 mutant_of platform "address not checked" . objects.go 's/if !isAddress\(wire.Address\) \{/if false {/' TestTarget
--- a/poplarpind/odd_entry_test.go
+++ b/poplarpind/odd_entry_test.go
@@ -182,3 +182,18 @@
 	store.PutTarget(platformtest.NewTarget(t, "i-1"), "one", "a", "ready")
 	process.awaitView(t, 1, []string{"i-1"})
 }
+
+// TestManyOddEntries guards against entries that are together longer than a message, so that a VM that depends on another one knows no targets.
+func TestManyOddEntries(t *testing.T) {
+	binary := build(t)
+	store := platformtest.NewStore(t)
+	for i := range 1500 {
+		store.PutText("servers", fmt.Sprintf("odd-%d", i), oddEntry(`"slots":2`, `"slots":0,"extra":"`+strings.Repeat("x", 15_000)+`"`))
+	}
+	store.PutTarget(platformtest.NewTarget(t, "i-1"), "one", "a", "ready")
+	store.PutConfig(platformtest.Config(1))
+	reader := startVM(t, binary, platformtest.Process{VM: "vm-a1", StoreAddress: store.Address()})
+	reader.awaitView(t, 1, []string{"i-1"})
+	follower := startVM(t, binary, platformtest.Process{VM: "vm-a2", StoreAddress: "127.0.0.1:1", Seeds: []string{strings.TrimPrefix(reader.peerURL, "http://")}})
+	follower.awaitView(t, 1, []string{"i-1"})
+}
