An unreadable answer of the store is asked for once a second, by lists and watches in turn

Callers saw: nothing at once; a VM whose list of targets cannot be read knows no new targets and calls those that have left. It used up reads of all VMs.

Cause, two: (1) each unreadable answer counted as a failed call with a backoff of 100 to 400 ms and a ping, although the store answers. (2) After an unreadable watch only lists were asked for, so that one garbled watch was enough to stop a VM for ever where lists cannot be read but watches can.

After an unreadable answer the other read follows, a list or a watch from the position up to which everything is known, so that no change is left out. The pause grows to one second, without a ping. Once the odd entry is gone, the VM follows within 2.5 s (TestUnreadableAnswers).

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -195,7 +195,9 @@
 mutant_of platform "id not checked" . objects.go 's/if !isID\(object.Name\) \{/if object.Name == "" \&\& !isID(object.Name) {/' TestOddTargetID
 mutant_of platform "own host is a target" . bounds.go 's/ && !host.IsUnspecified\(\)//' TestTarget
 mutant_of platform "slots not bounded" . objects.go 's/\*wire.Slots <= maxSlots/true/' TestTarget
-mutant_of poplarpind "unreadable watch repeated" . gateway/watch.go 's/case platform.Compacted, platform.Invalid:/case platform.Compacted:/' TestOddEntries/longer
+mutant_of poplarpind "unreadable watch repeated" . gateway/watch.go 's/\t\t\tknown = gateway.otherRead\(kind, known\)\n//' TestOddEntries/longer
+mutant_of poplarpind "unreadable list repeated" gateway watch.go 's/return gateway.knownPosition\(kind\)/return platform.Position{}/' TestUnreadableLists
+mutant_of poplarpind "unreadable answer asked often" gateway watch.go 's/backoff = min\(2\*backoff, maxUnreadableBackoff\)/backoff = minBackoff/' TestUnreadableAnswers
 mutant_of poplarpind "other object configures" . gateway/watch.go 's/case object.Name == platform.ConfigName:/default:/' TestOtherConfigurations
 mutant_of poplarpind "odd own entry written again" gateway peers.go 's/ \|\| oddRevision > 0 && oddRevision == gateway.oddRevision//' TestOddOwnEntry
 mutant_of poplarpind "unreadable one configures" . gateway/store_sync.go 's/object != nil && platform.IsUnreadable\(object.Spec\)/object != nil \&\& false/' TestUnreadableConfiguration
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +27,8 @@
 	emptyKindPause    = time.Second            // a kind that the store answered with 404 is requested again after this time
 	outageFailures    = 2                      // this many failed calls in a row count as an outage, during which entries may lapse
 	expireInterval    = time.Second            // targets whose grace period has passed are removed this often; they get no calls from its end on
+	// An answer that cannot be read is asked for again after this time at most. It costs more than a ping, but a VM must follow soon once it is mended.
+	maxUnreadableBackoff = time.Second
 )
 
 var storeCalls = expvar.NewMap("storeCalls")
@@ -73,14 +76,28 @@
 			gateway.log.Warn("store call failed", zap.String("kind", kind), zap.Int("failures", failures), zap.Error(err))
 		}
 		switch platform.KindOf(err) {
-		case platform.Compacted, platform.Invalid: // the same watch again would get the same unreadable events
+		case platform.Compacted:
 			known = platform.Position{}
+		case platform.Invalid: // the same call again would get the same unreadable answer
+			known = gateway.otherRead(kind, known)
+			sleep(ctx, backoff/2+rand.N(backoff/2))
+			backoff = min(2*backoff, maxUnreadableBackoff)
+			continue
 		}
+		backoff = min(backoff, gateway.backoffLimit())
 		gateway.awaitStore(ctx, store, backoff)
 		backoff = min(2*backoff, gateway.backoffLimit())
 	}
 }
 
+// otherRead returns the position to continue from after an unreadable answer: none, for a list, after a watch; the known one after a list.
+func (gateway *Gateway) otherRead(kind string, known platform.Position) platform.Position {
+	if known.Revision > 0 {
+		return platform.Position{}
+	}
+	return gateway.knownPosition(kind)
+}
+
 // backoffLimit returns the maximum backoff between store calls, which is longer for VMs that rank low as watchers.
 func (gateway *Gateway) backoffLimit() time.Duration {
 	gateway.mu.Lock()
