An entry of a target under the name of a VM leaves the VM alone

Callers saw: on VMs that get their updates from the VM with that name: requests handled by an old configuration and sent to targets that have left.

Cause: VMs and targets share one map by name. An entry that cannot be used removes what has its name, one that can be used replaces it; either may be a VM. Without the address of their source, VMs no longer renewed their subscription; the next list of VMs repaired that for up to 20 s, until the entry changed again.

Entries change targets only. A VM that appears under the name of a target still replaces it, since only VMs write that list.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -94,9 +94,12 @@
 }
 
 // Update stores the newest entry of an endpoint and reports whether the change affects which endpoints can be called. An endpoint that
-// was restarted or moved loses its call history.
+// was restarted or moved loses its call history. A target does not replace the VM of the same name.
 func (fleet *Fleet) Update(now time.Time, endpoint Endpoint) bool {
 	found, ok := fleet.endpoints[endpoint.ID]
+	if ok && found.Peer && !endpoint.Peer {
+		return false
+	}
 	restarted := ok && found.StartedUnixMilli != endpoint.StartedUnixMilli
 	if ok && (found.Service != endpoint.Service || found.Address != endpoint.Address || found.StartedUnixMilli != endpoint.StartedUnixMilli) {
 		fleet.remove(found)
@@ -116,9 +119,10 @@
 	return changed
 }
 
-// Remove deletes an endpoint and reports whether it was known.
+// Remove deletes a target and reports whether it was known.
 func (fleet *Fleet) Remove(id string) bool {
 	found, ok := fleet.endpoints[id]
+	ok = ok && !found.Peer
 	if ok {
 		fleet.remove(found)
 	}
@@ -176,9 +180,9 @@
 	}
 }
 
-// MarkLapsed marks an endpoint whose entry lapsed during an outage of the store as missing, which starts its grace period.
+// MarkLapsed marks a target whose entry lapsed during an outage of the store as missing, which starts its grace period.
 func (fleet *Fleet) MarkLapsed(now time.Time, id string) {
-	if found, ok := fleet.endpoints[id]; ok && found.missingSince.IsZero() {
+	if found, ok := fleet.endpoints[id]; ok && !found.Peer && found.missingSince.IsZero() {
 		found.missingSince = now
 	}
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -156,6 +156,24 @@
 	})
 }
 
+// TestEntryUnderVMName guards against an entry of a target under the name of a VM that replaces the VM, or removes it when it changes.
+func TestEntryUnderVMName(t *testing.T) {
+	vm := place.Endpoint{ID: "vm", Service: "vms", Address: "10.0.0.1:1", FailureDomain: "b", State: place.Ready, Peer: true}
+	fleet := newFleet(vm)
+	assertKept := func() {
+		t.Helper()
+		endpoint, _ := fleet.Endpoint("vm")
+		assert.Equal(t, endpoint, vm)
+	}
+	fleet.Update(start, target("vm", "a"))
+	assertKept()
+	fleet.MarkLapsed(start, "vm")
+	fleet.Expire(start.Add(time.Hour))
+	assertKept()
+	assert.Assert(t, !fleet.Remove("vm"))
+	assertKept()
+}
+
 func TestRestartedTarget(t *testing.T) {
 	fleet := newFleet(target("here", "a"), target("there", "b"))
 	fleet.StartAttempt(start, "here", route).Unreachable(start)
--- a/poplarpind/odd_entry_test.go
+++ b/poplarpind/odd_entry_test.go
@@ -197,3 +197,24 @@
 	follower := startVM(t, binary, platformtest.Process{VM: "vm-a2", StoreAddress: "127.0.0.1:1", Seeds: []string{strings.TrimPrefix(reader.peerURL, "http://")}})
 	follower.awaitView(t, 1, []string{"i-1"})
 }
+
+// TestEntryUnderVMName guards against an entry of a target under the name of a VM, which would take this VM out of the list of VMs.
+func TestEntryUnderVMName(t *testing.T) {
+	binary := build(t)
+	for name, odd := range map[string]string{"odd": "[]", "usable": oddEntry("", "")} {
+		t.Run(name, func(t *testing.T) {
+			store := platformtest.NewStore(t)
+			store.PutConfig(platformtest.Config(1))
+			store.PutTarget(platformtest.NewTarget(t, "i-1"), "one", "a", "ready")
+			reader := startVM(t, binary, platformtest.Process{VM: "vm-a1", StoreAddress: store.Address()})
+			follower := startVM(t, binary, platformtest.Process{VM: "vm-a2", StoreAddress: "127.0.0.1:1", Seeds: []string{strings.TrimPrefix(reader.peerURL, "http://")}})
+			follower.awaitView(t, 1, []string{"i-1"})
+			store.PutText("servers", "vm-a1", odd)
+			store.PutConfig(platformtest.Config(2))
+			follower.awaitView(t, 2, []string{"i-1"})
+			time.Sleep(5 * time.Second) // subscriptions end within 2.5 s
+			store.PutConfig(platformtest.Config(3))
+			follower.awaitView(t, 3, []string{"i-1"})
+		})
+	}
+}
