A target with the service name of a domain's VMs is refused

Callers saw: parts of their gathered requests sent to another writer's entry as if it were a VM that makes calls for others, and made again.

Cause: a fleet lists VMs as services 'relay/DOMAIN' beside the services of targets, and an entry may name any service.

The effect on a request of a process was not played.

The entry names a service that no configuration has, and is refused when it is decoded, on every VM.

--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"poplarpin.dev/core/place"
@@ -17,6 +18,9 @@
 // RelayService returns the service name under which a fleet lists the VMs of a failure domain.
 func RelayService(failureDomain string) string { return relayPrefix + failureDomain }
 
+// IsRelayService reports whether a fleet lists VMs under a service name, so that no target may have it.
+func IsRelayService(service string) bool { return strings.HasPrefix(service, relayPrefix) }
+
 // baselineRoute returns the route name whose baseline latency applies to the call.
 func (call *call) baselineRoute(route string) string {
 	if call.viaRelay {
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -197,6 +197,7 @@
 mutant_of core "target replaces a VM" place place.go 's/if ok && found.Peer && !endpoint.Peer \{/if false {/' TestEntryUnderVMName
 mutant_of core "entry removes a VM" place place.go 's/\tok = ok && !found.Peer\n//' TestEntryUnderVMName
 mutant_of platform "cores not bounded" . objects.go 's/ && vm.Cores <= maxCores//' TestOddVM
+mutant_of platform "target among the VMs" . objects.go 's/if fanout.IsRelayService\(wire.Service\) \{/if false \&\& fanout.IsRelayService(wire.Service) {/' TestTarget
 mutant_of platform "slots not bounded" . objects.go 's/\*wire.Slots <= maxSlots/true/' TestTarget
 mutant_of poplarpind "unreadable watch repeated" . gateway/watch.go 's/\t\t\tknown = gateway.otherRead\(kind, known\)\n//' TestOddEntries/longer
 mutant_of poplarpind "unreadable list repeated" gateway watch.go 's/return gateway.knownPosition\(kind\)/return platform.Position{}/' TestUnreadableLists
