--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -187,6 +187,8 @@
 mutant_of poplarpind "place left after the call" http1 conn.go 's/\tif !keepable \{\n\t\tconn.giveUp\(\)\n\t\}/\tif !keepable {\n\t\tdefer conn.giveUp()\n\t}/' TestCalls
 mutant_of poplarpind "reset taken for an end" http1 response.go 's/endsWithConn\(response\) && !conn/endsWithConn(response) \&\& false \&\& !conn/' TestResetWhileSending
 mutant_of poplarpind "cut head taken for invalid" http1 response.go 's/case conn.source.ended:/case false:/' TestTruncatedResponse
+mutant_of poplarpind "coding before HTTP/1.1 ignored" http1 response.go 's/ && statesCoding\(head\)/ \&\& len(head) < 0 \&\& statesCoding(head)/' TestTruncatedResponse
+mutant_of poplarpind "space hides a length" http1 response.go 's/if hidesFraming\(/if false \&\& hidesFraming(/' TestTruncatedResponse
 mutant_of platform "empty answer is a list" . store.go 's/if page == nil \{/if page == nil { page = \&listPage{} }\n\t\tif false {/' TestTruncatedList
 mutant_of poplarpind "reset stream answers" target target.go 's/err != nil \|\| json.Unmarshal\(data, &reply\)/err != nil \&\& false || json.Unmarshal(data, \&reply)/' TestTruncatedResponse
 mutant_of poplarpind "any 503 counts as refused" target target.go 's/json.Unmarshal\(data, &refusal\) != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/json.Unmarshal(data, \&refusal) != nil {\n\t\treturn rpc.Result{Outcome: rpc.Shed}/' TestCallMadeOnce
@@ -194,12 +196,21 @@
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 mutant_of platform "odd object spoils the list" . bounds.go 's/if !ok \|\| json.Unmarshal\(repaired, reply\) != nil \{/if repaired != nil || !ok {/' TestOddObjects
 mutant_of platform "deep object passed on" . bounds.go 's/ \|\| depthExceeds\(spec, maxSpecDepth\)//' TestDeepConfiguration
-mutant_of platform "long entry passed on" . bounds.go 's/kind == TargetsKind && len\(spec\) > maxTargetBytes \|\| //' TestOddObjects
+mutant_of platform "long entry passed on" . bounds.go 's/kind == TargetsKind && targetTooLong\(name, spec\) \|\| //' TestOddObjects
+mutant_of platform "long odd entry passed on" . bounds.go 's/len\(spec\) <= maxOddBytes \|\| len\(spec\) > maxTargetBytes/true/' TestLongEntries
 mutant_of platform "stray quote hides entries" . bounds.go 's/if inString && !endsValue\(text\[i\+1:\]\) \{/if false {/' TestUnbalancedAnswers
 mutant_of platform "brackets not matched" . bounds.go 's/ \|\| open\[len\(open\)-1\] != char \{/ {/' TestUnbalancedAnswers
 mutant_of platform "address not checked" . objects.go 's/if !isAddress\(wire.Address\) \{/if false {/' TestTarget
+mutant_of platform "id not checked" . objects.go 's/if !isID\(object.Name\) \{/if object.Name == "" \&\& !isID(object.Name) {/' TestOddTargetID
+mutant_of platform "own host is a target" . bounds.go 's/ && !host.IsUnspecified\(\)//' TestTarget
+mutant_of core "target replaces a VM" place place.go 's/if ok && found.Peer && !endpoint.Peer \{/if false {/' TestEntryUnderVMName
+mutant_of core "entry removes a VM" place place.go 's/\tok = ok && !found.Peer\n//' TestEntryUnderVMName
+mutant_of platform "cores not bounded" . objects.go 's/ && vm.Cores <= maxCores//' TestOddVM
+mutant_of platform "target among the VMs" . objects.go 's/if fanout.IsRelayService\(wire.Service\) \{/if false \&\& fanout.IsRelayService(wire.Service) {/' TestTarget
 mutant_of platform "slots not bounded" . objects.go 's/\*wire.Slots <= maxSlots/true/' TestTarget
-mutant_of poplarpind "unreadable watch repeated" . gateway/watch.go 's/case platform.Compacted, platform.Invalid:/case platform.Compacted:/' TestOddEntries/longer
+mutant_of poplarpind "unreadable watch repeated" . gateway/watch.go 's/\t\t\tknown = gateway.otherRead\(kind, known\)\n//' TestOddEntries/longer
+mutant_of poplarpind "unreadable list repeated" gateway watch.go 's/return gateway.knownPosition\(kind\)/return platform.Position{}/' TestUnreadableLists
+mutant_of poplarpind "unreadable answer asked often" gateway watch.go 's/backoff = min\(2\*backoff, maxUnreadableBackoff\)/backoff = minBackoff/' TestUnreadableAnswers
 mutant_of poplarpind "other object configures" . gateway/watch.go 's/case object.Name == platform.ConfigName:/default:/' TestOtherConfigurations
 mutant_of poplarpind "odd own entry written again" gateway peers.go 's/ \|\| oddRevision > 0 && oddRevision == gateway.oddRevision//' TestOddOwnEntry
 mutant_of poplarpind "unreadable one configures" . gateway/store_sync.go 's/object != nil && platform.IsUnreadable\(object.Spec\)/object != nil \&\& false/' TestUnreadableConfiguration
--- a/poplarpind/odd_entry_test.go
+++ b/poplarpind/odd_entry_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +44,11 @@
 		"no port":                          oddEntry(`:9"`, `"`),
 		"no host":                          oddEntry(`127.0.0.1:9`, `:9`),
 		"a name for a host":                oddEntry(`127.0.0.1:9`, `localhost:9`),
+		"an unspecified host":              oddEntry(`127.0.0.1:9`, `0.0.0.0:9`),
+		"a mapped unspecified host":        oddEntry(`127.0.0.1:9`, `[::ffff:0.0.0.0]:9`),
+		"a host of many":                   oddEntry(`127.0.0.1:9`, `224.0.0.1:9`),
+		"a host of all":                    oddEntry(`127.0.0.1:9`, `255.255.255.255:9`),
+		"a host with a zone":               oddEntry(`127.0.0.1:9`, `[fe80::1%eth0]:9`),
 		"longer than messages between VMs": oddEntry(`"seq":1`, `"seq":1,"extra":"`+strings.Repeat("x", 1<<20)+`"`),
 	} {
 		t.Run(name, func(t *testing.T) { playOddEntry(t, binary, entry) })
@@ -155,3 +161,60 @@
 	}
 	t.Fatalf("version %d with the targets %v, not version %d with %v", dump.Version, known, version, targets)
 }
+
+// TestOddTargetID guards against an entry whose id ends the head of a call, so that its target runs requests that no client has sent.
+func TestOddTargetID(t *testing.T) {
+	var smuggled atomic.Int64
+	target := platformtest.NewTruncatingTarget(t, func(request *http.Request) platformtest.Truncated {
+		if request.URL.Path == "/o/smuggled" {
+			smuggled.Add(1)
+		}
+		return platformtest.Truncated{Ending: platformtest.Kept, Bytes: "HTTP/1.1 200 OK\r\n" + platformtest.IDField(platformtest.RequestID(request)) +
+			platformtest.StampField("stamp-2") + "Content-Length: 0\r\n\r\n"}
+	})
+	store := platformtest.NewStore(t)
+	odd := "i-2\r\n\r\nGET /o/smuggled HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1"
+	store.Put("servers", odd, platformtest.TargetSpec("one", target.Address, "a", "ready"))
+	store.PutConfig(platformtest.Config(1))
+	process := startProcess(t, build(t), store)
+	post(t, process, func() {})
+	assert.Check(t, smuggled.Load() == 0, "%d requests", smuggled.Load())
+	store.PutTarget(platformtest.NewTarget(t, "i-1"), "one", "a", "ready")
+	process.awaitView(t, 1, []string{"i-1"})
+}
+
+// TestManyOddEntries guards against entries that are together longer than a message, so that a VM that depends on another one knows no targets.
+func TestManyOddEntries(t *testing.T) {
+	binary := build(t)
+	store := platformtest.NewStore(t)
+	for i := range 1500 {
+		store.PutText("servers", fmt.Sprintf("odd-%d", i), oddEntry(`"slots":2`, `"slots":0,"extra":"`+strings.Repeat("x", 15_000)+`"`))
+	}
+	store.PutTarget(platformtest.NewTarget(t, "i-1"), "one", "a", "ready")
+	store.PutConfig(platformtest.Config(1))
+	reader := startVM(t, binary, platformtest.Process{VM: "vm-a1", StoreAddress: store.Address()})
+	reader.awaitView(t, 1, []string{"i-1"})
+	follower := startVM(t, binary, platformtest.Process{VM: "vm-a2", StoreAddress: "127.0.0.1:1", Seeds: []string{strings.TrimPrefix(reader.peerURL, "http://")}})
+	follower.awaitView(t, 1, []string{"i-1"})
+}
+
+// TestEntryUnderVMName guards against an entry of a target under the name of a VM, which would take this VM out of the list of VMs.
+func TestEntryUnderVMName(t *testing.T) {
+	binary := build(t)
+	for name, odd := range map[string]string{"odd": "[]", "usable": oddEntry("", "")} {
+		t.Run(name, func(t *testing.T) {
+			store := platformtest.NewStore(t)
+			store.PutConfig(platformtest.Config(1))
+			store.PutTarget(platformtest.NewTarget(t, "i-1"), "one", "a", "ready")
+			reader := startVM(t, binary, platformtest.Process{VM: "vm-a1", StoreAddress: store.Address()})
+			follower := startVM(t, binary, platformtest.Process{VM: "vm-a2", StoreAddress: "127.0.0.1:1", Seeds: []string{strings.TrimPrefix(reader.peerURL, "http://")}})
+			follower.awaitView(t, 1, []string{"i-1"})
+			store.PutText("servers", "vm-a1", odd)
+			store.PutConfig(platformtest.Config(2))
+			follower.awaitView(t, 2, []string{"i-1"})
+			time.Sleep(5 * time.Second) // subscriptions end within 2.5 s
+			store.PutConfig(platformtest.Config(3))
+			follower.awaitView(t, 3, []string{"i-1"})
+		})
+	}
+}
