An answer keeps its signature if the target names it as a field of its connection

Callers saw: a 200 without X-Server-Stamp (rule MIXED) from a target that answers 'Connection: X-Server-Stamp'.

Cause: fields that Connection names are removed before an answer is passed on. The signature was checked before that.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -179,6 +179,7 @@
 mutant_of poplarpind "reset taken for an end" http1 response.go 's/endsWithConn\(response\) && !conn/endsWithConn(response) \&\& false \&\& !conn/' TestResetWhileSending
 mutant_of poplarpind "cut head taken for invalid" http1 response.go 's/case conn.source.ended:/case false:/' TestTruncatedResponse
 mutant_of poplarpind "coding before HTTP/1.1 ignored" http1 response.go 's/ && statesCoding\(head\)/ \&\& len(head) < 0 \&\& statesCoding(head)/' TestTruncatedResponse
+mutant_of platform "signature of one connection" . ingress.go 's/len\(stamps\) > 0 \{/len(stamps) > 9 {/' TestSignatureForOneConnection
 mutant_of poplarpind "space hides a length" http1 response.go 's/if hidesFraming\(/if false \&\& hidesFraming(/' TestTruncatedResponse
 mutant_of platform "empty answer is a list" . store.go 's/if page == nil \{/if page == nil { page = \&listPage{} }\n\t\tif false {/' TestTruncatedList
 mutant_of poplarpind "reset stream answers" target target.go 's/err != nil \|\| json.Unmarshal\(data, &reply\)/err != nil \&\& false || json.Unmarshal(data, \&reply)/' TestTruncatedResponse
--- a/poplarpind/truncated_test.go
+++ b/poplarpind/truncated_test.go
@@ -172,3 +172,12 @@
 	count, err := io.Copy(io.Discard, response.Body)
 	assert.Assert(t, err != nil && count < size, "%d bytes, then %v", count, err)
 }
+
+// TestSignatureForOneConnection guards against a success without its signature because the target names that field as one of the connection.
+func TestSignatureForOneConnection(t *testing.T) {
+	process, service := startTruncating(t)
+	request := platformtest.NewRequest(t, http.MethodPost, process.url+"/o/x", []byte("b"))
+	answer, calls := service.ask(t, request, platformtest.Truncated{Ending: platformtest.Kept, Bytes: "HTTP/1.1 200 OK\r\nConnection: X-Server-Stamp, X-Own\r\nX-Own: 1\r\n" +
+		platformtest.StampField("stamp-2") + "Content-Length: 5\r\n\r\nwhole"})
+	assert.Check(t, answer == whole && calls == 1, "%+v, %d calls", answer, calls)
+}
