A target whose drain was taken back is called again once its health says so

What callers saw: on poplarpin's own interface, after all targets had refused one call each as draining for less than a second, requests were answered "not run" for the rest of the test, although the targets served and their health said so.

Cause: an owner counts a target as leaving for a minute after a refusal that says "draining" (refusedLeavingTTL). Nothing but a newly opened connection, taken as a restart, ended that: a health check that says "serving" did not, since the health endpoint of a target may say "serving" while it drains (TestDrainingTarget).

Change: a health endpoint that has reported the drain is believed when it reports the end of the drain; one that has not reported it still ends nothing, so that a target that leaves gets no new call. A refusal that is news has the health asked at once, as a drain may be shorter than the interval between checks; the checks of a target run one after the other, so that an old answer does not follow a newer one. What the platform lists is kept apart: the target's own word, or its restart, no longer ends a listing.

Of the model, refusedOnce still holds (health that may lie, a drain that may be taken back), usedAgain is new; TRUST_HEALTH and KEEP_LEAVING are rejected. Four mutants, noticed.

--- a/model/check.sh
+++ b/model/check.sh
@@ -80,10 +80,13 @@
 expect_rejected snapshot trueCoverage COUNT_SENT
 expect_holds stop noneLost
 expect_holds stop refusedOnce
+expect_holds stop usedAgain
 expect_rejected stop noneLost CLOSE_EARLY
 expect_rejected stop noneLost NO_WAIT
 expect_rejected stop noneLost KEEP_SENDING
 expect_rejected stop refusedOnce IGNORE_REFUSAL
+expect_rejected stop refusedOnce TRUST_HEALTH
+expect_rejected stop usedAgain KEEP_LEAVING
 expect_holds member monotonic
 expect_rejected member monotonic NO_REFUTE
 expect_rejected member monotonic LAST_WINS
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -182,6 +182,10 @@
 mutant_of poplarpind "reset stream answers" target target.go 's/err != nil \|\| json.Unmarshal\(data, &reply\)/err != nil \&\& false || json.Unmarshal(data, \&reply)/' TestTruncatedResponse
 mutant_of poplarpind "any 503 counts as refused" target target.go 's/json.Unmarshal\(data, &refusal\) != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/json.Unmarshal(data, \&refusal) != nil {\n\t\treturn rpc.Result{Outcome: rpc.Shed}/' TestCallMadeOnce
 mutant_of poplarpind "failed call counts as unsent" target target.go 's/response, err := conn.RoundTrip\(request\)\n\tif err != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/response, err := conn.RoundTrip(request)\n\tif err != nil {\n\t\treturn rpc.Result{Outcome: rpc.NotSent}/' TestCallMadeOnce
+mutant_of poplarpind "end of a drain ignored" target target.go 's/\(target.drainSeen \|\| restarted\)/restarted/' TestDrainTakenBack
+mutant_of poplarpind "lying health ends a drain" target target.go 's/\(target.drainSeen \|\| restarted\)/(target.drainSeen || restarted || true)/' TestDrainTakenBack
+mutant_of poplarpind "health not asked at a refusal" target target.go 's/if !knownToLeave \{/if !knownToLeave \&\& false {/' TestDrainTakenBack
+mutant_of poplarpind "health ends a listed departure" target owner.go 's/&target.listedUntil, listedLeavingTTL/&target.leavingUntil, listedLeavingTTL/' TestDrainTakenBack
 mutant_of platform "unknown fields overwritten" . rewrite.go 's/if !known\[name\] \{/if !known[name] \&\& false {/' TestRewriteKeepsUnknownFields
 mutant_of platform "odd object spoils the list" . bounds.go 's/if !ok \|\| json.Unmarshal\(repaired, reply\) != nil \{/if repaired != nil || !ok {/' TestOddObjects
 mutant_of platform "deep object passed on" . bounds.go 's/ \|\| depthExceeds\(spec, maxSpecDepth\)//' TestDeepConfiguration
--- a/poplarpind/target/owner.go
+++ b/poplarpind/target/owner.go
@@ -96,7 +96,7 @@
 func (owner *Owner) MarkLeaving(names []string) {
 	for _, name := range names {
 		if target, ok := owner.target(name); ok {
-			target.markLeaving(time.Now().Add(listedLeavingTTL))
+			target.markLeaving(&target.listedUntil, listedLeavingTTL)
 		}
 	}
 }
--- a/poplarpind/target/target.go
+++ b/poplarpind/target/target.go
@@ -21,7 +21,7 @@
 	healthIdleTimeout = 10 * time.Second // a target's health is no longer checked after this time without a call
 	healthLeavingTTL  = 3 * time.Second  // how long a health endpoint's draining state is valid without renewal
 	listedLeavingTTL  = 10 * time.Second // how long the platform's listing as leaving is valid without renewal
-	refusedLeavingTTL = time.Minute      // how long a target counts as leaving after its reply said so, unless it is restarted
+	refusedLeavingTTL = time.Minute      // how long a target counts as leaving after its reply said so, unless its drain ends or it is restarted
 	maxResponseBytes  = 8 << 20
 )
 
@@ -44,10 +44,13 @@
 	mu           sync.Mutex
 	queue        *dispatch.Queue[*job]
 	running      map[*job]bool
-	leavingUntil time.Time // the target counts as leaving until then
-	refusedAt    time.Time // when a reply last said that the target is leaving; zero if it has been restarted since
+	listedUntil  time.Time // the target counts as leaving until then because the platform lists it so
+	leavingUntil time.Time // the target counts as leaving until then because its replies or its health said so
+	refusedAt    time.Time // when a reply last said that the target is leaving; zero if it serves again since
+	drainSeen    bool      // the health endpoint has reported a drain and not yet its end
 	retired      bool      // the configuration no longer has the target in this form
 	lastUsed     time.Time
+	healthCheck  sync.Mutex // held during a check, so that states are applied in the order in which they were asked for
 	health       search.Health
 	counts       counts
 }
@@ -88,14 +91,14 @@
 
 // isLeaving reports whether the target refuses new calls; the caller holds the lock.
 func (target *target) isLeaving(now time.Time) bool {
-	return target.retired || now.Before(target.leavingUntil)
+	return target.retired || now.Before(target.listedUntil) || now.Before(target.leavingUntil)
 }
 
-// markLeaving refuses queued calls now and new calls until the given time.
-func (target *target) markLeaving(until time.Time) {
+// markLeaving refuses queued calls now and new calls until the given time; until is target.listedUntil or target.leavingUntil.
+func (target *target) markLeaving(until *time.Time, ttl time.Duration) {
 	target.mu.Lock()
-	if until.After(target.leavingUntil) {
-		target.leavingUntil = until
+	if end := time.Now().Add(ttl); end.After(*until) {
+		*until = end
 	}
 	queued := target.queue.Remove(func(*job) bool { return true })
 	target.mu.Unlock()
@@ -143,12 +146,16 @@
 	if result.Outcome == rpc.Lost {
 		target.counts.Lost++
 	}
+	knownToLeave := time.Now().Before(target.leavingUntil)
 	if result.Leaving {
 		target.refusedAt = time.Now()
 	}
 	target.mu.Unlock()
 	if result.Leaving {
-		target.markLeaving(time.Now().Add(refusedLeavingTTL))
+		target.markLeaving(&target.leavingUntil, refusedLeavingTTL)
+		if !knownToLeave {
+			go target.checkHealth(context.Background()) // a drain may end before the next regular check
+		}
 	}
 	job.cancel()
 	job.finish(result)
@@ -267,6 +274,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthInterval)
 	defer cancel()
+	target.healthCheck.Lock()
+	defer target.healthCheck.Unlock()
 	conn, err := target.pool.acquire(ctx)
 	if err != nil {
 		return
@@ -288,18 +297,23 @@
 	target.applyHealth(health)
 }
 
-// applyHealth marks a draining target as leaving. A serving state clears the mark only if a reply of the target said that it is
-// leaving and a connection has been opened since, which is taken as a restart of the target.
+// applyHealth marks a draining target as leaving. A serving state clears the mark if the health endpoint has reported the drain, as one
+// that never did may be wrong, or if a connection has been opened since a reply said that the target is leaving, which is taken as a
+// restart of the target.
 func (target *target) applyHealth(health search.Health) {
 	if health.State == search.Draining {
-		target.markLeaving(time.Now().Add(healthLeavingTTL))
+		target.markLeaving(&target.leavingUntil, healthLeavingTTL)
 	}
 	newest := target.pool.lastOpened()
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	target.health = health
-	if health.State == search.Serving && !target.refusedAt.IsZero() && newest.After(target.refusedAt) {
-		target.refusedAt, target.leavingUntil = time.Time{}, time.Time{}
+	restarted := !target.refusedAt.IsZero() && newest.After(target.refusedAt)
+	switch {
+	case health.State == search.Draining:
+		target.drainSeen = true
+	case health.State == search.Serving && (target.drainSeen || restarted):
+		target.drainSeen, target.refusedAt, target.leavingUntil = false, time.Time{}, time.Time{}
 	}
 }
 
