--- a/poplarpind/gateway/relayed_calls_test.go
+++ b/poplarpind/gateway/relayed_calls_test.go
@@ -71,9 +71,9 @@
 	}
 }
 
-// TestQueryIDOfEarlierIncarnation guards against the end of a call for a peer that has restarted since, which forgets the call of its new
-// incarnation with the same number: a stop would not wait for it.
-func TestQueryIDOfEarlierIncarnation(t *testing.T) {
+// newRelayGateway returns a gateway with one route whose requests must run once, and the listener of its only target, i-1.
+func newRelayGateway(t *testing.T) (*Gateway, net.Listener) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -83,10 +83,22 @@
 	assert.Equal(t, len(errs), 0)
 	gateway.table.Store(table)
 	gateway.fleet.Update(time.Now(), place.Endpoint{ID: "i-1", Service: "one", Address: listener.Addr().String(), FailureDomain: "a", Slots: 2, State: place.Ready})
+	return gateway, listener
+}
+
+// gatherOnce returns a peer's message that asks for the call of a request that must run once.
+func gatherOnce(requestID string) rpc.Gather {
+	return rpc.Gather{QueryID: "1", Route: "o", Parts: []int{0}, Targets: []string{"i-1"}, Once: true, RequestID: requestID, Method: "POST",
+		Head: []byte("POST / HTTP/1.1\r\n"), Timeout: config.Duration(time.Minute), ReportAfter: config.Duration(time.Minute)}
+}
+
+// TestQueryIDOfEarlierIncarnation guards against the end of a call for a peer that has restarted since, which forgets the call of its new
+// incarnation with the same number: a stop would not wait for it.
+func TestQueryIDOfEarlierIncarnation(t *testing.T) {
+	gateway, listener := newRelayGateway(t)
 	ended := make(chan any, 2)
 	relay := func(id string) net.Conn {
-		gateway.serveGather("vm-b1", func(_ string, result any) { ended <- result }, rpc.Gather{QueryID: "1", Route: "o", Parts: []int{0}, Targets: []string{"i-1"}, Once: true,
-			RequestID: id, Method: "POST", Head: []byte("POST / HTTP/1.1\r\n"), Timeout: config.Duration(time.Minute), ReportAfter: config.Duration(time.Minute)})
+		gateway.serveGather("vm-b1", func(_ string, result any) { ended <- result }, gatherOnce(id))
 		conn, err := listener.Accept()
 		assert.NilError(t, err)
 		return conn
@@ -105,19 +117,9 @@
 // TestCancellationOfEarlierIncarnation guards against a call of a request that must run once that is broken off by the late cancellation of an earlier
 // query with its number.
 func TestCancellationOfEarlierIncarnation(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	gateway := New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, "test", zap.NewNop())
-	table, errs := route.New(route.Config{Version: 1, Services: []route.Service{{Name: "one", MaxTargetConnections: 25}},
-		Routes: []route.Route{{Name: "o", Host: "h", PathPrefix: "/o/", Destination: route.Single{Service: "one"}}}})
-	assert.Equal(t, len(errs), 0)
-	gateway.table.Store(table)
-	gateway.fleet.Update(time.Now(), place.Endpoint{ID: "i-1", Service: "one", Address: listener.Addr().String(), FailureDomain: "a", Slots: 2, State: place.Ready})
+	gateway, listener := newRelayGateway(t)
 	ended := make(chan rpc.GatherResult, 1)
-	gateway.serveGather("vm-b1", func(_ string, result any) { ended <- result.(rpc.GatherResult) }, rpc.Gather{QueryID: "1", Route: "o", Parts: []int{0},
-		Targets: []string{"i-1"}, Once: true, RequestID: "id-1", Method: "POST", Head: []byte("POST / HTTP/1.1\r\n"), Timeout: config.Duration(time.Minute),
-		ReportAfter: config.Duration(time.Minute)})
+	gateway.serveGather("vm-b1", func(_ string, result any) { ended <- result.(rpc.GatherResult) }, gatherOnce("id-1"))
 	conn, err := listener.Accept()
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
--- a/testbed/http2_test.go
+++ b/testbed/http2_test.go
@@ -46,7 +46,7 @@
 	transport := &http.Transport{ForceAttemptHTTP2: true, MaxIdleConnsPerHost: 10, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
 	defer transport.CloseIdleConnections()
 	var ended atomic.Bool
-	var answered, refused, cut atomic.Int64
+	var outcomes stopOutcomes
 	var callers sync.WaitGroup
 	for caller := range 6 {
 		callers.Go(func() {
@@ -65,14 +65,10 @@
 				switch {
 				case err != nil && !connected:
 				case err != nil:
-					cut.Add(1)
+					outcomes.cut.Add(1)
 					t.Log(err)
-				case response.StatusCode == http.StatusOK:
-					answered.Add(1)
-				case response.StatusCode == http.StatusServiceUnavailable:
-					refused.Add(1)
 				default:
-					t.Errorf("status %d", response.StatusCode)
+					outcomes.add(t, response.StatusCode)
 				}
 				time.Sleep(10 * time.Millisecond)
 			}
@@ -81,17 +77,9 @@
 	time.Sleep(500 * time.Millisecond)
 	began := time.Now()
 	assert.NilError(t, vm.Signal(syscall.SIGTERM))
-	exited := make(chan error, 1)
-	go func() { exited <- vm.Wait() }()
-	select {
-	case err := <-exited:
-		assert.Check(t, err)
-	case <-time.After(time.Minute):
-		t.Error("the stop lasts as long as the requests")
-	}
+	checkExit(t, vm)
 	ended.Store(true)
 	callers.Wait()
-	t.Log(answered.Load(), "answered", refused.Load(), "refused", cut.Load(), "cut; stopped within", time.Since(began))
-	assert.Assert(t, answered.Load() > 0)
-	assert.Equal(t, cut.Load(), int64(0))
+	t.Log("stopped within", time.Since(began))
+	outcomes.assertNoneCut(t)
 }
--- a/testbed/stop_test.go
+++ b/testbed/stop_test.go
@@ -14,28 +14,62 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"poplarpin.dev/testbed/fleet"
 )
 
+// stopOutcomes counts how requests to a VM that stops ended.
+type stopOutcomes struct{ answered, refused, cut atomic.Int64 }
+
+// add counts an answer.
+func (stopOutcomes *stopOutcomes) add(t *testing.T, status int) {
+	switch status {
+	case http.StatusOK:
+		stopOutcomes.answered.Add(1)
+	case http.StatusServiceUnavailable:
+		stopOutcomes.refused.Add(1)
+	default:
+		t.Errorf("status %d", status)
+	}
+}
+
+// assertNoneCut checks that each request that was read got its answer.
+func (stopOutcomes *stopOutcomes) assertNoneCut(t *testing.T) {
+	t.Helper()
+	t.Log(stopOutcomes.answered.Load(), "answered", stopOutcomes.refused.Load(), "refused", stopOutcomes.cut.Load(), "cut")
+	assert.Assert(t, stopOutcomes.answered.Load() > 0)
+	assert.Equal(t, stopOutcomes.cut.Load(), int64(0))
+}
+
+// checkExit checks that the process of a VM ends although requests go on.
+func checkExit(t *testing.T, vm *fleet.VM) {
+	t.Helper()
+	exited := make(chan error, 1)
+	go func() { exited <- vm.Wait() }()
+	select {
+	case err := <-exited:
+		assert.Check(t, err)
+	case <-time.After(time.Minute):
+		t.Error("the stop lasts as long as the requests")
+	}
+}
+
 // TestStopUnderEndlessRequests guards against a planned stop that lasts as long as callers go on sending to the VM, and then cuts their requests.
 func TestStopUnderEndlessRequests(t *testing.T) {
 	running := startFleet(t)
 	vm := running.VMs[0]
 	var ended atomic.Bool
-	var answered, refused, cut atomic.Int64
+	var outcomes stopOutcomes
 	var callers sync.WaitGroup
 	for caller := range 6 {
 		callers.Go(func() {
 			for i := 0; !ended.Load(); i++ {
 				switch status, err := queryOnce(vm.CallerAddress, fmt.Sprintf("endless-%d-%d", caller, i)); {
 				case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF): // a connection with unread bytes is reset
-					cut.Add(1)
+					outcomes.cut.Add(1)
 				case err != nil:
-				case status == http.StatusOK:
-					answered.Add(1)
-				case status == http.StatusServiceUnavailable:
-					refused.Add(1)
 				default:
-					t.Errorf("status %d", status)
+					outcomes.add(t, status)
 				}
 				time.Sleep(10 * time.Millisecond)
 			}
@@ -45,19 +79,10 @@
 	assert.NilError(t, vm.Signal(syscall.SIGTERM))
 	time.Sleep(500 * time.Millisecond)
 	assert.NilError(t, vm.Signal(syscall.SIGTERM))
-	exited := make(chan error, 1)
-	go func() { exited <- vm.Wait() }()
-	select {
-	case err := <-exited:
-		assert.Check(t, err)
-	case <-time.After(time.Minute):
-		t.Error("the stop lasts as long as the requests")
-	}
+	checkExit(t, vm)
 	ended.Store(true)
 	callers.Wait()
-	t.Log(answered.Load(), "answered", refused.Load(), "refused", cut.Load(), "cut")
-	assert.Assert(t, answered.Load() > 0)
-	assert.Equal(t, cut.Load(), int64(0))
+	outcomes.assertNoneCut(t)
 }
 
 // queryOnce sends a query on a new connection and returns the status of the complete answer.
