--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -144,7 +144,7 @@
 mutant_of poplarpind "prevented calls not reported" gateway job.go 's/\tjob.reportPrevented\(prevented\)\n/\t_ = prevented\n/' TestPreventedCallsAreSeen
 mutant_of platform "contradictory response believed" . reply.go 's/case saysNotRun\(response\) && saysRun\(response\):/case false:/' TestReply
 mutant_of platform "refusal without id believed" . reply.go 's/case id == "" && previous != nil && saysNotRun/case false \&\& saysNotRun/' TestUnidentifiedRefusal
-mutant_of poplarpind "previous response forgotten" gateway job.go 's/response.Remembered = &origin/_ = origin/' TestLateRefusal
+mutant_of poplarpind "previous response forgotten" gateway job.go 's/response.Remembered = remembered/_ = remembered/' TestLateRefusal
 mutant_of poplarpind "repeat behind a late copy" gateway job.go 's/, call.Avoid = nonIdempotentDialTimeout, job.answeredBefore/ = nonIdempotentDialTimeout/' TestLateRefusal
 mutant_of poplarpind "refusal forgotten after another answer" gateway conn_history.go 's/ \|\| slices.Contains\(/ || false \&\& slices.Contains(/' TestLateRefusal
 mutant "lost forwarded call sent again" fanout relay.go 's/if outcome.possiblyRan\(\) \{\n\t\tpart.possibleRuns\+\+\n\t\}\n\tif part.answeredBy/if part.answeredBy/'
--- a/poplarpind/truncated_test.go
+++ b/poplarpind/truncated_test.go
@@ -177,7 +177,7 @@
 func TestSignatureForOneConnection(t *testing.T) {
 	process, service := startTruncating(t)
 	request := platformtest.NewRequest(t, http.MethodPost, process.url+"/o/x", []byte("b"))
-	answer, calls := service.ask(t, request, platformtest.Truncated{Ending: platformtest.Kept, Bytes: "HTTP/1.1 200 OK\r\nConnection: X-Server-Stamp, X-Own\r\nX-Own: 1\r\n" +
+	answer, calls := service.ask(t, request, platformtest.Truncated{Ending: platformtest.Kept, Bytes: "HTTP/1.1 200 OK\r\nConnection: " + platformtest.StampName + ", X-Own\r\nX-Own: 1\r\n" +
 		platformtest.StampField("stamp-2") + "Content-Length: 5\r\n\r\nwhole"})
 	assert.Check(t, answer == whole && calls == 1, "%+v, %d calls", answer, calls)
 }
