--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -12,7 +12,7 @@
 )
 
 // cases maps the name of a case to what plays it; the result is how often the rule was broken.
-var cases = map[string]func(temporary string) int{"topk": topK, "quota": quota}
+var cases = map[string]func(temporary string) int{"topk": topK, "quota": quota, "seed": seed}
 
 const (
 	shards     = 12
@@ -257,3 +257,109 @@
 	note("most requests in %s: %d, from %.3f s", window, most, mostAt.Sub(record.start).Seconds())
 	return over
 }
+
+// seed: a machine that starts while the store is slow asks a machine for its state that has just woken up from a freeze.
+func seed(temporary string) int {
+	const drain, stability = 3 * time.Second, 4 * time.Second
+	platform := newStore()
+	var servers []*server
+	for i, zone := range []string{"a", "b"} {
+		t := &server{id: fmt.Sprintf("i-one-%d", i), service: "one", zone: zone, work: serverWork}
+		t.start()
+		servers = append(servers, t)
+		platform.put("servers", t.id, t.spec("ready"))
+	}
+	leaving := servers[0]
+	platform.put("config", "main", config(1, []string{"one"}, single("lookup", "/lookup/", "idempotent", "one")))
+	var fronts []*vm
+	for _, zone := range []string{"a", "b", "c"} {
+		fronts = append(fronts, newVM(temporary, "front-"+zone+"-1", zone, platform.address("front-"+zone+"-1")))
+	}
+	restarted, frozen := fronts[0], fronts[1]
+	for _, front := range fronts {
+		front.seeds = []string{frozen.control, fronts[2].control, restarted.control}
+		front.start()
+	}
+	awaitReady(fronts...)
+	sentAt := map[string]time.Time{}
+	counts := map[int]int{}
+	var mu sync.Mutex
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for range 4 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(40 * time.Millisecond):
+				}
+				r := ask(restarted.front, "GET", "/lookup/x", 2*time.Second, "")
+				mu.Lock()
+				sentAt[r.id] = r.sent
+				counts[r.status]++
+				mu.Unlock()
+			}
+		}()
+	}
+	time.Sleep(6 * time.Second)
+	if trouble {
+		frozen.signal(syscall.SIGSTOP)
+		note("%s is frozen", frozen.name)
+	}
+	frozenAt := time.Now()
+	at := func(after time.Duration) { time.Sleep(time.Until(frozenAt.Add(after))) }
+	at(200 * time.Millisecond)
+	platform.put("servers", leaving.id, nil)
+	gone := time.Now()
+	note("the entry of %s is removed; the server goes on serving", leaving.id)
+	at(2800 * time.Millisecond)
+	restarted.signal(syscall.SIGKILL)
+	<-restarted.exited
+	note("%s is killed", restarted.name)
+	if trouble {
+		platform.set(func() {
+			for _, front := range fronts {
+				platform.delay[front.name] = 240 * time.Millisecond
+			}
+		})
+		note("the store is slow: it takes 240 ms an answer")
+	}
+	at(3400 * time.Millisecond)
+	restarted.start()
+	startedAt := time.Now()
+	note("%s is started again", restarted.name)
+	at(3950 * time.Millisecond)
+	if trouble {
+		frozen.signal(syscall.SIGCONT)
+		note("%s wakes up", frozen.name)
+	}
+	at(4500 * time.Millisecond)
+	platform.set(func() { clear(platform.delay) })
+	slowUntil := time.Now()
+	note("the store is as fast as before")
+	awaitReady(fronts...)
+	at(14 * time.Second)
+	close(stop)
+	clients.Wait()
+	note("answers by status: %v", counts)
+	inTouch := startedAt.Add(stability)
+	if until := slowUntil.Add(stability); trouble && until.After(inTouch) {
+		inTouch = until
+	}
+	note("%s is in touch from %.3f s on", restarted.name, inTouch.Sub(record.start).Seconds())
+	broken := 0
+	runs.Lock()
+	defer runs.Unlock()
+	for _, one := range runs.list {
+		sent, ok := sentAt[one.id]
+		if ok && one.server == leaving.id && one.at.After(gone.Add(drain)) && sent.After(inTouch) {
+			broken++
+			note("DRAIN: %s, sent at %.3f s, reaches %s at %.3f s, %.1f s after its entry was removed", one.id, sent.Sub(record.start).Seconds(), one.server,
+				one.at.Sub(record.start).Seconds(), one.at.Sub(gone).Seconds())
+		}
+	}
+	return broken
+}
