--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -12,7 +12,7 @@
 )
 
 // cases maps the name of a case to what plays it; the result is how often the rule was broken.
-var cases = map[string]func(temporary string) int{"topk": topK, "quota": quota, "seed": seed}
+var cases = map[string]func(temporary string) int{"topk": topK, "quota": quota, "seed": seed, "source": source}
 
 const (
 	shards     = 12
@@ -363,3 +363,93 @@
 	}
 	return broken
 }
+
+// source: the machine from which another one of its zone gets its updates is killed and started again, right after servers have left.
+func source(temporary string) int {
+	const drain, stability = 3 * time.Second, 4 * time.Second
+	platform := newStore()
+	var servers []*server
+	for i, zone := range []string{"a", "a", "b"} {
+		t := &server{id: fmt.Sprintf("i-one-%d", i), service: "one", zone: zone, work: serverWork}
+		t.start()
+		servers = append(servers, t)
+		platform.put("servers", t.id, t.spec("ready"))
+	}
+	leaving := servers[:2]
+	platform.put("config", "main", config(1, []string{"one"}, single("lookup", "/lookup/", "idempotent", "one")))
+	var fronts []*vm
+	for i, zone := range []string{"a", "a", "b"} {
+		name := fmt.Sprintf("front-%s-%d", zone, i+1)
+		fronts = append(fronts, newVM(temporary, name, zone, platform.address(name)))
+	}
+	follower, killed := fronts[0], fronts[1] // front-a-1 gets its updates from front-a-2, as the order of their names decides
+	for _, front := range fronts {
+		front.seeds = []string{fronts[2].control, killed.control, follower.control}
+		front.start()
+	}
+	awaitReady(fronts...)
+	sentAt := map[string]time.Time{}
+	counts := map[int]int{}
+	var mu sync.Mutex
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for range 4 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(40 * time.Millisecond):
+				}
+				r := ask(follower.front, "GET", "/lookup/x", 2*time.Second, "")
+				mu.Lock()
+				sentAt[r.id] = r.sent
+				counts[r.status]++
+				mu.Unlock()
+			}
+		}()
+	}
+	time.Sleep(6 * time.Second)
+	gone := map[string]time.Time{}
+	for _, t := range leaving {
+		platform.put("servers", t.id, nil)
+		gone[t.id] = time.Now()
+		note("the entry of %s is removed; the server goes on serving", t.id)
+		time.Sleep(60 * time.Millisecond)
+	}
+	inTouch := time.Now()
+	if trouble {
+		platform.set(func() { platform.silent[follower.name] = true })
+		note("the store is silent for %s", follower.name)
+		killed.signal(syscall.SIGKILL)
+		<-killed.exited
+		note("%s is killed", killed.name)
+		time.Sleep(300 * time.Millisecond)
+		killed.start()
+		note("%s is started again", killed.name)
+		time.Sleep(2700 * time.Millisecond)
+		platform.set(func() { platform.silent[follower.name] = false })
+		note("the store answers %s again", follower.name)
+		inTouch = time.Now().Add(stability)
+	}
+	time.Sleep(14 * time.Second)
+	close(stop)
+	clients.Wait()
+	note("answers by status: %v", counts)
+	note("%s is in touch from %.3f s on", follower.name, inTouch.Sub(record.start).Seconds())
+	broken := 0
+	runs.Lock()
+	defer runs.Unlock()
+	for _, one := range runs.list {
+		at, left := gone[one.server]
+		sent, ok := sentAt[one.id]
+		if ok && left && one.at.After(at.Add(drain)) && sent.After(inTouch) {
+			broken++
+			note("DRAIN: %s, sent at %.3f s, reaches %s at %.3f s, %.1f s after its entry was removed", one.id, sent.Sub(record.start).Seconds(), one.server,
+				one.at.Sub(record.start).Seconds(), one.at.Sub(at).Seconds())
+		}
+	}
+	return broken
+}
