--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -499,6 +499,40 @@
 
 var lastID atomic.Int64
 
+// asked holds all requests of the clients.
+var asked = struct {
+	sync.Mutex
+	list []exchange
+}{}
+
+// exchange is a client's request with its answer.
+type exchange struct {
+	address, path string
+	reply
+}
+
+// noteRequests writes what was sent, answered and run to the record.
+func noteRequests() {
+	asked.Lock()
+	defer asked.Unlock()
+	runs.Lock()
+	defer runs.Unlock()
+	ran := map[string][]string{}
+	for _, one := range runs.list {
+		ran[one.id] = append(ran[one.id], fmt.Sprintf("%s at %.3f s", one.server, one.at.Sub(record.start).Seconds()))
+	}
+	slices.SortFunc(asked.list, func(a, b exchange) int { return a.sent.Compare(b.sent) })
+	note("requests: id, sent at, to, path, answer, after, run by")
+	for _, one := range asked.list {
+		answer := fmt.Sprintf("status %d, %d bytes", one.status, len(one.body))
+		if one.err != nil {
+			answer = "no answer: " + one.err.Error()
+		}
+		note("%s, %.3f s, %s, %s, %s, %.1f ms, %s", one.id, one.sent.Sub(record.start).Seconds(), one.address, one.path, answer,
+			float64(one.took.Microseconds())/1000, strings.Join(ran[one.id], "; "))
+	}
+}
+
 type reply struct {
 	id     string
 	sent   time.Time
@@ -527,6 +561,9 @@
 		_ = response.Body.Close()
 	}
 	result.err, result.took = err, time.Since(result.sent)
+	asked.Lock()
+	asked.list = append(asked.list, exchange{address, path, result})
+	asked.Unlock()
 	return result
 }
 
@@ -584,6 +621,7 @@
 		note("logs in %s", temporary)
 	}
 	note("the rule was broken %d times", broken)
+	noteRequests()
 	_ = file.Close()
 	fmt.Printf("%s: broken %d times (trouble: %v)\n", os.Args[1], broken, trouble)
 	if broken > 0 {
