--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -263,13 +263,13 @@
 	const drain, stability = 3 * time.Second, 4 * time.Second
 	platform := newStore()
 	var servers []*server
-	for i, zone := range []string{"a", "b"} {
+	for i, zone := range []string{"a", "b", "c"} {
 		t := &server{id: fmt.Sprintf("i-one-%d", i), service: "one", zone: zone, work: serverWork}
 		t.start()
 		servers = append(servers, t)
 		platform.put("servers", t.id, t.spec("ready"))
 	}
-	leaving := servers[0]
+	leaving, before := servers[0], servers[2]
 	platform.put("config", "main", config(1, []string{"one"}, single("lookup", "/lookup/", "idempotent", "one")))
 	var fronts []*vm
 	for _, zone := range []string{"a", "b", "c"} {
@@ -305,6 +305,9 @@
 		}()
 	}
 	time.Sleep(6 * time.Second)
+	platform.put("servers", before.id, nil)
+	note("the entry of %s is removed", before.id)
+	time.Sleep(60 * time.Millisecond)
 	if trouble {
 		frozen.signal(syscall.SIGSTOP)
 		note("%s is frozen", frozen.name)
@@ -322,19 +325,34 @@
 	if trouble {
 		platform.set(func() {
 			for _, front := range fronts {
-				platform.delay[front.name] = 240 * time.Millisecond
+				platform.delay[front.name] = 200 * time.Millisecond
 			}
 		})
-		note("the store is slow: it takes 240 ms an answer")
+		note("the store is slow: it takes 200 ms an answer")
 	}
-	at(3400 * time.Millisecond)
+	at(3300 * time.Millisecond)
+	listed := make(chan bool, 16)
+	platform.set(func() {
+		platform.onList = func(machine, kind string) {
+			if machine == restarted.name && kind == "servers" {
+				select {
+				case listed <- true:
+				default:
+				}
+			}
+		}
+	})
 	restarted.start()
 	startedAt := time.Now()
 	note("%s is started again", restarted.name)
-	at(3950 * time.Millisecond)
 	if trouble {
+		select {
+		case <-listed:
+		case <-time.After(time.Until(frozenAt.Add(3950 * time.Millisecond))): // no freeze lasts longer than 4 s
+		}
+		time.Sleep(30 * time.Millisecond)
 		frozen.signal(syscall.SIGCONT)
-		note("%s wakes up", frozen.name)
+		note("%s wakes up after %.2f s; %s has got the list of servers", frozen.name, time.Since(frozenAt).Seconds(), restarted.name)
 	}
 	at(4500 * time.Millisecond)
 	platform.set(func() { clear(platform.delay) })
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -71,9 +71,10 @@
 	objects  map[string]map[string]object
 	events   []event
 	changed  chan struct{}
-	silent   map[string]bool          // machines whose calls are not answered
-	delay    map[string]time.Duration // before each answer
-	late     map[string]time.Duration // by name: a deletion that is not answered, and done after this time
+	silent   map[string]bool            // machines whose calls are not answered
+	delay    map[string]time.Duration   // before each answer
+	onList   func(machine, kind string) // called after the answer to a list; nil for none
+	late     map[string]time.Duration   // by name: a deletion that is not answered, and done after this time
 }
 
 func newStore() *store {
@@ -216,8 +217,12 @@
 		}
 		status, body = http.StatusOK, map[string]any{"items": items, "more": more, "read_revision": s.revision}
 	}
+	onList := s.onList
 	s.mu.Unlock()
 	s.answer(machine, w, r, status, body)
+	if onList != nil && r.Method == http.MethodGet && name == "" {
+		onList(machine, kind)
+	}
 }
 
 // deleteLate does a deletion whose answer was lost, if its condition still holds.
