--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -227,8 +227,10 @@
 	defer runs.Unlock()
 	type request struct{ sent, arrived time.Time }
 	var list []request
+	counted := map[string]bool{} // a request that ran more than once counts once
 	for _, one := range runs.list {
-		if sent, ok := sentAt[one.id]; ok {
+		if sent, ok := sentAt[one.id]; ok && !counted[one.id] {
+			counted[one.id] = true
 			list = append(list, request{sent, one.at})
 		}
 	}
@@ -272,12 +274,13 @@
 	leaving, before := servers[0], servers[2]
 	platform.put("config", "main", config(1, []string{"one"}, single("lookup", "/lookup/", "idempotent", "one")))
 	var fronts []*vm
-	for _, zone := range []string{"a", "b", "c"} {
-		fronts = append(fronts, newVM(temporary, "front-"+zone+"-1", zone, platform.address("front-"+zone+"-1")))
+	for i, zone := range []string{"a", "b", "b", "c"} {
+		name := fmt.Sprintf("front-%s-%d", zone, i+1)
+		fronts = append(fronts, newVM(temporary, name, zone, platform.address(name)))
 	}
-	restarted, frozen := fronts[0], fronts[1]
+	restarted, frozen := fronts[0], fronts[1] // the one of its zone that watches the store, as the order of their names decides
 	for _, front := range fronts {
-		front.seeds = []string{frozen.control, fronts[2].control, restarted.control}
+		front.seeds = []string{frozen.control, fronts[3].control, restarted.control}
 		front.start()
 	}
 	awaitReady(fronts...)
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -188,10 +188,15 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	case r.Method == http.MethodDelete:
-		if _, ok := s.objects[kind][name]; !ok {
+		existing, ok := s.objects[kind][name]
+		if !ok {
 			status, body = http.StatusNotFound, none
 			break
 		}
+		if revision := query.Get("revision"); revision != "" && revision != strconv.FormatInt(existing.Meta.Revision, 10) {
+			status, body = http.StatusConflict, existing
+			break
+		}
 		status, body = http.StatusOK, s.write(kind, name, nil, true)
 	case name != "":
 		found, ok := s.objects[kind][name]
@@ -381,10 +386,16 @@
 	}
 }
 
-// freePort returns a free port below those that the kernel gives to outgoing connections.
+var givenPorts = map[int]bool{}
+
+// freePort returns a free port below those that the kernel gives to outgoing connections, another one each time.
 func freePort() int {
 	for range 1000 {
 		port := 12000 + rand.IntN(18000)
+		if givenPorts[port] {
+			continue
+		}
+		givenPorts[port] = true
 		listener, err := net.Listen("tcp", local(port))
 		if err == nil {
 			_ = listener.Close()
