Relays merge records as the asking VM's version of the route says

Cause: a gather message names the route and the digest of its shards. How many records the result keeps, and how long a part may be, the relay took from its own version.

Change: the message states the number of records; to a peer that states none all records are returned.

Changed tests: TestNeeds, TestGreetingsAreForgotten, TestIncapableRelay state more than before; in TestStrandedVMBesideOlderBuild the VM that must be asked has all capabilities, and a VM with namedTargets alone must get no named calls of a route over shards; TestRelayedAccount's fake relay has the capabilities of this build.

--- a/core/fanout/forward.go
+++ b/core/fanout/forward.go
@@ -78,7 +78,7 @@
 			return unsent.endpoint, true
 		}
 	}
-	return run.shared.Fleet.ChooseRelay(now, relayPrefix+run.spec.Route, failureDomain, asked, run.spec.Regions.Allows)
+	return run.shared.Fleet.ChooseRelay(now, run.spec.relayKind(), relayPrefix+run.spec.Route, failureDomain, asked, run.spec.Regions.Allows)
 }
 
 // maxForwardedParts returns how many calls for this request a VM may be asked for in one message.
--- a/core/fanout/forward_test.go
+++ b/core/fanout/forward_test.go
@@ -172,8 +172,8 @@
 		run := fanout.New(singleSpec(false), shared, start)
 		first := relaysOf(t, run.Start(start))[0]
 		run.RelayReport(start, first.Call, fanout.Report{Missing: []fanout.Missing{{Part: 0, Outcome: fanout.Unreached}}, Final: true})
-		assert.DeepEqual(t, shared.Fleet.RelaysCutOffFrom(start, fanout.RelayService(first.VM.FailureDomain), "a"), []string{first.VM.ID})
-		assert.Equal(t, len(shared.Fleet.RelaysCutOffFrom(start.Add(time.Second), fanout.RelayService(first.VM.FailureDomain), "a")), 0)
+		assert.DeepEqual(t, shared.Fleet.UnfitRelays(start, place.MergedCalls, fanout.RelayService(first.VM.FailureDomain), "a"), []string{first.VM.ID})
+		assert.Equal(t, len(shared.Fleet.UnfitRelays(start.Add(time.Second), place.MergedCalls, fanout.RelayService(first.VM.FailureDomain), "a")), 0)
 	})
 	t.Run("requests that other VMs serve show no congestion", func(t *testing.T) {
 		services := serviceNames(9)
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -29,6 +29,14 @@
 	return route
 }
 
+// relayKind returns what a VM must be able to do to make calls for the request.
+func (spec Spec) relayKind() place.RelayKind {
+	if spec.Gather {
+		return place.MergedCalls
+	}
+	return place.NamedCalls
+}
+
 // relayParts relays parts to VMs of the failure domains with the best targets. A VM that is short of CPU also offloads parts whose best
 // target is in its own failure domain to a larger VM there. It returns the actions and the set of relayed parts.
 func (run *Run) relayParts(now time.Time) ([]Action, map[int]bool) {
@@ -72,7 +80,7 @@
 // VM does not answer.
 func (run *Run) chooseRelays(now time.Time, domain string, parts int) []place.Endpoint {
 	var relays []place.Endpoint
-	chosen := run.shared.Fleet.RelaysCutOffFrom(now, RelayService(domain), domain)
+	chosen := run.shared.Fleet.UnfitRelays(now, place.MergedCalls, RelayService(domain), domain)
 	for needed := 1; len(relays) < needed; {
 		vm, ok := run.shared.Fleet.Choose(now, RelayService(domain), relayPrefix+run.spec.Route, chosen)
 		if !ok || run.shared.Fleet.Stuck(now, vm.ID) || len(relays) > 0 && vm.Cores < relays[0].Cores/2 {
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -227,9 +227,9 @@
 }
 
 // HasCoverage reports whether at least this share of the services, and at least one, have a target that this VM can call, or another VM
-// next to the target.
-func (fleet *Fleet) HasCoverage(now time.Time, services []string, minCoverage float64) bool {
-	relayed := fleet.relayedDomains(now)
+// next to the target that can make calls of this kind.
+func (fleet *Fleet) HasCoverage(now time.Time, kind RelayKind, services []string, minCoverage float64) bool {
+	relayed := fleet.relayedDomains(now, kind)
 	count := 0
 	for _, service := range services {
 		if slices.ContainsFunc(fleet.services[service], func(endpoint *trackedEndpoint) bool {
@@ -241,12 +241,12 @@
 	return count > 0 && float64(count) >= minCoverage*float64(len(services))
 }
 
-// relayedDomains returns the failure domains with an entry VM that may call targets there for this VM.
-func (fleet *Fleet) relayedDomains(now time.Time) map[string]bool {
+// relayedDomains returns the failure domains with an entry VM that may make such calls to targets there for this VM.
+func (fleet *Fleet) relayedDomains(now time.Time, kind RelayKind) map[string]bool {
 	relayed := map[string]bool{}
 	for _, service := range fleet.relayServices {
 		for _, vm := range fleet.services[service] {
-			if fleet.mayRelay(now, vm, vm.FailureDomain) {
+			if fleet.mayRelay(now, kind, vm, vm.FailureDomain) {
 				relayed[vm.FailureDomain] = true
 				break
 			}
--- a/core/place/evacuated_test.go
+++ b/core/place/evacuated_test.go
@@ -21,7 +21,7 @@
 	assert.Assert(t, !ok)
 	fleet.SetEvacuated(start, []string{"a", "b"})
 	assertNoChoice(t, fleet, start)
-	assert.Assert(t, !fleet.HasCoverage(start, []string{"s"}, 0.5))
+	assert.Assert(t, !fleet.HasCoverage(start, place.MergedCalls, []string{"s"}, 0.5))
 	assert.Equal(t, len(fleet.BestFailureDomains(start, "s", route, false)), 0)
 	_, ok = fleet.Choose(start, "relay/b", route, nil)
 	assert.Assert(t, ok, "VMs of an evacuated failure domain continue to serve")
--- a/core/place/path.go
+++ b/core/place/path.go
@@ -15,6 +15,15 @@
 	Relayed             // a connection of another VM, to a target
 )
 
+// RelayKind is what an entry VM is to do for another one.
+type RelayKind int
+
+// The kinds of relayed requests.
+const (
+	NamedCalls  RelayKind = iota // calls to targets that the other VM names
+	MergedCalls                  // calls whose records are merged as the other VM's version of the route says
+)
+
 const (
 	maxRelayCandidates = 32                     // at most this many VMs of one failure domain are compared for one call
 	incapableTime      = 10 * time.Second       // a VM whose build lacks a capability is left alone for this time
@@ -97,9 +106,9 @@
 }
 
 // ChooseRelay returns the entry VM that should make a call to a target of a failure domain for this VM, and reports whether there is one: the
-// VM with the lowest cost that answers, reaches that failure domain, is not excluded and is in a region that may get the request. VMs next to
+// VM with the lowest cost that answers, can make such calls, reaches that failure domain, is not excluded and is in a region that may get the request. VMs next to
 // the target cost least, as only they need no further hop between failure domains.
-func (fleet *Fleet) ChooseRelay(now time.Time, route, failureDomain string, exclude []string, allows func(region string) bool) (Endpoint, bool) {
+func (fleet *Fleet) ChooseRelay(now time.Time, kind RelayKind, route, failureDomain string, exclude []string, allows func(region string) bool) (Endpoint, bool) {
 	var candidates []*trackedEndpoint
 	for _, service := range fleet.relayServices {
 		vms := fleet.services[service]
@@ -111,7 +120,7 @@
 			if left == 0 {
 				break
 			}
-			if vm := vms[(first+i)%len(vms)]; fleet.mayRelay(now, vm, failureDomain) && !slices.Contains(exclude, vm.ID) {
+			if vm := vms[(first+i)%len(vms)]; fleet.mayRelay(now, kind, vm, failureDomain) && !slices.Contains(exclude, vm.ID) {
 				candidates = append(candidates, vm)
 				left--
 			}
@@ -125,12 +134,12 @@
 	if chosen, ok = fleet.choose(now, candidates, costs, func(*trackedEndpoint) bool { return true }); ok {
 		return chosen, true
 	}
-	return fleet.lastResort(now, exclude, allows)
+	return fleet.lastResort(now, kind, exclude, allows)
 }
 
 // lastResort returns the entry VM that declined a call the longest time ago, and reports whether one may be asked now: not more often than in each
 // lastResortInterval, but for all parts of a request. Its own links may be back long before it is left alone no longer.
-func (fleet *Fleet) lastResort(now time.Time, exclude []string, allows func(region string) bool) (Endpoint, bool) {
+func (fleet *Fleet) lastResort(now time.Time, kind RelayKind, exclude []string, allows func(region string) bool) (Endpoint, bool) {
 	if now.After(fleet.lastResortAt) && now.Sub(fleet.lastResortAt) < lastResortInterval {
 		return Endpoint{}, false
 	}
@@ -140,7 +149,7 @@
 			if !vm.declines(now) || now.Sub(vm.declinedAt) < lastResortInterval || longest != nil && !vm.declinedAt.Before(longest.declinedAt) {
 				continue
 			}
-			if fleet.understandsCalls(now, vm) && allows(fleet.regions[vm.FailureDomain]) && !slices.Contains(exclude, vm.ID) {
+			if fleet.understandsCalls(now, kind, vm) && allows(fleet.regions[vm.FailureDomain]) && !slices.Contains(exclude, vm.ID) {
 				longest = vm
 			}
 		}
@@ -167,26 +176,26 @@
 	return false
 }
 
-// mayRelay reports whether an entry VM answers and, as far as is known, calls the targets of a failure domain for others.
-func (fleet *Fleet) mayRelay(now time.Time, vm *trackedEndpoint, failureDomain string) bool {
-	return fleet.understandsCalls(now, vm) && !vm.down(now, Direct) && !vm.cutOffFrom(now, failureDomain)
+// mayRelay reports whether an entry VM answers and, as far as is known, makes such calls to the targets of a failure domain for others.
+func (fleet *Fleet) mayRelay(now time.Time, kind RelayKind, vm *trackedEndpoint, failureDomain string) bool {
+	return fleet.understandsCalls(now, kind, vm) && !vm.down(now, Direct) && !vm.cutOffFrom(now, failureDomain)
 }
 
-// understandsCalls reports whether an entry VM is in reach and of a build that calls the targets that others name, as far as is known.
-func (fleet *Fleet) understandsCalls(now time.Time, vm *trackedEndpoint) bool {
-	return fleet.callable(now, vm) && !now.Before(vm.incapableUntil)
+// understandsCalls reports whether an entry VM is in reach and of a build that can make such calls for others, as far as is known.
+func (fleet *Fleet) understandsCalls(now time.Time, kind RelayKind, vm *trackedEndpoint) bool {
+	return fleet.callable(now, vm) && !now.Before(vm.incapableUntil[kind])
 }
 
-// RelayCapable records whether the build of an entry VM calls the targets that other VMs name, as its greeting says. One that does not is
-// asked again after a time, as it may have been replaced.
-func (fleet *Fleet) RelayCapable(now time.Time, vm string, capable bool) {
+// RelayCapable records whether the build of an entry VM can make such calls for others, as its greeting says. One that cannot is asked again
+// after a time, as it may have been replaced.
+func (fleet *Fleet) RelayCapable(now time.Time, kind RelayKind, vm string, capable bool) {
 	endpoint, ok := fleet.endpoints[vm]
 	if !ok {
 		return
 	}
-	endpoint.incapableUntil = time.Time{}
+	endpoint.incapableUntil[kind] = time.Time{}
 	if !capable {
-		endpoint.incapableUntil = now.Add(incapableTime)
+		endpoint.incapableUntil[kind] = now.Add(incapableTime)
 	}
 }
 
@@ -218,11 +227,12 @@
 	endpoint.declinedAt = now
 }
 
-// RelaysCutOffFrom returns the ids of the entry VMs of a failure domain that have lately said that they do not reach the targets there.
-func (fleet *Fleet) RelaysCutOffFrom(now time.Time, relayService, failureDomain string) []string {
+// UnfitRelays returns the ids of the entry VMs of a failure domain that have lately said that they do not reach the targets there, or whose build
+// cannot make calls of this kind.
+func (fleet *Fleet) UnfitRelays(now time.Time, kind RelayKind, relayService, failureDomain string) []string {
 	var ids []string
 	for _, vm := range fleet.services[relayService] {
-		if vm.cutOffFrom(now, failureDomain) {
+		if vm.cutOffFrom(now, failureDomain) || now.Before(vm.incapableUntil[kind]) {
 			ids = append(ids, vm.ID)
 		}
 	}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -277,17 +277,17 @@
 	t.Run("coverage counts only callable targets", func(t *testing.T) {
 		fleet := newFleet(all...)
 		now := silence(fleet, "b", "c")
-		assert.Assert(t, fleet.HasCoverage(now, []string{"s"}, 1))
+		assert.Assert(t, fleet.HasCoverage(now, place.MergedCalls, []string{"s"}, 1))
 		fleet.Remove("a0")
-		assert.Assert(t, !fleet.HasCoverage(now, []string{"s"}, 0.5))
+		assert.Assert(t, !fleet.HasCoverage(now, place.MergedCalls, []string{"s"}, 0.5))
 	})
 	t.Run("coverage counts targets that a VM next to them can call", func(t *testing.T) {
 		vm := place.Endpoint{ID: "vm", Service: "vms", FailureDomain: "b", State: place.Ready, Peer: true}
 		fleet := newFleet(target("b0", "b"), target("b1", "b"), vm)
 		now := silence(fleet, "b")
-		assert.Assert(t, fleet.HasCoverage(now, []string{"s"}, 1))
+		assert.Assert(t, fleet.HasCoverage(now, place.MergedCalls, []string{"s"}, 1))
 		fleet.RelayReached(now, "vm", "b", false)
-		assert.Assert(t, !fleet.HasCoverage(now, []string{"s"}, 1))
+		assert.Assert(t, !fleet.HasCoverage(now, place.MergedCalls, []string{"s"}, 1))
 	})
 	t.Run("other failure domains are returned only if the best target is there", func(t *testing.T) {
 		fleet := newFleet(all...)
@@ -355,16 +355,16 @@
 	fleet := newFleet(vm("vm-a", "a"), vm("vm-b1", "b"), vm("vm-b2", "b"), vm("vm-c", "c"))
 	fleet.SetRegions(map[string]string{"a": "x", "b": "x", "c": "y"})
 	choose := func(domain string, exclude []string, regions string) string {
-		chosen, _ := fleet.ChooseRelay(start, "r", domain, exclude, func(region string) bool { return strings.Contains(regions, region) })
+		chosen, _ := fleet.ChooseRelay(start, place.NamedCalls, "r", domain, exclude, func(region string) bool { return strings.Contains(regions, region) })
 		return chosen.ID
 	}
 	assert.Equal(t, choose("a", nil, "xy"), "vm-a")
 	assert.Equal(t, choose("c", nil, "xy"), "vm-c")
 	assert.Equal(t, choose("b", []string{"vm-b1"}, "xy"), "vm-b2")
 	assert.Equal(t, choose("c", []string{"vm-a", "vm-b1"}, "x"), "vm-b2")
-	fleet.RelayCapable(start, "vm-b1", false)
+	fleet.RelayCapable(start, place.NamedCalls, "vm-b1", false)
 	assert.Equal(t, choose("b", nil, "xy"), "vm-b2")
-	fleet.RelayCapable(start, "vm-b1", true)
+	fleet.RelayCapable(start, place.NamedCalls, "vm-b1", true)
 	fleet.StartAttempt(start, "vm-b2", "r").Refused(start)
 	assert.Equal(t, choose("b", nil, "x"), "vm-b1")
 	assert.Equal(t, choose("b", []string{"vm-a", "vm-b1"}, "x"), "")
@@ -387,7 +387,7 @@
 		return fleet, now
 	}
 	choose := func(fleet *place.Fleet, now time.Time, exclude ...string) string {
-		chosen, _ := fleet.ChooseRelay(now, "r", "a", exclude, func(string) bool { return true })
+		chosen, _ := fleet.ChooseRelay(now, place.NamedCalls, "r", "a", exclude, func(string) bool { return true })
 		return chosen.ID
 	}
 	t.Run("not at once", func(t *testing.T) {
@@ -425,11 +425,19 @@
 // TestIncapableRelay guards against a VM that is left alone for ever because of the build that it once had.
 func TestIncapableRelay(t *testing.T) {
 	fleet := newFleet(place.Endpoint{ID: "vm", Service: "relay/b", FailureDomain: "b", Slots: 16, State: place.Ready, Peer: true})
-	fleet.RelayCapable(start, "vm", false)
+	fleet.RelayCapable(start, place.MergedCalls, "vm", false)
+	chosen := func(now time.Time, kind place.RelayKind) bool {
+		_, ok := fleet.ChooseRelay(now, kind, "r", "b", nil, func(string) bool { return true })
+		return ok
+	}
 	for elapsed, want := range map[time.Duration]bool{0: false, 9 * time.Second: false, 11 * time.Second: true} {
-		_, ok := fleet.ChooseRelay(start.Add(elapsed), "r", "b", nil, func(string) bool { return true })
-		assert.Equal(t, ok, want, "%s", elapsed)
+		now := start.Add(elapsed)
+		assert.Equal(t, chosen(now, place.MergedCalls), want, "%s", elapsed)
+		assert.Equal(t, len(fleet.UnfitRelays(now, place.MergedCalls, "relay/b", "b")) == 0, want, "%s", elapsed)
+		assert.Assert(t, chosen(now, place.NamedCalls), "%s", elapsed)
 	}
+	fleet.RelayCapable(start, place.NamedCalls, "vm", false)
+	assert.Assert(t, !chosen(start, place.NamedCalls))
 }
 
 func TestShouldOffload(t *testing.T) {
--- a/core/rpc/capability.go
+++ b/core/rpc/capability.go
@@ -12,11 +12,14 @@
 // LendsBudget says that a VM makes the calls of a Gather with Pays only as far as its own budgets of extra calls allow.
 const LendsBudget Capability = "lendsBudget"
 
+// RecordLimit says that a VM merges the records of a Gather within the limit that the message states, instead of that of its own version of the route.
+const RecordLimit Capability = "recordLimit"
+
 // maxCapabilities bounds the capabilities in a greeting.
 const maxCapabilities = 256
 
 // OwnCapabilities returns the capabilities of this build.
-func OwnCapabilities() []Capability { return []Capability{NamedTargets, LendsBudget} }
+func OwnCapabilities() []Capability { return []Capability{NamedTargets, LendsBudget, RecordLimit} }
 
 // Hello names the VM at the other end of a link, its build and its capabilities. The first builds send neither build nor capabilities.
 type Hello struct {
@@ -26,9 +29,9 @@
 	Capabilities []Capability `json:"can,omitempty"`
 }
 
-// Can reports whether the VM understands a capability; every VM understands the empty one.
-func (hello Hello) Can(capability Capability) bool {
-	return capability == "" || slices.Contains(hello.Capabilities, capability)
+// Can reports whether the VM has all of some capabilities.
+func (hello Hello) Can(needed ...Capability) bool {
+	return !slices.ContainsFunc(needed, func(capability Capability) bool { return !slices.Contains(hello.Capabilities, capability) })
 }
 
 // Validate checks a decoded greeting.
--- a/core/rpc/corpus_test.go
+++ b/core/rpc/corpus_test.go
@@ -109,10 +109,13 @@
 	})
 }
 
-// TestNeeds guards against a message to a VM of an earlier build that ignores the targets or calls them more than once.
+// TestNeeds guards against a message to a VM of an earlier build that ignores the targets, calls them more than once, or drops records that the
+// asking VM needs.
 func TestNeeds(t *testing.T) {
-	assert.Equal(t, rpc.Gather{}.Needs(), rpc.Capability(""))
-	assert.Equal(t, rpc.Gather{Targets: []string{"i-1"}}.Needs(), rpc.NamedTargets)
-	assert.Equal(t, rpc.Gather{Once: true}.Needs(), rpc.NamedTargets)
-	assert.Equal(t, rpc.Gather{Targets: []string{"i-1"}, Pays: true}.Needs(), rpc.LendsBudget)
+	assert.Equal(t, len(rpc.Gather{}.Needs()), 0)
+	assert.DeepEqual(t, rpc.Gather{Targets: []string{"i-1"}}.Needs(), []rpc.Capability{rpc.NamedTargets})
+	assert.DeepEqual(t, rpc.Gather{Once: true}.Needs(), []rpc.Capability{rpc.NamedTargets})
+	assert.DeepEqual(t, rpc.Gather{Targets: []string{"i-1"}, Pays: true}.Needs(), []rpc.Capability{rpc.NamedTargets, rpc.LendsBudget})
+	assert.DeepEqual(t, rpc.Gather{ShardsDigest: 7}.Needs(), []rpc.Capability{rpc.RecordLimit})
+	assert.DeepEqual(t, rpc.Gather{ShardsDigest: 7, Targets: []string{"i-1"}, Pays: true}.Needs(), rpc.OwnCapabilities())
 }
--- a/core/rpc/gather.go
+++ b/core/rpc/gather.go
@@ -23,11 +23,12 @@
 	QueryID      string          `json:"query"`  // unique within the requesting VM's incarnation
 	ShardsDigest uint64          `json:"shards"` // digest of the route's shards, which the indices in Parts refer to
 	Route        string          `json:"route"`
-	Parts        []int           `json:"parts"`             // indices into the route's shards; 0 for the only part of a route that does not gather
-	Targets      []string        `json:"targets,omitempty"` // ids of the targets to call, one for each part; empty if the receiver chooses
-	Once         bool            `json:"once,omitempty"`    // the request is not idempotent
-	Pays         bool            `json:"pays,omitempty"`    // the receiver's budgets of extra calls pay for the calls, or it reports fanout.Unpaid
-	RequestID    string          `json:"id"`                // ID of the client's request
+	Parts        []int           `json:"parts"`                 // indices into the route's shards; 0 for the only part of a route that does not gather
+	Targets      []string        `json:"targets,omitempty"`     // ids of the targets to call, one for each part; empty if the receiver chooses
+	RecordLimit  int             `json:"recordLimit,omitempty"` // the asking VM keeps this many of the greatest records; 0 from builds that do not say
+	Once         bool            `json:"once,omitempty"`        // the request is not idempotent
+	Pays         bool            `json:"pays,omitempty"`        // the receiver's budgets of extra calls pay for the calls, or it reports fanout.Unpaid
+	RequestID    string          `json:"id"`                    // ID of the client's request
 	Method       string          `json:"method"`
 	Head         []byte          `json:"head"` // request line and the headers common to all calls
 	Body         []byte          `json:"body,omitempty"`
@@ -61,15 +62,19 @@
 	QueryID string `json:"query"`
 }
 
-// Needs returns the capability that the receiver must have, "" for none: without it, named targets, Once and Pays mean nothing to it.
-func (gather Gather) Needs() Capability {
+// Needs returns the capabilities that the receiver must have: without them, named targets, Once, Pays and RecordLimit mean nothing to it.
+func (gather Gather) Needs() []Capability {
+	var needed []Capability
+	if len(gather.Targets) > 0 || gather.Once {
+		needed = append(needed, NamedTargets)
+	}
 	if gather.Pays {
-		return LendsBudget
+		needed = append(needed, LendsBudget)
 	}
-	if len(gather.Targets) > 0 || gather.Once {
-		return NamedTargets
+	if gather.ShardsDigest != 0 {
+		needed = append(needed, RecordLimit)
 	}
-	return ""
+	return needed
 }
 
 // Validate checks a decoded request.
@@ -83,6 +88,9 @@
 	if gather.Pays && (len(gather.Targets) == 0 || gather.Once) {
 		return invalid("gather", "calls on the receiver's budget need named targets and an idempotent request")
 	}
+	if gather.RecordLimit < 0 {
+		return invalid("gather", "record limit %d is negative", gather.RecordLimit)
+	}
 	if len(gather.Parts) == 0 || len(gather.Parts) > MaxCalls {
 		return invalid("gather", "number of parts %d is out of range", len(gather.Parts))
 	}
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -164,10 +164,14 @@
 mutant "any VM in reach ends a cut" place domain.go 's/if !fleet.reachabilityOf\(endpoint.group\(\)\).cutOff\(now\) \{/if !fleet.reachabilityOf(endpointGroup{endpoint.FailureDomain, true}).cutOff(now) {/'
 mutant "forwarded call hedged" fanout calls.go 's/return run.mayHedge\(\) && part.answeredBy/return part.answeredBy/'
 mutant "early report of one call" fanout relay_run.go 's/, reportedEarly: spec.Once/, reportedEarly: false \&\& spec.Once/'
-mutant "incapable relay chosen" place path.go 's/ && !now.Before\(vm.incapableUntil\)//'
+mutant "incapable relay chosen" place path.go 's/ && !now.Before\(vm.incapableUntil\[kind\]\)//'
+mutant "incapable relay merges" place path.go 's/ \|\| now.Before\(vm.incapableUntil\[kind\]\)//'
 mutant "field of a message dropped" rpc gather.go 's/`json:"once,omitempty"`/`json:"-"`/'
 mutant "later field rejected" member message.go 's/json.Unmarshal\(data, \(\*plain\)\(message\)\)/func() error { decoder := json.NewDecoder(bytes.NewReader(data)); decoder.DisallowUnknownFields(); return decoder.Decode((*plain)(message)) }()/; s/import \(/import (\n\t"bytes"/'
 mutant_of core "capability not needed" rpc gather.go 's/if len\(gather.Targets\) > 0 \|\| gather.Once \{/if false {/' TestNeeds
+mutant_of core "record limit not needed" rpc gather.go 's/if gather.ShardsDigest != 0 \{/if false {/' TestNeeds
+mutant_of poplarpind "relay merges by its own version" gateway serve.go 's/job.started, job.recordLimit = relayRun, relayRun, now, recordLimitOf\(gather\)/job.started, job.recordLimit = relayRun, relayRun, now, matched.Destination.(route.Gather).TopK/' TestRelayOfAnotherRouteVersion
+mutant_of poplarpind "older peers get no records" gateway relay.go 's/if gather.RecordLimit == 0 \{/if false {/' TestRecordLimit
 mutant_of poplarpind "message sent on a closed link" peer link.go 's/if link.closed \{\n\t\treturn false\n\t\}\n\tlink.lastSent/link.lastSent/' TestClosedBeforeSending
 mutant_of poplarpind "refusal of any peer believed" gateway relay.go 's/\tok = ok && call.relayVM == relayVM\n//' TestRefusalOfAnotherPeer
 mutant_of poplarpind "refusal with results believed" gateway relay.go 's/if message.Refused && !hasResults\(message\) \{/if message.Refused {/' TestContradictoryRefusal
@@ -177,7 +181,7 @@
 mutant_of poplarpind "job behind the last look" gateway relay.go 's/if gateway.refusesRelays.Load\(\) \{/if false {/' TestRelayRequestWhileStopEnds
 mutant_of poplarpind "false promise passed on" gateway serve.go 's/if !reply.PromisesNotRun\(\) \{/if true {/' TestFalsePromise
 mutant_of poplarpind "abandoned call sent" http1 exchange.go 's/return !exchange.ended && !exchange.abandoned/return !exchange.ended/' TestAbandonedWhileOpening
-mutant_of poplarpind "capability not checked" peer link.go 's/if !link.peer.Can\(capabilityFor\(params\)\) \{/if false {/' TestCapabilities
+mutant_of poplarpind "capability not checked" peer link.go 's/if !link.peer.Can\(capabilitiesFor\(params\)...\) \{/if false {/' TestCapabilities
 mutant "better source taken unasked" follow follow.go 's/best, candidate = follower.plan.Source, best/candidate = ""/'
 mutant_of poplarpind "silence counted anew" peer link.go 's/if link.silentSince.IsZero\(\) \{/if true {/' TestSilence
 mutant_of poplarpind "prompt message not watched" peer link.go 's/awaitsReply \|\| link.promptSent/awaitsReply/' TestPromptMessage
--- a/poplarpind/gateway/accounts_test.go
+++ b/poplarpind/gateway/accounts_test.go
@@ -317,7 +317,7 @@
 	gather := config["routes"].([]map[string]any)[0]
 	gather["gather"], gather["target_latency_ms"] = shards, 100
 	store.Put("config", "main", config)
-	relay := startRelay(t, store, "vm-b1", "b")
+	relay := startRelay(t, store, "vm-b1", "b", rpc.OwnCapabilities()...)
 	settings := newSettings(t, "vm-a1", "a", store)
 	settings.Regions = map[string]string{"a": "north", "b": "south"}
 	vm := startVMWith(t, settings, zap.NewNop())
--- a/poplarpind/gateway/admit_test.go
+++ b/poplarpind/gateway/admit_test.go
@@ -86,6 +86,6 @@
 func TestUnsentLoan(t *testing.T) {
 	gateway := newTestGateway()
 	loan := fanout.Relay{VM: place.Endpoint{ID: "vm-b1"}, Reason: fanout.BudgetSpent}
-	assert.Equal(t, gateway.unsentOutcome(loan, peer.Incapable), fanout.Unpaid)
-	assert.Equal(t, gateway.unsentOutcome(loan, peer.Unreachable), fanout.NotSent)
+	assert.Equal(t, gateway.unsentOutcome(loan, place.NamedCalls, peer.Incapable), fanout.Unpaid)
+	assert.Equal(t, gateway.unsentOutcome(loan, place.NamedCalls, peer.Unreachable), fanout.NotSent)
 }
--- a/poplarpind/gateway/corpus_test.go
+++ b/poplarpind/gateway/corpus_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"poplarpin.dev/core/corpustest"
+	"poplarpin.dev/core/place"
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/platform"
 	"poplarpin.dev/poplarpind/peer"
@@ -38,13 +39,19 @@
 	}
 	gateway.setPeers([]platform.VM{{Name: "vm-a2", FailureDomain: "a", Address: "127.0.0.1:1"}})
 	assert.Equal(t, len(gateway.Dump().Peers), 1)
-	relays := func() bool {
-		_, ok := gateway.fleet.ChooseRelay(time.Now(), "r", "a", nil, func(string) bool { return true })
+	relays := func(kind place.RelayKind) bool {
+		_, ok := gateway.fleet.ChooseRelay(time.Now(), kind, "r", "a", nil, func(string) bool { return true })
 		return ok
 	}
-	assert.Assert(t, relays())
-	gateway.Greeted(rpc.Hello{VM: "vm-a2"})
-	assert.Assert(t, !relays())
-	gateway.Greeted(rpc.Hello{VM: "vm-a2", Capabilities: rpc.OwnCapabilities()})
-	assert.Assert(t, relays())
+	assertRelays := func(named, merged bool, capabilities ...rpc.Capability) {
+		t.Helper()
+		gateway.Greeted(rpc.Hello{VM: "vm-a2", Capabilities: capabilities})
+		assert.Equal(t, relays(place.NamedCalls), named)
+		assert.Equal(t, relays(place.MergedCalls), merged)
+	}
+	assertRelays(true, true, rpc.OwnCapabilities()...)
+	assertRelays(false, false)
+	assertRelays(true, false, rpc.NamedTargets)
+	assertRelays(false, false, rpc.RecordLimit)
+	assertRelays(true, true, rpc.OwnCapabilities()...)
 }
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -39,6 +39,7 @@
 	limiter        *admit.Limiter // that admitted the request; nil for none
 	token          token
 	version        int64
+	recordLimit    int // number of records that the answer, or the message to the peer, keeps; 0 for a route that does not gather
 	machine        stateMachine
 	clientRun      *fanout.Run         // nil for parts that a peer asked for
 	relayRun       *fanout.RelayRun    // nil for client requests
@@ -166,8 +167,12 @@
 
 // maxResponseBody returns the limit on the body of a target's response, 0 for the default.
 func (job *job) maxResponseBody() int64 {
-	if gather, ok := job.route.Destination.(route.Gather); ok {
-		return max(gatherBodyFactor*int64(gather.TopK)*platform.RecordSize, minGatherBody)
+	if _, ok := job.route.Destination.(route.Gather); ok {
+		limit := max(gatherBodyFactor*int64(job.recordLimit)*platform.RecordSize, minGatherBody)
+		if job.relayRun != nil {
+			limit = min(limit, rpc.MaxForwardedBody)
+		}
+		return limit
 	}
 	if job.relayRun != nil {
 		return rpc.MaxForwardedBody
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -155,7 +155,9 @@
 	defer gateway.mu.Unlock()
 	before, known := gateway.greetings[hello.VM]
 	gateway.greetings[hello.VM] = hello
-	gateway.fleet.RelayCapable(time.Now(), hello.VM, hello.Can(rpc.NamedTargets))
+	now := time.Now()
+	gateway.fleet.RelayCapable(now, place.NamedCalls, hello.VM, hello.Can(rpc.NamedTargets))
+	gateway.fleet.RelayCapable(now, place.MergedCalls, hello.VM, hello.Can(rpc.NamedTargets, rpc.RecordLimit))
 	if !known || before.Build != hello.Build {
 		gateway.log.Info("build of peer known", zap.String("peer", truncate(hello.VM)), zap.String("build", truncate(hello.Build)),
 			zap.Int("capabilities", len(hello.Capabilities)))
--- a/poplarpind/gateway/probe.go
+++ b/poplarpind/gateway/probe.go
@@ -133,7 +133,7 @@
 			minCoverage = gather.MinCoverage
 		}
 		total += requests
-		if gateway.fleet.HasCoverage(now, matched.Services(), minCoverage) {
+		if gateway.fleet.HasCoverage(now, relayKind(matched), matched.Services(), minCoverage) {
 			served += requests
 		}
 	}
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -11,12 +11,16 @@
 
 	"poplarpin.dev/core/config"
 	"poplarpin.dev/core/fanout"
+	"poplarpin.dev/core/place"
 	"poplarpin.dev/core/route"
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/platform"
 	"poplarpin.dev/poplarpind/peer"
 )
 
+// maxForwardedRecords is how many records a result for a peer holds at most, so that it fits into a message.
+const maxForwardedRecords = rpc.MaxForwardedBody / platform.RecordSize
+
 // relayedCall is a call that a peer relays for this VM.
 type relayedCall struct {
 	job     *job
@@ -40,13 +44,13 @@
 	job.relayQueries[relay.Call] = queryID
 	deadline := job.deadline
 	gateway.mu.Unlock()
-	if len(job.request.Body) > rpc.MaxForwardedBody {
+	if len(job.request.Body) > rpc.MaxForwardedBody || job.recordLimit > maxForwardedRecords {
 		gateway.endRelay(queryID, relay.VM.ID, fanout.NoCapacity)
 		return
 	}
 	message := rpc.Gather{
 		QueryID: queryID, Route: job.route.Name, ShardsDigest: shardsDigest(job.route), Parts: relay.Parts, Targets: relay.Targets, Once: !job.route.Idempotent,
-		Pays:      relay.Reason == fanout.BudgetSpent,
+		Pays: relay.Reason == fanout.BudgetSpent, RecordLimit: job.recordLimit,
 		RequestID: job.request.ID, Method: job.request.Method, Head: job.request.Head(), Body: job.request.Body,
 		ReportAfter: config.Duration(relay.ReportAfter),
 	}
@@ -58,7 +62,7 @@
 			return message, gateway.isRelayed(queryID)
 		},
 		OnUnsent: func(reason peer.Kind) {
-			gateway.endRelay(queryID, relay.VM.ID, gateway.unsentOutcome(relay, reason))
+			gateway.endRelay(queryID, relay.VM.ID, gateway.unsentOutcome(relay, relayKind(job.route), reason))
 		},
 	})
 }
@@ -72,7 +76,7 @@
 }
 
 // unsentOutcome returns the outcome of a relayed call whose message was not sent.
-func (gateway *Gateway) unsentOutcome(relay fanout.Relay, reason peer.Kind) fanout.Outcome {
+func (gateway *Gateway) unsentOutcome(relay fanout.Relay, kind place.RelayKind, reason peer.Kind) fanout.Outcome {
 	if reason != peer.Incapable {
 		return fanout.NotSent
 	}
@@ -81,10 +85,18 @@
 	}
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	gateway.fleet.RelayCapable(time.Now(), relay.VM.ID, false)
+	gateway.fleet.RelayCapable(time.Now(), kind, relay.VM.ID, false)
 	return fanout.NoCapacity // the VM itself is well
 }
 
+// relayKind returns what a VM must be able to do to make calls for requests of a route.
+func relayKind(matched *route.Route) place.RelayKind {
+	if _, ok := matched.Destination.(route.Gather); ok {
+		return place.MergedCalls
+	}
+	return place.NamedCalls
+}
+
 // shardsDigest returns the digest of a route's shards, 0 for a route without any.
 func shardsDigest(matched *route.Route) uint64 {
 	gather, _ := matched.Destination.(route.Gather)
@@ -368,11 +380,20 @@
 	}
 }
 
+// recordLimitOf returns how many records a result for a peer must keep. The peer's version of the route decides, not this VM's: a peer of a build
+// that does not state it gets all records.
+func recordLimitOf(gather rpc.Gather) int {
+	if gather.RecordLimit == 0 {
+		return maxForwardedRecords
+	}
+	return min(gather.RecordLimit, maxForwardedRecords)
+}
+
 // gatherResult returns the message that carries a report to the requesting peer.
 func (gateway *Gateway) gatherResult(job *job, gather rpc.Gather, report fanout.Report) rpc.GatherResult {
 	result := rpc.GatherResult{QueryID: gather.QueryID, Overdue: report.Early, Final: report.Final}
-	if destination, ok := job.route.Destination.(route.Gather); ok {
-		merged := gateway.merge(job, fanout.Deliver{Calls: report.Answered}, destination)
+	if _, ok := job.route.Destination.(route.Gather); ok {
+		merged := gateway.merge(job, fanout.Deliver{Calls: report.Answered})
 		result.Stamps, result.Records = merged.Stamps, merged.Body
 	} else if response := job.reply(0); response.Status > 0 {
 		result.Response = &rpc.Response{Status: response.Status, Header: response.Header, Body: response.Body}
--- a/poplarpind/gateway/relayed_calls_test.go
+++ b/poplarpind/gateway/relayed_calls_test.go
@@ -180,3 +180,10 @@
 		Timeout: config.Duration(time.Minute), ReportAfter: config.Duration(time.Minute)})
 	assert.Assert(t, (<-results).Refused)
 }
+
+// TestRecordLimit guards against records dropped for a peer of a build that does not state its limit, and against results that no message can hold.
+func TestRecordLimit(t *testing.T) {
+	for stated, want := range map[int]int{0: maxForwardedRecords, 3: 3, maxForwardedRecords + 1: maxForwardedRecords} {
+		assert.Equal(t, recordLimitOf(rpc.Gather{RecordLimit: stated}), want)
+	}
+}
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -132,18 +132,19 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	gateway.routeRequests[matched.Name]++
+	recordLimit := 0
 	switch destination := matched.Destination.(type) {
 	case route.Single:
 		spec.Parts = []string{destination.Service}
 	case route.Split:
 		spec.Parts = []string{destination.Pick(gateway.random)}
 	case route.Gather:
-		spec.Parts, spec.Gather, spec.MinCoverage = destination.Shards, true, destination.MinCoverage
+		spec.Parts, spec.Gather, spec.MinCoverage, recordLimit = destination.Shards, true, destination.MinCoverage, destination.TopK
 	}
 	margin := path.Margin(gateway.settings.Cores)
 	run := fanout.New(spec, fanout.SharedState{Fleet: gateway.fleet, Budgets: gateway.budgets, ResponseMargin: margin + gateway.responseDelay}, now)
 	job := gateway.newBareJob(request, matched, version, now.Add(timeout))
-	job.margin = margin
+	job.margin, job.recordLimit = margin, recordLimit
 	job.account, job.machine, job.clientRun, job.started = account, run, run, now
 	job.relayQueries, job.relayResults, job.response = map[int]string{}, map[int]rpc.GatherResult{}, make(chan fanout.Response, 1)
 	job.endByStop()
@@ -183,7 +184,7 @@
 	relayRun := fanout.NewRelayRun(spec, gateway.fleet, now)
 	request := platform.NewForwardedRequest(gather.RequestID, gather.Method, gather.Head, gather.Body)
 	job := gateway.newBareJob(request, matched, version, now.Add(gather.Timeout.Std()))
-	job.machine, job.relayRun, job.started = relayRun, relayRun, now
+	job.machine, job.relayRun, job.started, job.recordLimit = relayRun, relayRun, now, recordLimitOf(gather)
 	job.endByStop()
 	return job
 }
@@ -223,11 +224,10 @@
 }
 
 func (gateway *Gateway) deliver(job *job, deliver fanout.Deliver) platform.Answer {
-	gather, ok := job.route.Destination.(route.Gather)
-	if !ok {
+	if _, ok := job.route.Destination.(route.Gather); !ok {
 		return gateway.relayed(job, deliver.Calls[0])
 	}
-	return gateway.merge(job, deliver, gather)
+	return gateway.merge(job, deliver)
 }
 
 // relayed passes on the response of a target that has run the request, unless its status would promise the client the opposite.
@@ -243,7 +243,7 @@
 }
 
 // merge combines the records of the calls that make up a response and keeps the top ones.
-func (gateway *Gateway) merge(job *job, deliver fanout.Deliver, gather route.Gather) platform.Merged {
+func (gateway *Gateway) merge(job *job, deliver fanout.Deliver) platform.Merged {
 	merged := platform.Merged{Missing: deliver.Missing}
 	parts := make([][]byte, 0, len(deliver.Calls))
 	gateway.mu.Lock()
@@ -258,7 +258,7 @@
 		merged.Stamps = append(merged.Stamps, reply.Stamp)
 		parts = append(parts, reply.Body)
 	}
-	merged.Body = merge.TopRecords(parts, platform.RecordSize, gather.TopK)
+	merged.Body = merge.TopRecords(parts, platform.RecordSize, job.recordLimit)
 	return merged
 }
 
--- a/poplarpind/gateway/stranded_test.go
+++ b/poplarpind/gateway/stranded_test.go
@@ -96,11 +96,13 @@
 	}
 }
 
-// TestStrandedVMBesideOlderBuild guards against a message that names targets to a VM whose build chooses the targets itself, and may hedge.
+// TestStrandedVMBesideOlderBuild guards against a message that names targets to a VM whose build chooses the targets itself, and may hedge, or
+// merges their records as its own version of the route says.
 func TestStrandedVMBesideOlderBuild(t *testing.T) {
 	deployment := newStrandedDeployment(t)
 	older := startRelay(t, deployment.store, "vm-b0", "b")
-	newer := startRelay(t, deployment.store, "vm-b3", "b", rpc.NamedTargets)
+	merging := startRelay(t, deployment.store, "vm-b4", "b", rpc.NamedTargets)
+	newer := startRelay(t, deployment.store, "vm-b3", "b", rpc.OwnCapabilities()...)
 	waitFor(t, "the list of VMs", func() bool { return deployment.stranded.gateway.Dump().Endpoint("vm-b3").State == "ready" })
 	deployment.eachLink((*platformtest.Link).Hang)
 	for _, target := range deployment.targets {
@@ -111,8 +113,13 @@
 		return len(newer.gathers) > 0
 	})
 	assertServes(t, deployment.stranded, "/g/x", "/o/x")
-	assert.Assert(t, len((<-newer.gathers).Targets) > 0)
+	gather := <-newer.gathers
+	assert.Assert(t, len(gather.Targets) > 0)
+	assert.Equal(t, gather.RecordLimit, 5)
 	assert.Equal(t, len(older.gathers), 0)
+	for len(merging.gathers) > 0 {
+		assert.Equal(t, (<-merging.gathers).ShardsDigest, uint64(0))
+	}
 }
 
 // TestStrandedVMSuspectsNoRequest guards against requests that count as crashing their targets because one VM lost its links to these.
--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -49,7 +49,7 @@
 			if !wanted {
 				continue
 			}
-			if !link.peer.Can(capabilityFor(params)) {
+			if !link.peer.Can(capabilitiesFor(params)...) {
 				message.unsent(Incapable)
 				continue
 			}
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -103,7 +103,7 @@
 	return time.Since(mesh.failedAt[name]) > redialBackoff
 }
 
-// Message is a notification to a peer. Params that need a capability have a method Needs, and go only to peers that have it.
+// Message is a notification to a peer. Params that need capabilities have a method Needs, and go only to peers that have them.
 type Message struct {
 	Method   string
 	Params   any
@@ -120,12 +120,12 @@
 	return message.Build()
 }
 
-// capabilityFor returns the capability that a receiver of the params needs, "" for none.
-func capabilityFor(params any) rpc.Capability {
-	if demanding, ok := params.(interface{ Needs() rpc.Capability }); ok {
+// capabilitiesFor returns the capabilities that a receiver of the params needs.
+func capabilitiesFor(params any) []rpc.Capability {
+	if demanding, ok := params.(interface{ Needs() []rpc.Capability }); ok {
 		return demanding.Needs()
 	}
-	return ""
+	return nil
 }
 
 func (message Message) unsent(kind Kind) {
--- a/testbed/upgrade/build.go
+++ b/testbed/upgrade/build.go
@@ -8,7 +8,7 @@
 )
 
 // Landed lists the builds that may run beside this one, oldest first.
-var Landed = []string{"0b73695", "3db0f72", "0fcc62c", "e92619e"}
+var Landed = []string{"0b73695", "3db0f72", "0fcc62c", "e92619e", "64bd6d7"}
 
 // repeatingBuild is the landed build whose VMs send a forwarded request that is not idempotent to a second target when a relay of the same build reports
 // that the first takes long (docs/design/builds.md).
