Followers forget targets whose deletion their source has not seen

Cause: a VM sends changes unless tombstones after the follower's revision were dropped (tombstoneFloor). The store's own list did not raise this floor, though it does not show what came and went since the revision known before.

Change: a list of the store counts as full, and the floor is its revision, set once the list is merged. Changes that are pushed to a follower below the floor are a full list; it carries the tombstones of lapsed targets, so that their grace period stays. Why this works: a follower computes the deletions from a full list itself.

The message between VMs is unchanged.

--- a/core/follow/store_cache.go
+++ b/core/follow/store_cache.go
@@ -18,7 +18,7 @@
 	tombstones     int
 	era            int64 // of the following revisions
 	revision       int64 // up to which all changes of targets are known
-	tombstoneFloor int64 // revision up to which tombstones were dropped
+	tombstoneFloor int64 // revision up to which tombstones may be missing: they were dropped, or a list did not show the deletions before it
 	firstList      int64 // revision of the era's first list; 0 for an era without a restore
 }
 
@@ -91,16 +91,19 @@
 	if update.Era < storeCache.era || update.Era > storeCache.era && !update.Full {
 		return config, nil
 	}
-	objects, entering := update.Servers, update.Era > storeCache.era
+	objects, entering, floor := update.Servers, update.Era > storeCache.era, storeCache.tombstoneFloor
 	if entering {
 		objects = storeCache.enterEra(update)
+		floor = storeCache.tombstoneFloor
 	} else if update.Full {
 		listed := map[string]bool{}
 		for _, object := range objects {
 			listed[object.Name] = true
 		}
 		objects = append(slices.Clone(objects), storeCache.Tombstones(listed, update.Through, false)...)
-		storeCache.tombstoneFloor = max(storeCache.tombstoneFloor, update.Through) // a full list does not show earlier deletions
+		if update.Through > storeCache.revision { // the list does not show which targets came and went since the cached revision
+			floor = update.Through
+		}
 	}
 	for _, object := range objects {
 		if !entering && storeCache.isOutdated(object) {
@@ -114,6 +117,7 @@
 	if update.Full || update.Since <= storeCache.revision {
 		storeCache.AdvanceTo(update.Through)
 	}
+	storeCache.tombstoneFloor = max(storeCache.tombstoneFloor, floor)
 	return config, targets
 }
 
@@ -143,8 +147,13 @@
 	return revisions
 }
 
-// UpdateSince returns the changes after the revisions that a peer knows, or a full list if the peer knows no targets yet or tombstones
-// after its revision were dropped, or knows those of a lower era.
+// KnowsDeletionsSince reports whether changes show all deletions after a revision, so that a VM that knows this revision needs no full list.
+func (storeCache *StoreCache) KnowsDeletionsSince(revision int64) bool {
+	return revision >= storeCache.tombstoneFloor
+}
+
+// UpdateSince returns the changes after the revisions that a peer knows, or a full list if the peer knows no targets yet, tombstones after
+// its revision may be missing, or it knows the targets of a lower era. A full list has the tombstones of lapsed targets, which may come back.
 func (storeCache *StoreCache) UpdateSince(revisions rpc.StoreRevisions, storeReachable bool) rpc.StoreUpdate {
 	update := rpc.StoreUpdate{StoreReachable: storeReachable}
 	if storeCache.config != nil && rpc.IsAfter(storeCache.config.Era, storeCache.config.Revision, revisions.ConfigEra, revisions.Config) {
@@ -158,10 +167,10 @@
 	}
 	update.Since, update.Through = revisions.Servers, storeCache.revision
 	update.Era, update.FirstList = storeCache.era, storeCache.firstList
-	update.Full = revisions.Servers < storeCache.tombstoneFloor || revisions.Servers == 0
+	update.Full = revisions.Servers == 0 || !storeCache.KnowsDeletionsSince(revisions.Servers)
 	for _, object := range storeCache.targets {
-		if update.Full && !object.Deleted ||
-			!update.Full && rpc.IsAfter(object.Era, object.Revision, storeCache.era, revisions.Servers) {
+		changed := rpc.IsAfter(object.Era, object.Revision, storeCache.era, revisions.Servers)
+		if update.Full && !object.Deleted || changed && (!update.Full || object.Lapsed && revisions.Servers > 0) {
 			update.Servers = append(update.Servers, object)
 		}
 	}
--- a/core/follow/store_cache_test.go
+++ b/core/follow/store_cache_test.go
@@ -88,3 +88,22 @@
 	assert.Equal(t, storeCache.Revisions().Servers, int64(1+2*deleted))
 	assert.Equal(t, len(liveTargets(storeCache)), 0)
 }
+
+// TestFullLists guards against a full list that adds no targets.
+func TestFullLists(t *testing.T) {
+	full := func(era, through int64, revisions map[string]int64) rpc.StoreUpdate {
+		update := rpc.StoreUpdate{Full: true, Era: era, Through: through}
+		for name, revision := range revisions {
+			update.Servers = append(update.Servers, rpc.StoreObject{Name: name, Era: era, Revision: revision, Spec: json.RawMessage(`{}`)})
+		}
+		return update
+	}
+	for _, era := range []int64{0, 1} {
+		t.Run(fmt.Sprintf("era %d", era), func(t *testing.T) {
+			storeCache := follow.NewStoreCache(testContents{})
+			storeCache.Apply(full(era, 5, map[string]int64{"i1": 2, "i2": 4}))
+			storeCache.Apply(full(era, 9, map[string]int64{"i1": 2, "i3": 8}))
+			assert.DeepEqual(t, liveTargets(storeCache), map[string]int64{"i1": 2, "i3": 8})
+		})
+	}
+}
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -166,6 +166,11 @@
 mutant "early report of one call" fanout relay_run.go 's/, reportedEarly: spec.Once/, reportedEarly: false \&\& spec.Once/'
 mutant "incapable relay chosen" place path.go 's/ && !now.Before\(vm.incapableUntil\[kind\]\)//'
 mutant "incapable relay merges" place path.go 's/ \|\| now.Before\(vm.incapableUntil\[kind\]\)//'
+mutant "list hides earlier deletions" follow store_cache.go 's/if update.Through > storeCache.revision \{/if false {/'
+mutant "full list adds nothing" follow store_cache.go 's/\t\t\tfloor = update.Through\n/\t\t\tfloor, storeCache.tombstoneFloor = update.Through, update.Through\n/'
+mutant_of poplarpind "store's list hides deletions" gateway watch.go 's/update.Full = kind == platform.TargetsKind/update.Full = update.Era > gateway.storeCache.Revisions().ServersEra/' TestUnseenDeletions
+mutant_of poplarpind "changes after a new list" gateway store_sync.go 's/ \|\| !gateway.storeCache.KnowsDeletionsSince\(subscriber.sentThrough\)//' TestUnseenDeletions
+mutant_of poplarpind "full list ends the grace" gateway ../../core/follow/store_cache.go 's/object.Lapsed && revisions.Servers > 0/false/' TestUnseenDeletions
 mutant "field of a message dropped" rpc gather.go 's/`json:"once,omitempty"`/`json:"-"`/'
 mutant "later field rejected" member message.go 's/json.Unmarshal\(data, \(\*plain\)\(message\)\)/func() error { decoder := json.NewDecoder(bytes.NewReader(data)); decoder.DisallowUnknownFields(); return decoder.Decode((*plain)(message)) }()/; s/import \(/import (\n\t"bytes"/'
 mutant_of core "capability not needed" rpc gather.go 's/if len\(gather.Targets\) > 0 \|\| gather.Once \{/if false {/' TestNeeds
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -228,10 +228,11 @@
 		VMs: gateway.quotas.currentCount()}
 	known := gateway.era.Known()
 	for _, subscriber := range gateway.subscribers {
-		if revisions.ServersEra != known || subscriber.sentEra != known { // a subscriber of a lower era needs the full list
+		// A subscriber of a lower era needs the full list, and so does one that may know targets whose deletion this VM has not seen.
+		if revisions.ServersEra != known || subscriber.sentEra != known || !gateway.storeCache.KnowsDeletionsSince(subscriber.sentThrough) {
 			update := gateway.updateSince(now, rpc.StoreRevisions{Servers: subscriber.sentThrough, ServersEra: subscriber.sentEra,
 				Config: revisions.Config, ConfigEra: revisions.ConfigEra})
-			update.Config, update.Evacuations = config, evacuations
+			update.Config, update.Evacuations, update.ViewAge, update.VMs = config, evacuations, forwarded.ViewAge, forwarded.VMs
 			subscriber.lastSent = now
 			subscriber.sent(update)
 			subscriber.reply(rpc.MethodStoreUpdate, update)
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -217,8 +217,8 @@
 	if kind == platform.EvacuationsKind {
 		update = rpc.StoreUpdate{Evacuations: evacuationsOf(objects, position)}
 	}
-	update.Full = update.Era > gateway.storeCache.Revisions().ServersEra
-	if kind == platform.TargetsKind && !update.Full {
+	update.Full = kind == platform.TargetsKind
+	if update.Full && update.Era <= gateway.storeCache.Revisions().ServersEra {
 		listed := map[string]bool{}
 		for _, object := range objects {
 			listed[object.Name] = true
