A VM that starts takes no targets that have left from a seed's older state

Cause: targets that a full list older than what is known adds were kept out only where the store names eras.

Change: up to the floor this VM knows all targets that live, so that an object from before it of a target that is unknown or deleted is ignored, in every era. A seed's list of VMs is ignored once the store's was read.

--- a/core/follow/era.go
+++ b/core/follow/era.go
@@ -37,10 +37,10 @@
 	return before.Name == object.Name && before.Deleted == object.Deleted && bytes.Equal(before.Spec, object.Spec)
 }
 
-// isOutdated reports whether an unknown target was deleted before the full list with which this VM entered the era.
+// isOutdated reports whether an object shows a target as it was before its deletion: this VM knows all targets that lived at the floor.
 func (storeCache *StoreCache) isOutdated(object rpc.StoreObject) bool {
-	_, known := storeCache.targets[object.Name]
-	return !known && object.Era > 0 && object.Revision <= storeCache.tombstoneFloor
+	cached, known := storeCache.targets[object.Name]
+	return (!known || cached.Deleted) && object.Revision <= storeCache.tombstoneFloor
 }
 
 // enterEra starts a higher era with its first full list and returns the changes that the list makes. Targets that it lacks have lapsed,
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -171,6 +171,9 @@
 mutant_of poplarpind "store's list hides deletions" gateway watch.go 's/update.Full = kind == platform.TargetsKind/update.Full = update.Era > gateway.storeCache.Revisions().ServersEra/' TestUnseenDeletions
 mutant_of poplarpind "changes after a new list" gateway store_sync.go 's/ \|\| !gateway.storeCache.KnowsDeletionsSince\(subscriber.sentThrough\)//' TestUnseenDeletions
 mutant_of poplarpind "full list ends the grace" gateway ../../core/follow/store_cache.go 's/object.Lapsed && revisions.Servers > 0/false/' TestUnseenDeletions
+mutant "unknown target taken from older list" follow era.go 's/return \(!known \|\| cached.Deleted\) && object.Revision/return known \&\& cached.Deleted \&\& object.Revision/'
+mutant "deleted target taken from older list" follow era.go 's/return \(!known \|\| cached.Deleted\) && /return (!known || cached.Deleted \&\& false) \&\& /'
+mutant_of poplarpind "late seed names VMs" gateway seed.go 's/if !gateway.peersListed && /if /' TestLateSeedState
 mutant "field of a message dropped" rpc gather.go 's/`json:"once,omitempty"`/`json:"-"`/'
 mutant "later field rejected" member message.go 's/json.Unmarshal\(data, \(\*plain\)\(message\)\)/func() error { decoder := json.NewDecoder(bytes.NewReader(data)); decoder.DisallowUnknownFields(); return decoder.Decode((*plain)(message)) }()/; s/import \(/import (\n\t"bytes"/'
 mutant_of core "capability not needed" rpc gather.go 's/if len\(gather.Targets\) > 0 \|\| gather.Once \{/if false {/' TestNeeds
--- a/poplarpind/gateway/deletions_test.go
+++ b/poplarpind/gateway/deletions_test.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,3 +81,26 @@
 		assert.DeepEqual(t, follower.fleet.Expire(time.Now().Add(time.Minute)), []string{"i-2"})
 	})
 }
+
+// TestLateSeedState guards against targets and VMs that have left and come back from the older state of a seed, which answers after the store.
+func TestLateSeedState(t *testing.T) {
+	gateway, older := newTestGateway(), newTestGateway()
+	older.listTargets(t, 5, false, map[string]int64{"i-1": 2, "i-2": 5})
+	older.setPeers([]platform.VM{{Name: "vm-gone", FailureDomain: "a", Address: "127.0.0.1:1"}})
+	config, err := json.Marshal(platformtest.Config(1))
+	assert.NilError(t, err)
+	older.applyList(platform.ConfigKind, []platform.Object{{Name: platform.ConfigName, Revision: 1, Spec: config}}, platform.Position{Revision: 5}, false)
+	store := platformtest.NewStore(t)
+	gateway.currentStoreAddress.Store(new(store.Address()))
+	seed := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) { // the store answers first
+		gateway.listTargets(t, 9, false, map[string]int64{"i-1": 2})
+		_, err := gateway.readPeers(t.Context(), gateway.newStore(platform.VMsKind), false)
+		assert.NilError(t, err)
+		older.serveState(writer, request)
+	}))
+	t.Cleanup(seed.Close)
+	assert.NilError(t, gateway.requestSeedState(context.Background(), http.DefaultClient, strings.TrimPrefix(seed.URL, "http://")))
+	assertTargets(t, gateway, "i-1")
+	assert.Equal(t, len(gateway.peers), 0)
+	assert.Equal(t, gateway.table.Load().Version, int64(1))
+}
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -58,6 +58,7 @@
 	pauses              *pause.Detector
 
 	oddRevision         int64         // of another writer's entry in the place of this VM's; 0 for none. Only maintainPeers uses it
+	peersListed         bool          // the list of entry VMs was read from the store
 	peersRead           chan struct{} // closed after the first attempt to read the list of entry VMs
 	observationsReady   chan struct{} // signals that observations are ready to be sent
 	mu                  sync.Mutex    // guards the fields below and the state machine of every job
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -104,11 +104,12 @@
 			peers = append(peers, vm)
 		}
 	}
+	gateway.mu.Lock()
+	gateway.peersListed = true
 	if listed {
-		gateway.mu.Lock()
 		gateway.fleet.MarkListed()
-		gateway.mu.Unlock()
 	}
+	gateway.mu.Unlock()
 	peers = gateway.withLostPeers(peers)
 	gateway.setPeers(peers)
 	gateway.quotas.listRead(readAt, peers, listed, registeredAt)
@@ -127,16 +128,21 @@
 	return true, err
 }
 
-// setPeers replaces the list of peers; the list may name this VM, which is left out, so that it never relays to itself.
+// setPeers replaces the list of peers.
 func (gateway *Gateway) setPeers(listed []platform.VM) {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	gateway.replacePeers(listed)
+}
+
+// replacePeers replaces the list of peers; the list may name this VM, which is left out, so that it never relays to itself. The caller holds mu.
+func (gateway *Gateway) replacePeers(listed []platform.VM) {
 	peers := slices.DeleteFunc(slices.Clone(listed), func(vm platform.VM) bool { return vm.Name == gateway.settings.VM })
 	relays := make([]place.Endpoint, len(peers))
 	for i, vm := range peers {
 		relays[i] = place.Endpoint{ID: vm.Name, Service: fanout.RelayService(vm.FailureDomain), Address: vm.Address,
 			FailureDomain: vm.FailureDomain, Slots: peerSlots, State: place.Ready, Cores: vm.Cores, Peer: true}
 	}
-	gateway.mu.Lock()
-	defer gateway.mu.Unlock()
 	gateway.peers = peers
 	maps.DeleteFunc(gateway.greetings, func(name string, _ rpc.Hello) bool {
 		return !slices.ContainsFunc(peers, func(vm platform.VM) bool { return vm.Name == name })
--- a/poplarpind/gateway/seed.go
+++ b/poplarpind/gateway/seed.go
@@ -96,11 +96,10 @@
 	gateway.log.Info("seed state received", zap.String("seed", seed), zap.Int("targets", len(received.StoreUpdate.Servers)), zap.Int("vms", len(received.EntryVMs)))
 	gateway.era.Raise(received.StoreUpdate.Era)
 	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
 	gateway.applyUpdate(seed, received.StoreUpdate)
-	noPeers := len(gateway.peers) == 0
-	gateway.mu.Unlock()
-	if noPeers {
-		gateway.setPeers(received.EntryVMs)
+	if !gateway.peersListed && len(gateway.peers) == 0 { // the store's list may have been read while the seed answered, and the seed's may be older
+		gateway.replacePeers(received.EntryVMs)
 	}
 	return nil
 }
