--- a/core/follow/store_cache_test.go
+++ b/core/follow/store_cache_test.go
@@ -148,10 +148,11 @@
 		t.Run(fmt.Sprintf("era %d", era), func(t *testing.T) {
 			storeCache := follow.NewStoreCache(testContents{})
 			storeCache.Apply(full(era, 5, map[string]int64{"i1": 2, "i2": 4}))
+			storeCache.Apply(full(era, 6, map[string]int64{"i1": 2}))
 			storeCache.Apply(full(era, 9, map[string]int64{"i1": 2, "i3": 8}))
 			assert.DeepEqual(t, liveTargets(storeCache), map[string]int64{"i1": 2, "i3": 8})
-			// At 7, i2 was there again, which the list of 9 does not show.
-			storeCache.Apply(full(era, 7, map[string]int64{"i1": 2, "i2": 6, "i4": 7}))
+			// At 8, i2 was there again, which the list of 9 does not show.
+			storeCache.Apply(full(era, 8, map[string]int64{"i1": 2, "i2": 7, "i4": 8}))
 			assert.DeepEqual(t, liveTargets(storeCache), map[string]int64{"i1": 2, "i3": 8})
 		})
 	}
