A lost call of the store is given up before VMs count as in touch

Cause: a watch was awaited for 0.6 of the stability window and 2 s more, 4.4 s in all, while VMs are in touch 4.0 s after a silence of the store. Evidence: the version is applied 0.1 s after "store call failed".

Change: a watch is given up after 0.85 of the window, other calls after half of it, 2 s at most; watches end at once if the store's address changes. Why this works: what is left of the window covers a ping and the repeat.

Store.Watch takes both times now, so that tests pass them.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -174,6 +174,11 @@
 mutant "unknown target taken from older list" follow era.go 's/return \(!known \|\| cached.Deleted\) && object.Revision/return known \&\& cached.Deleted \&\& object.Revision/'
 mutant "deleted target taken from older list" follow era.go 's/return \(!known \|\| cached.Deleted\) && /return (!known || cached.Deleted \&\& false) \&\& /'
 mutant_of poplarpind "late seed names VMs" gateway seed.go 's/if !gateway.peersListed && /if /' TestLateSeedState
+mutant_of platform "lost watch awaited for the window" . timeouts.go 's/watchTimeoutShare = 0.85/watchTimeoutShare = 1.1/' TestLostCallsNoticedInTime
+mutant_of platform "lost list awaited for the window" . timeouts.go 's/storeTimeoutShare = 0.5/storeTimeoutShare = 1.1/' TestLostCallsNoticedInTime
+mutant_of platform "watch outlasts its timeout" . store.go 's/query, times.Timeout, &reply/query, times.Timeout+time.Hour, \&reply/' TestLostCalls
+mutant_of poplarpind "moved store awaited" gateway run.go 's/if moved \{/if moved \&\& false {/' TestMovedStore
+mutant_of poplarpind "lost release watch awaited" platform platform.go 's/watchTimeout = 2 \* time.Second/watchTimeout = 35 * time.Second/' TestLostWatch
 mutant "field of a message dropped" rpc gather.go 's/`json:"once,omitempty"`/`json:"-"`/'
 mutant "later field rejected" member message.go 's/json.Unmarshal\(data, \(\*plain\)\(message\)\)/func() error { decoder := json.NewDecoder(bytes.NewReader(data)); decoder.DisallowUnknownFields(); return decoder.Decode((*plain)(message)) }()/; s/import \(/import (\n\t"bytes"/'
 mutant_of core "capability not needed" rpc gather.go 's/if len\(gather.Targets\) > 0 \|\| gather.Once \{/if false {/' TestNeeds
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -71,25 +71,25 @@
 	eraChanged          time.Time // time of the last one; zero for none
 	follower            *follow.Follower
 	plan                follow.Plan
-	storeAnswered       time.Time                 // time of the store's last answer to this VM
-	view                follow.View               // how recent the known configuration is
-	restartConfigWatch  context.CancelFunc        // ends the watch of the configuration in flight, so that it is sent again; nil for none
-	peers               []platform.VM             // the other entry VMs
-	greetings           map[string]rpc.Hello      // the last ones of other entry VMs, by name
-	subscribers         map[string]*subscriber    // VMs that get store updates from this one, by name
-	pendingObservations []reportedObservation     // not yet sent to other VMs
-	pendingHints        []reportedHint            // not yet sent to other VMs
-	pendingSuspects     []reportedSuspect         // not yet sent to other VMs
-	suspects            *poison.Tracker           // requests that may crash targets
-	lastQueryID         int64                     // of the queries that this VM sends to relays
-	relayedCalls        map[string]relayedCall    // outgoing: calls of this VM that peers relay, by query ID
-	relayJobs           map[string]*job           // incoming: requests that this VM relays for peers, by peer and query ID
-	forwardLimit        *fanout.ForwardLimit      // on calls that this VM makes to targets that peers do not reach
-	suspectsWatched     bool                      // a look at failure domains with unanswered calls is due
-	targetsKnown        bool                      // a complete list of targets was received
-	limiters            map[string]*admit.Limiter // limits on concurrent requests, by first shard; routes that share it share a limiter
-	responseDelay       time.Duration             // largest recent delay of responses past their planned time, decaying
-	routeRequests       map[string]float64        // recent requests by route, decaying
+	storeAnswered       time.Time                     // time of the store's last answer to this VM
+	view                follow.View                   // how recent the known configuration is
+	reads               map[string]context.CancelFunc // ends the list or watch in flight, by kind
+	peers               []platform.VM                 // the other entry VMs
+	greetings           map[string]rpc.Hello          // the last ones of other entry VMs, by name
+	subscribers         map[string]*subscriber        // VMs that get store updates from this one, by name
+	pendingObservations []reportedObservation         // not yet sent to other VMs
+	pendingHints        []reportedHint                // not yet sent to other VMs
+	pendingSuspects     []reportedSuspect             // not yet sent to other VMs
+	suspects            *poison.Tracker               // requests that may crash targets
+	lastQueryID         int64                         // of the queries that this VM sends to relays
+	relayedCalls        map[string]relayedCall        // outgoing: calls of this VM that peers relay, by query ID
+	relayJobs           map[string]*job               // incoming: requests that this VM relays for peers, by peer and query ID
+	forwardLimit        *fanout.ForwardLimit          // on calls that this VM makes to targets that peers do not reach
+	suspectsWatched     bool                          // a look at failure domains with unanswered calls is due
+	targetsKnown        bool                          // a complete list of targets was received
+	limiters            map[string]*admit.Limiter     // limits on concurrent requests, by first shard; routes that share it share a limiter
+	responseDelay       time.Duration                 // largest recent delay of responses past their planned time, decaying
+	routeRequests       map[string]float64            // recent requests by route, decaying
 
 	retryPacers map[string]*admit.RetryPacer // of routes without a limiter, by route
 }
@@ -108,6 +108,7 @@
 		era:               platform.NewEra(func(event string) { storeEras.Add(event, 1) }),
 		stopBegan:         make(chan struct{}),
 		peersRead:         make(chan struct{}),
+		reads:             map[string]context.CancelFunc{},
 		observationsReady: make(chan struct{}, 1),
 		storeCache:        follow.NewStoreCache(platform.Contents{}),
 		evacuations:       follow.NewEvacuations(),
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -165,6 +165,12 @@
 	}
 	gateway.log.Info("settings reloaded", zap.Strings("seeds", settings.Seeds), zap.String("store", settings.StoreAddress),
 		zap.Bool("storeAddressChanged", settings.StoreAddress != gateway.storeAddress()))
+	moved := settings.StoreAddress != gateway.storeAddress()
 	gateway.currentStoreAddress.Store(&settings.StoreAddress)
 	gateway.currentSeeds.Store(&settings.Seeds)
+	if moved { // the old address may not answer any more
+		gateway.mu.Lock()
+		defer gateway.mu.Unlock()
+		gateway.restartReads(platform.ConfigKind, platform.TargetsKind, platform.EvacuationsKind)
+	}
 }
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -148,8 +148,8 @@
 		if err == nil {
 			gateway.storeAnswered = now
 		}
-		if gateway.view.Pinged(now, started, err == nil) && gateway.restartConfigWatch != nil {
-			gateway.restartConfigWatch()
+		if gateway.view.Pinged(now, started, err == nil) {
+			gateway.restartReads(platform.ConfigKind)
 		}
 		gateway.mu.Unlock()
 	}
@@ -157,7 +157,7 @@
 
 // newStore returns a client of the store; its calls are counted in storeCalls by operation and use.
 func (gateway *Gateway) newStore(use string) *platform.Store {
-	return platform.NewStore(gateway.storeAddress, gateway.era, func(op string) { storeCalls.Add(op+"."+use, 1) })
+	return platform.NewStore(gateway.storeAddress, gateway.era, gateway.settings.Bounds.StoreTimeout(), func(op string) { storeCalls.Add(op+"."+use, 1) })
 }
 
 // subscribe registers or renews a subscriber and sends it what it lacks.
--- a/poplarpind/gateway/view.go
+++ b/poplarpind/gateway/view.go
@@ -71,26 +71,33 @@
 	return table != nil && table.HasAccounts() && sinceLast >= gateway.maxViewAge()/idlePingDivisor
 }
 
-// beginRead records that objects of a kind are about to be listed or watched and returns the context of the call. A read of the
-// configuration can be ended by restartConfigWatch.
+// beginRead records that objects of a kind are about to be listed or watched and returns the context of the call, which restartReads ends.
 func (gateway *Gateway) beginRead(ctx context.Context, kind string) (context.Context, context.CancelFunc) {
 	callCtx, cancel := context.WithCancel(ctx)
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	gateway.reads[kind] = cancel
 	if kind == platform.ConfigKind {
-		gateway.mu.Lock()
-		defer gateway.mu.Unlock()
 		gateway.view.ReadStarted(time.Now())
-		gateway.restartConfigWatch = cancel
 	}
 	return callCtx, cancel
 }
 
 // endRead records the end of that call.
 func (gateway *Gateway) endRead(kind string, ok bool) {
-	if kind != platform.ConfigKind {
-		return
-	}
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	gateway.view.ReadEnded(ok)
-	gateway.restartConfigWatch = nil
+	delete(gateway.reads, kind)
+	if kind == platform.ConfigKind {
+		gateway.view.ReadEnded(ok)
+	}
+}
+
+// restartReads ends the calls in flight that list or watch objects of some kinds, so that they are sent again; the caller holds mu.
+func (gateway *Gateway) restartReads(kinds ...string) {
+	for _, kind := range kinds {
+		if cancel, ok := gateway.reads[kind]; ok {
+			cancel()
+		}
+	}
 }
--- a/poplarpind/gateway/watch.go
+++ b/poplarpind/gateway/watch.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	maxWatchTimeout   = 25 * time.Second       // a watch call without a change ends after this time at the latest
-	watchWindowShare  = 0.6                    // a watch call lasts this share of the stability window at most; a longer one may miss a change when the store compacts its history
 	minTargetsPause   = 250 * time.Millisecond // the pause between two watches of targets lasts this time at least, so that one call returns several changes
 	maxTargetsPause   = 500 * time.Millisecond // the pause between two watches of targets lasts this time at most
 	targetsPauseShare = 0.1                    // the pause is this share of the time within which a draining target must get no more calls
@@ -155,7 +153,7 @@
 		}
 		return position, err
 	}
-	objects, position, err := store.Watch(ctx, kind, known, gateway.watchTimeout())
+	objects, position, err := store.Watch(ctx, kind, known, gateway.settings.Bounds.WatchTimes())
 	if kind == platform.EvacuationsKind && platform.KindOf(err) == platform.NotFound {
 		sleep(ctx, emptyKindPause)
 		return platform.Position{}, nil
@@ -230,15 +228,6 @@
 		zap.Int64("revision", position.Revision), zap.Bool("afterOutage", afterOutage))
 }
 
-// watchTimeout returns the timeout of one watch call.
-func (gateway *Gateway) watchTimeout() time.Duration {
-	window := gateway.settings.Bounds.StabilityWindow
-	if window <= 0 {
-		return maxWatchTimeout
-	}
-	return min(time.Duration(float64(window)*watchWindowShare), maxWatchTimeout)
-}
-
 // expireLapsed removes targets whose entries lapsed and did not come back within the grace period.
 func (gateway *Gateway) expireLapsed(ctx context.Context) {
 	every.Run(ctx, expireInterval, func() {
--- a/poplarpind/platform/platform.go
+++ b/poplarpind/platform/platform.go
@@ -20,7 +20,7 @@
 
 const (
 	callTimeout  = time.Second
-	watchTimeout = 35 * time.Second
+	watchTimeout = 2 * time.Second // short, since a watch whose answer is lost shows no change until then
 	callRate     = 20.0 // calls a second allowed per VM, including watches
 	callBurst    = 40
 	claimRate    = 100.0 // calls a second allowed for claims of non-idempotent requests, in addition to callRate
@@ -91,9 +91,16 @@
 	return client.read(ctx, client.claimLimiter, "getClaim", name, "", callTimeout)
 }
 
-// Watch is a long poll: it returns an object once its version is above the given one, or after the platform's time limit.
+// Watch is a long poll: it returns an object once its version is above the given one, or as it is after watchTimeout, which shows whether the
+// platform answers.
 func (client *Client) Watch(ctx context.Context, name string, version int64) (object.Object, error) {
-	return client.read(ctx, client.limiter, "watch", name, "?watch="+strconv.FormatInt(version, 10), watchTimeout)
+	watchCtx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	found, err := client.read(watchCtx, client.limiter, "watch", name, "?watch="+strconv.FormatInt(version, 10), watchTimeout)
+	if err != nil && ctx.Err() == nil && watchCtx.Err() != nil {
+		return client.Get(ctx, name)
+	}
+	return found, err
 }
 
 func (client *Client) read(ctx context.Context, limiter *rate.Limiter, op, name, query string, timeout time.Duration) (object.Object, error) {
