A deletion that is done late leaves the entry of the VM's next process alone

Cause: the deletion had no condition and removed the entry of the new process; that VM noticed after up to 20 s, and used its share while others had stopped counting it. Evidence: TestLateDeletion, TestMissingEntry and TestUnlisted each show one of the two halves.

Change: entries name the process that wrote them (incarnation); a VM deletes its entry at the revision that it has read, and a VM that starts replaces that of its earlier process with its second read of the list. The source of store updates says when its list lacks the receiver (unlisted), which then reads the list at once; the share of a VM that is not listed ends 0.7 s before others stop counting it. Why this works: the late call finds another revision.

Earlier builds ignore both new fields.

--- a/core/quota/node_test.go
+++ b/core/quota/node_test.go
@@ -352,3 +352,42 @@
 		assert.Assert(t, actions[0].(quota.Send).Message.(rpc.QuotaGrant).Answers[0].RetryAfterMicros > 0)
 	})
 }
+
+// TestUnlisted guards against a share with two holders: a VM that has vanished from the list, and those that do not count it any more.
+func TestUnlisted(t *testing.T) {
+	set := func(node *quota.Node, now time.Duration, unlisted bool, namedAt time.Duration) {
+		vms := twoVMs
+		vms.Unlisted, vms.NamedAt = unlisted, namedAt
+		node.SetVMs(now, vms)
+	}
+	t.Run("its share ends before others stop counting it", func(t *testing.T) {
+		node := newNode("a1", "a1")
+		set(node, minute+4*second, true, minute)
+		assert.Equal(t, node.Summary(minute+9*second).Fraction, 0.5)
+		assert.Equal(t, node.Summary(minute+10*second-loanTerm).Fraction, 0.0)
+	})
+	t.Run("it lends no share either", func(t *testing.T) {
+		node := newNode("a1", "a2")
+		set(node, minute+4*second, true, minute)
+		lent := func(now time.Duration, micros int64) bool {
+			return len(node.Receive(now, "a2", rpc.QuotaLoan{Reading: rpc.ClockReading{Incarnation: 1, Micros: micros}})) > 0
+		}
+		assert.Assert(t, lent(minute+9*second, 2))
+		assert.Assert(t, !lent(minute+10*second-loanTerm, 3))
+	})
+	t.Run("back on the list later, it counts as new", func(t *testing.T) {
+		node := newNode("a1", "a1")
+		set(node, minute+4*second, true, minute)
+		back := minute + 21*second
+		set(node, back, false, back)
+		set(node, back+9*second, false, back+9*second)
+		assert.Equal(t, node.Summary(back+quota.SettleTime-1).Fraction, 0.0)
+		assert.Equal(t, node.Summary(back+quota.SettleTime).Fraction, 0.5)
+	})
+	t.Run("back on the list in time, it goes on", func(t *testing.T) {
+		node := newNode("a1", "a1")
+		set(node, minute+4*second, true, minute)
+		set(node, minute+9*second, false, minute+9*second)
+		assert.Equal(t, node.Summary(minute+18*second).Fraction, 0.5)
+	})
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -61,6 +61,9 @@
 	Count   int // number of VMs according to the VM that sends store updates; 0 if unknown
 	Age     time.Duration
 	Settled bool // this VM was listed already when it started
+	// Unlisted says that the list lacks this VM, which was on it when it was read at NamedAt.
+	Unlisted bool
+	NamedAt  time.Duration
 }
 
 // Verdict is the decision about a request: Admitted, Refused, Unknown or Waiting.
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -40,6 +40,8 @@
 	listKnown     bool
 	listed        []VM // by failure domain and name
 	listedAt      time.Duration
+	unlisted      bool                 // the list lacks this VM
+	namedAt       time.Duration        // when the list last named this VM
 	absentSince   map[VM]time.Duration // VMs that disappeared from the list and still count
 	count         int                  // VMs according to the source of store updates
 	countAt       time.Duration
@@ -69,13 +71,23 @@
 		node.computeOwnShare(now)
 	}
 	produced := share{}
-	if node.listKnown && now >= node.ownFrom && now >= node.lentUntil {
+	if node.ownsShare(now) && now >= node.lentUntil {
 		produced = node.ownShare
 	}
 	node.changeShare(now, &node.produced, produced)
 	node.settleShares(now)
 }
 
+// ownsShare reports whether this VM may use or lend its share. One that has vanished from the list keeps it until others no longer count it, less the
+// term of a loan.
+func (node *Node) ownsShare(now time.Duration) bool {
+	return node.listKnown && now >= node.ownFrom && !node.dropped(now)
+}
+
+func (node *Node) dropped(now time.Duration) bool {
+	return node.unlisted && now >= node.namedAt+maxListAge-loanTerm
+}
+
 // changeShare replaces one of the shares that are produced here.
 func (node *Node) changeShare(at time.Duration, current *production, next share) {
 	if current.share == next {
@@ -171,6 +183,11 @@
 		node.ownFrom = max(node.ownFrom, now+SettleTime)
 		node.schedule(node.ownFrom, event{kind: lendDue})
 	}
+	if node.dropped(now) && !vms.Unlisted { // back on the list
+		node.ownFrom = max(node.ownFrom, now+SettleTime)
+		node.schedule(node.ownFrom, event{kind: lendDue})
+	}
+	node.unlisted, node.namedAt = vms.Unlisted, vms.NamedAt
 	listed := slices.SortedFunc(slices.Values(vms.Listed), compareVMs)
 	for _, vm := range node.listed {
 		if _, ok := slices.BinarySearchFunc(listed, vm, compareVMs); !ok {
@@ -277,7 +294,7 @@
 		return
 	}
 	node.seenReading, node.readingAt, node.poolHeard = reading, now, now
-	mayLend := node.listKnown && now >= node.ownFrom && (node.lentTo == from || now >= node.lentUntil)
+	mayLend := node.ownsShare(now) && (node.lentTo == from || now >= node.lentUntil)
 	if !mayLend {
 		return
 	}
--- a/core/rpc/store_update.go
+++ b/core/rpc/store_update.go
@@ -41,10 +41,11 @@
 	StoreReachable bool          `json:"good"` // the sender itself is connected to the store
 	Config         *StoreObject  `json:"config,omitempty"`
 	Servers        []StoreObject `json:"servers,omitempty"`
-	Full           bool          `json:"full,omitempty"`    // Servers is a complete list: targets that it lacks were deleted
-	Since          int64         `json:"since,omitempty"`   // revision that the changes of targets follow; a receiver that knows less stays at its revision, unless Full is set
-	VMs            int           `json:"vms,omitempty"`     // number of entry VMs, if the sender has just read it from the store
-	Through        int64         `json:"through,omitempty"` // revision up to which the targets are known with this update; 0 for no change
+	Full           bool          `json:"full,omitempty"`     // Servers is a complete list: targets that it lacks were deleted
+	Since          int64         `json:"since,omitempty"`    // revision that the changes of targets follow; a receiver that knows less stays at its revision, unless Full is set
+	VMs            int           `json:"vms,omitempty"`      // number of entry VMs, if the sender has just read it from the store
+	Unlisted       bool          `json:"unlisted,omitempty"` // the list of entry VMs that the sender has just read does not name the receiver
+	Through        int64         `json:"through,omitempty"`  // revision up to which the targets are known with this update; 0 for no change
 	// ViewAge is the age of the sender's view of the configuration; it is omitted while the configuration has no accounts.
 	ViewAge     config.Duration `json:"viewAge,omitempty"`
 	Evacuations *Evacuations    `json:"evacuations,omitempty"`
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -173,12 +173,19 @@
 mutant_of poplarpind "full list ends the grace" gateway ../../core/follow/store_cache.go 's/object.Lapsed && revisions.Servers > 0/false/' TestUnseenDeletions
 mutant "unknown target taken from older list" follow era.go 's/return \(!known \|\| cached.Deleted\) && object.Revision/return known \&\& cached.Deleted \&\& object.Revision/'
 mutant "deleted target taken from older list" follow era.go 's/return \(!known \|\| cached.Deleted\) && /return (!known || cached.Deleted \&\& false) \&\& /'
-mutant_of poplarpind "late seed names VMs" gateway seed.go 's/if !gateway.peersListed && /if /' TestLateSeedState
+mutant_of poplarpind "late seed names VMs" gateway seed.go 's/if gateway.peersReadAt.IsZero\(\) && /if /' TestLateSeedState
 mutant_of platform "lost watch awaited for the window" . timeouts.go 's/watchTimeoutShare = 0.85/watchTimeoutShare = 1.1/' TestLostCallsNoticedInTime
 mutant_of platform "lost list awaited for the window" . timeouts.go 's/storeTimeoutShare = 0.5/storeTimeoutShare = 1.1/' TestLostCallsNoticedInTime
 mutant_of platform "watch outlasts its timeout" . store.go 's/query, times.Timeout, &reply/query, times.Timeout+time.Hour, \&reply/' TestLostCalls
 mutant_of poplarpind "moved store awaited" gateway run.go 's/if moved \{/if moved \&\& false {/' TestMovedStore
 mutant_of poplarpind "lost release watch awaited" platform platform.go 's/watchTimeout = 2 \* time.Second/watchTimeout = 35 * time.Second/' TestLostWatch
+mutant "dropped VM keeps its share" quota share.go 's/ && !node.dropped\(now\)$/ \&\& (true || !node.dropped(now))/m'
+mutant "VM back on the list uses its share at once" quota share.go 's/if node.dropped\(now\) && !vms.Unlisted \{/if false {/'
+mutant_of platform "late deletion without a revision" . store.go 's/query := url.Values\{"revision": \{strconv.FormatInt\(revision, 10\)\}\}/query := url.Values{"was": {strconv.FormatInt(revision, 10)}}/' TestLateDeletion
+mutant_of platform "entry of a later process deleted" . store.go 's/err == nil && written.Incarnation > vm.Incarnation/err == nil \&\& written.Incarnation > vm.Incarnation \&\& false/' TestLateDeletion
+mutant_of poplarpind "entry of an earlier process kept" gateway peers.go 's/if registered && own.Name != "" && !firstRead/if false \&\& own.Name != "" \&\& !firstRead/' TestEntryOfEarlierProcess
+mutant_of poplarpind "missing entry not reported" gateway store_sync.go 's/update.ViewAge, update.VMs, update.Unlisted = gateway.sharedViewAge\(now\), gateway.quotas.currentCount\(\), gateway.unlisted\(now, from\)/update.ViewAge, update.VMs = gateway.sharedViewAge(now), gateway.quotas.currentCount()/' TestMissingEntry
+mutant_of poplarpind "missing entry ignored" gateway store_sync.go 's/if !unlisted \|\| now.Sub/if true || now.Sub/' TestMissingEntry
 mutant "field of a message dropped" rpc gather.go 's/`json:"once,omitempty"`/`json:"-"`/'
 mutant "later field rejected" member message.go 's/json.Unmarshal\(data, \(\*plain\)\(message\)\)/func() error { decoder := json.NewDecoder(bytes.NewReader(data)); decoder.DisallowUnknownFields(); return decoder.Decode((*plain)(message)) }()/; s/import \(/import (\n\t"bytes"/'
 mutant_of core "capability not needed" rpc gather.go 's/if len\(gather.Targets\) > 0 \|\| gather.Once \{/if false {/' TestNeeds
--- a/poplarpind/gateway/era.go
+++ b/poplarpind/gateway/era.go
@@ -35,21 +35,24 @@
 	return true
 }
 
-// waitForPeersRead waits until the next read of the list of entry VMs. After a change of era it is read soon, as it may lack this VM.
-func (gateway *Gateway) waitForPeersRead(ctx context.Context, wait time.Duration, handledChanges int) {
+// waitForPeersRead waits until the next read of the list of entry VMs. After a change of era it is read soon, as it may lack this VM, and so it is when
+// a peer reports that it does; then missing is true.
+func (gateway *Gateway) waitForPeersRead(ctx context.Context, wait time.Duration, handledChanges int) (missing bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		changed := gateway.era.Changed()
 		if _, changes := gateway.era.Changes(); changes != handledChanges {
 			sleep(ctx, rand.N(entryCheckJitter))
-			return
+			return false
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-timer.C:
-			return
+			return false
+		case <-gateway.entryMissing:
+			return true
 		case <-changed:
 		}
 	}
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -58,7 +58,8 @@
 	pauses              *pause.Detector
 
 	oddRevision         int64         // of another writer's entry in the place of this VM's; 0 for none. Only maintainPeers uses it
-	peersListed         bool          // the list of entry VMs was read from the store
+	peersReadAt         time.Time     // when the list of entry VMs was last read from the store; zero before
+	entryMissing        chan struct{} // signals that a peer's list of entry VMs lacks this VM
 	peersRead           chan struct{} // closed after the first attempt to read the list of entry VMs
 	observationsReady   chan struct{} // signals that observations are ready to be sent
 	mu                  sync.Mutex    // guards the fields below and the state machine of every job
@@ -109,6 +110,7 @@
 		stopBegan:         make(chan struct{}),
 		peersRead:         make(chan struct{}),
 		reads:             map[string]context.CancelFunc{},
+		entryMissing:      make(chan struct{}, 1),
 		observationsReady: make(chan struct{}, 1),
 		storeCache:        follow.NewStoreCache(platform.Contents{}),
 		evacuations:       follow.NewEvacuations(),
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -28,11 +28,11 @@
 func (gateway *Gateway) maintainPeers(ctx context.Context) {
 	store := gateway.newStore(platform.VMsKind)
 	defer store.Close()
-	reads, firstReadDone := 0, false
+	reads, firstReadDone, missing := 0, false, false
 	for ; ctx.Err() == nil; reads++ {
 		wait := gateway.peersReadInterval(reads)
 		_, eraChanges := gateway.era.Changes()
-		registered, err := gateway.readPeers(ctx, store, true)
+		registered, err := gateway.readPeers(ctx, store, !missing)
 		if err == nil && !registered && !firstReadDone {
 			gateway.mu.Lock()
 			gateway.follower.Restarted() // its entry was there before
@@ -50,7 +50,10 @@
 			firstReadDone = true
 			close(gateway.peersRead)
 		}
-		gateway.waitForPeersRead(ctx, wait, eraChanges)
+		if registered {
+			wait = peersRetryInterval // the next read shows whether the entry is there
+		}
+		missing = gateway.waitForPeersRead(ctx, wait, eraChanges)
 	}
 }
 
@@ -70,15 +73,16 @@
 // self returns this VM's entry in the store.
 func (gateway *Gateway) self() platform.VM {
 	return platform.VM{Name: gateway.settings.VM, FailureDomain: gateway.settings.FailureDomain,
-		Address: gateway.settings.MeshAddress(), StateAddress: gateway.settings.PeerAddress, Cores: gateway.settings.Cores}
+		Address: gateway.settings.MeshAddress(), StateAddress: gateway.settings.PeerAddress, Cores: gateway.settings.Cores, Incarnation: gateway.quotas.incarnation}
 }
 
-// readPeers reads the list of entry VMs, registers this VM if its entry is missing or outdated, and reports whether it tried to.
-// allowStale permits a list some seconds out of date, which costs a tenth of a List call.
+// readPeers reads the list of entry VMs, registers this VM if its entry is missing or outdated, and reports whether it tried to. An entry that an
+// earlier process of the VM has written is replaced from the second read on, so that no late deletion by that process applies to it. allowStale permits a list some seconds out of date, which costs a tenth of a List call.
 func (gateway *Gateway) readPeers(ctx context.Context, store *platform.Store, allowStale bool) (bool, error) {
 	var objects []platform.Object
 	var err error
 	readAt, listed := bootTime(), false
+	var own platform.Object
 	if allowStale {
 		objects, _, err = store.ListStale(ctx, platform.VMsKind)
 	} else {
@@ -99,13 +103,17 @@
 			gateway.log.Info("object of an entry VM rejected", zap.String("name", truncate(object.Name)), zap.Error(err))
 		case vm.Name == gateway.settings.VM:
 			registeredAt, vm.RegisteredUnixMilli = vm.RegisteredUnixMilli, 0
+			if self := gateway.self(); vm.Incarnation != self.Incarnation {
+				own, vm.Incarnation = object, self.Incarnation
+			}
 			listed, registered = true, vm == gateway.self()
 		default:
 			peers = append(peers, vm)
 		}
 	}
 	gateway.mu.Lock()
-	gateway.peersListed = true
+	firstRead := gateway.peersReadAt.IsZero()
+	gateway.peersReadAt = time.Now()
 	if listed {
 		gateway.fleet.MarkListed()
 	}
@@ -113,11 +121,16 @@
 	peers = gateway.withLostPeers(peers)
 	gateway.setPeers(peers)
 	gateway.quotas.listRead(readAt, peers, listed, registeredAt)
+	self := gateway.self()
+	if registered && own.Name != "" && !firstRead && !gateway.Draining() {
+		self.RegisteredUnixMilli = registeredAt
+		gateway.log.Info("replacing the entry of an earlier process", zap.Int64("revision", own.Revision))
+		return false, store.ReplaceVM(ctx, own, self)
+	}
 	if registered || gateway.Draining() || oddRevision > 0 && oddRevision == gateway.oddRevision {
 		return false, nil
 	}
 	gateway.log.Info("registering this VM in the store", zap.Int("peers", len(peers)))
-	self := gateway.self()
 	if self.RegisteredUnixMilli = registeredAt; registeredAt == 0 && gateway.quotas.enabled() {
 		self.RegisteredUnixMilli = time.Now().UnixMilli()
 	}
@@ -170,13 +183,18 @@
 	}
 }
 
+// unlisted reports whether the list of entry VMs, which this VM has just read, lacks a peer; the caller holds mu.
+func (gateway *Gateway) unlisted(now time.Time, peer string) bool {
+	return now.Sub(gateway.peersReadAt) <= freshListAge && !slices.ContainsFunc(gateway.peers, func(vm platform.VM) bool { return vm.Name == peer })
+}
+
 // deregister removes this VM's entry from the store, so that peers stop sending it requests to relay.
 func (gateway *Gateway) deregister(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
 	store := gateway.newStore(platform.VMsKind)
 	defer store.Close()
-	if err := store.DeleteVM(ctx, gateway.settings.VM); err != nil {
+	if err := store.DeleteVM(ctx, gateway.self()); err != nil {
 		gateway.log.Info("removing own entry from the store failed", zap.Error(err))
 	}
 }
--- a/poplarpind/gateway/quota.go
+++ b/poplarpind/gateway/quota.go
@@ -53,6 +53,9 @@
 	readAt  time.Duration
 	count   int           // according to the source of store updates
 	heardAt time.Duration // from that source
+
+	unlisted bool          // this VM has been on the list, and the last one that was read lacks it
+	namedAt  time.Duration // when a list was read that named this VM
 }
 
 // token is the right of one request to run; the zero token is that of a request that needs none.
@@ -165,6 +168,9 @@
 	if !listed && quotas.list.vms == nil {
 		return // this VM registers now
 	}
+	if quotas.list.unlisted = !listed; listed {
+		quotas.list.namedAt = readAt
+	}
 	self := quotas.gateway.settings
 	quotas.list.vms = []quota.VM{{FailureDomain: self.FailureDomain, Name: self.VM}}
 	for _, peer := range peers {
@@ -174,15 +180,22 @@
 	quotas.setVMs(bootTime())
 }
 
-// countHeard records the number of VMs that the source of store updates has just read; 0 for none.
-func (quotas *quotas) countHeard(vms int) {
+// countHeard records the number of VMs that the source of store updates has just read, 0 for none, and whether its list lacks this VM.
+func (quotas *quotas) countHeard(vms int, unlisted bool) {
 	if vms <= 0 || !quotas.enabled() {
 		return
 	}
 	quotas.mu.Lock()
 	defer quotas.mu.Unlock()
 	now := bootTime()
-	quotas.list.count, quotas.list.heardAt = vms, now-freshListAge
+	list := &quotas.list
+	list.count, list.heardAt = vms, now-freshListAge
+	switch {
+	case !unlisted && !list.unlisted:
+		list.namedAt = max(list.namedAt, list.heardAt)
+	case unlisted && list.vms != nil && list.heardAt > list.namedAt:
+		list.unlisted = true
+	}
 	quotas.setVMs(now)
 }
 
@@ -197,7 +210,7 @@
 		count = 0
 	}
 	age := max(now-max(list.readAt, list.heardAt), 0)
-	quotas.node.SetVMs(now, quota.VMs{Listed: list.vms, Count: count, Age: age, Settled: list.settled})
+	quotas.node.SetVMs(now, quota.VMs{Listed: list.vms, Count: count, Age: age, Settled: list.settled, Unlisted: list.unlisted, NamedAt: list.namedAt})
 }
 
 // currentCount returns the number of VMs if there are quotas and this VM has just read the list, else 0.
--- a/poplarpind/gateway/seed.go
+++ b/poplarpind/gateway/seed.go
@@ -98,7 +98,7 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	gateway.applyUpdate(seed, received.StoreUpdate)
-	if !gateway.peersListed && len(gateway.peers) == 0 { // the store's list may have been read while the seed answered, and the seed's may be older
+	if gateway.peersReadAt.IsZero() && len(gateway.peers) == 0 { // the store's list may have been read while the seed answered, and the seed's may be older
 		gateway.replacePeers(received.EntryVMs)
 	}
 	return nil
--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -116,7 +116,7 @@
 		case now.Sub(subscriber.lastSent) >= heartbeatInterval:
 			subscriber.lastSent = now
 			subscriber.reply(rpc.MethodStoreUpdate, rpc.StoreUpdate{StoreReachable: gateway.storeReachable(now), ViewAge: gateway.sharedViewAge(now),
-				Era: gateway.era.Known(), VMs: gateway.quotas.currentCount()})
+				Era: gateway.era.Known(), VMs: gateway.quotas.currentCount(), Unlisted: gateway.unlisted(now, name)})
 		}
 	}
 }
@@ -170,7 +170,7 @@
 		gateway.log.Info("peer subscribed to store updates", zap.String("peer", from), zap.Int64("config", revisions.Config), zap.Int64("targets", revisions.Servers))
 	}
 	update := gateway.updateSince(now, revisions)
-	update.ViewAge, update.VMs = gateway.sharedViewAge(now), gateway.quotas.currentCount()
+	update.ViewAge, update.VMs, update.Unlisted = gateway.sharedViewAge(now), gateway.quotas.currentCount(), gateway.unlisted(now, from)
 	gateway.subscribers[from] = &subscriber{reply: reply, expires: now.Add(subscriptionTTL), lastSent: now, sentThrough: revisions.Servers, sentEra: revisions.ServersEra}
 	gateway.subscribers[from].sent(update)
 	reply(rpc.MethodStoreUpdate, update)
@@ -186,7 +186,8 @@
 	if storeReachable {
 		gateway.confirmView(now, from, update)
 		if from == gateway.plan.Source {
-			gateway.quotas.countHeard(update.VMs)
+			gateway.quotas.countHeard(update.VMs, update.Unlisted)
+			gateway.noteUnlisted(now, update.Unlisted)
 		}
 	}
 	gateway.follower.HeardFrom(now, from, storeReachable)
@@ -194,6 +195,17 @@
 	gateway.applyUpdate(from, update) // also from a former source: eras and revisions make stale updates harmless
 }
 
+// noteUnlisted has the list of entry VMs read if another VM's lacks this VM, unless it was read a moment ago; the caller holds mu.
+func (gateway *Gateway) noteUnlisted(now time.Time, unlisted bool) {
+	if !unlisted || now.Sub(gateway.peersReadAt) <= freshListAge {
+		return
+	}
+	select {
+	case gateway.entryMissing <- struct{}{}:
+	default:
+	}
+}
+
 // applyUpdate applies a store update and forwards what was new to the subscribers; the caller holds mu.
 func (gateway *Gateway) applyUpdate(source string, update rpc.StoreUpdate) {
 	if object := update.Config; object != nil && platform.IsUnreadable(object.Spec) {
@@ -227,12 +239,13 @@
 		Through: revisions.Servers, Evacuations: evacuations, Era: revisions.ServersEra,
 		VMs: gateway.quotas.currentCount()}
 	known := gateway.era.Known()
-	for _, subscriber := range gateway.subscribers {
+	for name, subscriber := range gateway.subscribers {
+		forwarded.Unlisted = gateway.unlisted(now, name)
 		// A subscriber of a lower era needs the full list, and so does one that may know targets whose deletion this VM has not seen.
 		if revisions.ServersEra != known || subscriber.sentEra != known || !gateway.storeCache.KnowsDeletionsSince(subscriber.sentThrough) {
 			update := gateway.updateSince(now, rpc.StoreRevisions{Servers: subscriber.sentThrough, ServersEra: subscriber.sentEra,
 				Config: revisions.Config, ConfigEra: revisions.ConfigEra})
-			update.Config, update.Evacuations, update.ViewAge, update.VMs = config, evacuations, forwarded.ViewAge, forwarded.VMs
+			update.Config, update.Evacuations, update.ViewAge, update.VMs, update.Unlisted = config, evacuations, forwarded.ViewAge, forwarded.VMs, forwarded.Unlisted
 			subscriber.lastSent = now
 			subscriber.sent(update)
 			subscriber.reply(rpc.MethodStoreUpdate, update)
--- a/poplarpind/platform/platform.go
+++ b/poplarpind/platform/platform.go
@@ -21,7 +21,7 @@
 const (
 	callTimeout  = time.Second
 	watchTimeout = 2 * time.Second // short, since a watch whose answer is lost shows no change until then
-	callRate     = 20.0 // calls a second allowed per VM, including watches
+	callRate     = 20.0            // calls a second allowed per VM, including watches
 	callBurst    = 40
 	claimRate    = 100.0 // calls a second allowed for claims of non-idempotent requests, in addition to callRate
 	claimBurst   = 200
