The serving half of relaying has a file of its own; a data race is gone

The second is relay_serve.go now; nothing else moved. The review saw a data race once: serveGatherCancel read RelayRun.AnsweredParts for a log line after it had released mu, while Result writes. The count is read under mu.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -191,14 +191,14 @@
 mutant_of core "capability not needed" rpc gather.go 's/if len\(gather.Targets\) > 0 \|\| gather.Once \{/if false {/' TestNeeds
 mutant_of core "record limit not needed" rpc gather.go 's/if gather.ShardsDigest != 0 \{/if false {/' TestNeeds
 mutant_of poplarpind "relay merges by its own version" gateway serve.go 's/job.started, job.recordLimit = relayRun, relayRun, now, recordLimitOf\(gather\)/job.started, job.recordLimit = relayRun, relayRun, now, matched.Destination.(route.Gather).TopK/' TestRelayOfAnotherRouteVersion
-mutant_of poplarpind "older peers get no records" gateway relay.go 's/if gather.RecordLimit == 0 \{/if false {/' TestRecordLimit
+mutant_of poplarpind "older peers get no records" gateway relay_serve.go 's/if gather.RecordLimit == 0 \{/if false {/' TestRecordLimit
 mutant_of poplarpind "message sent on a closed link" peer link.go 's/if link.closed \{\n\t\treturn false\n\t\}\n\tlink.lastSent/link.lastSent/' TestClosedBeforeSending
 mutant_of poplarpind "refusal of any peer believed" gateway relay.go 's/\tok = ok && call.relayVM == relayVM\n//' TestRefusalOfAnotherPeer
 mutant_of poplarpind "refusal with results believed" gateway relay.go 's/if message.Refused && !hasResults\(message\) \{/if message.Refused {/' TestContradictoryRefusal
 mutant_of poplarpind "result of any VM believed" entry once.go 's/if owner != claimedRequest.lastOwner.Load\(\) \{/if false {/' TestRefusalOfAnotherVM
-mutant_of poplarpind "call of a new incarnation forgotten" gateway relay.go 's/if gateway.relayJobs\[key\] == job \{/if true {/' TestQueryIDOfEarlierIncarnation
-mutant_of poplarpind "call that runs once broken off" gateway relay.go 's/cancels := job != nil && job.route.Idempotent/cancels := job != nil/' TestCancellationOfEarlierIncarnation
-mutant_of poplarpind "job behind the last look" gateway relay.go 's/if gateway.refusesRelays.Load\(\) \{/if false {/' TestRelayRequestWhileStopEnds
+mutant_of poplarpind "call of a new incarnation forgotten" gateway relay_serve.go 's/if gateway.relayJobs\[key\] == job \{/if true {/' TestQueryIDOfEarlierIncarnation
+mutant_of poplarpind "call that runs once broken off" gateway relay_serve.go 's/cancels, answered := job != nil && job.route.Idempotent/cancels, answered := job != nil/' TestCancellationOfEarlierIncarnation
+mutant_of poplarpind "job behind the last look" gateway relay_serve.go 's/if gateway.refusesRelays.Load\(\) \{/if false {/' TestRelayRequestWhileStopEnds
 mutant_of poplarpind "false promise passed on" gateway serve.go 's/if !reply.PromisesNotRun\(\) \{/if true {/' TestFalsePromise
 mutant_of poplarpind "abandoned call sent" http1 exchange.go 's/return !exchange.ended && !exchange.abandoned/return !exchange.ended/' TestAbandonedWhileOpening
 mutant_of poplarpind "capability not checked" peer link.go 's/if !link.peer.Can\(capabilitiesFor\(params\)...\) \{/if false {/' TestCapabilities
