--- a/poplarpind/gateway/route_version_test.go
+++ b/poplarpind/gateway/route_version_test.go
@@ -56,7 +56,7 @@
 				services = append(services, service)
 				target, own := platformtest.NewTarget(t, service), recordsOf(service, test.each)
 				records = append(records, own...)
-				target.SetHandler(func(writer http.ResponseWriter, request *http.Request) {
+				target.SetHandler(func(writer http.ResponseWriter, _ *http.Request) {
 					platformtest.Sign(writer, service)
 					_, _ = writer.Write(bytes.Join(own, nil)) // a failure shows in the answer
 				})
