Responses of targets on the own interface are bounded together

Cause: each response was bounded, their sum was not, and HTTP/2 buffers 4 MB of each and 10 MB of header fields by default.

A call whose response is cut this way counts as lost.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -186,6 +186,8 @@
 mutant_of poplarpind "entry of an earlier process kept" gateway peers.go 's/if registered && own.Name != "" && !firstRead/if false \&\& own.Name != "" \&\& !firstRead/' TestEntryOfEarlierProcess
 mutant_of poplarpind "missing entry not reported" gateway store_sync.go 's/update.ViewAge, update.VMs, update.Unlisted = gateway.sharedViewAge\(now\), gateway.quotas.currentCount\(\), gateway.unlisted\(now, from\)/update.ViewAge, update.VMs = gateway.sharedViewAge(now), gateway.quotas.currentCount()/' TestMissingEntry
 mutant_of poplarpind "missing entry ignored" gateway store_sync.go 's/if !unlisted \|\| now.Sub/if true || now.Sub/' TestMissingEntry
+mutant_of poplarpind "responses without a budget" target memory.go 's/maxResponsesBytes  = 24 << 20/maxResponsesBytes  = 24 << 30/' TestEndlessResponses
+mutant_of poplarpind "long header kept" target pool.go 's/\t\tMaxResponseHeaderBytes: maxHeadBytes,\n//' TestLongHeader
 mutant "field of a message dropped" rpc gather.go 's/`json:"once,omitempty"`/`json:"-"`/'
 mutant "later field rejected" member message.go 's/json.Unmarshal\(data, \(\*plain\)\(message\)\)/func() error { decoder := json.NewDecoder(bytes.NewReader(data)); decoder.DisallowUnknownFields(); return decoder.Decode((*plain)(message)) }()/; s/import \(/import (\n\t"bytes"/'
 mutant_of core "capability not needed" rpc gather.go 's/if len\(gather.Targets\) > 0 \|\| gather.Once \{/if false {/' TestNeeds
--- a/poplarpind/platform/platform.go
+++ b/poplarpind/platform/platform.go
@@ -20,6 +20,8 @@
 
 const (
 	callTimeout  = time.Second
+	maxListBytes = 16 << 20 // the list of 22,300 VMs and targets takes about 2.3 MB
+	maxHeadBytes = 64 << 10
 	watchTimeout = 2 * time.Second // short, since a watch whose answer is lost shows no change until then
 	callRate     = 20.0            // calls a second allowed per VM, including watches
 	callBurst    = 40
@@ -75,7 +77,7 @@
 	return &Client{
 		baseURL:       baseURL,
 		failureDomain: failureDomain,
-		http:          &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}},
+		http:          &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}},
 		limiter:       rate.NewLimiter(callRate, callBurst),
 		claimLimiter:  rate.NewLimiter(claimRate, claimBurst),
 	}
@@ -165,7 +167,7 @@
 	var list struct {
 		VMs []json.RawMessage `json:"vms"`
 	}
-	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
 		return nil, &Error{"vms", Lost, err.Error()}
 	}
 	vms := make([]object.VM, 0, len(list.VMs))
--- a/poplarpind/target/owner.go
+++ b/poplarpind/target/owner.go
@@ -51,6 +51,7 @@
 type Owner struct {
 	limits        Limits
 	transport     *http.Transport
+	memory        *memory
 	mu            sync.Mutex
 	configuration *config.Configuration
 	targets       map[string]*target
@@ -58,7 +59,7 @@
 
 // New returns an Owner without a configuration.
 func New(limits Limits) *Owner {
-	return &Owner{limits: limits, transport: newTransport(), targets: map[string]*target{}}
+	return &Owner{limits: limits, transport: newTransport(), memory: newMemory(), targets: map[string]*target{}}
 }
 
 // Configure applies a new configuration; the state of a removed or changed target refuses its queued calls and is closed once
@@ -107,7 +108,7 @@
 	deadline := now.Add(batch.Timeout.Std())
 	class := owner.class(batch.Class)
 	for _, call := range batch.Calls {
-		queuedJob := &job{queryID: batch.QueryID, call: call, batch: batch, reply: reply, queuedAt: now}
+		queuedJob := &job{queryID: batch.QueryID, call: call, batch: batch, reply: reply, priority: class.Priority, queuedAt: now}
 		target, ok := owner.target(call.Target)
 		if !ok {
 			queuedJob.finish(rpc.Result{Outcome: rpc.NotSent})
@@ -142,7 +143,7 @@
 	if !ok {
 		return nil, false
 	}
-	target := newTarget(declared, owner.limits, owner.transport)
+	target := newTarget(declared, owner.limits, owner.transport, owner.memory)
 	owner.targets[name] = target
 	return target, true
 }
--- a/poplarpind/target/pool.go
+++ b/poplarpind/target/pool.go
@@ -40,7 +40,9 @@
 	return &http.Transport{
 		Protocols:   protocols,
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingIdle, PingTimeout: pingTimeout},
+		HTTP2: &http.HTTP2Config{SendPingTimeout: pingIdle, PingTimeout: pingTimeout,
+			MaxReceiveBufferPerStream: maxStreamBuffer, MaxReceiveBufferPerConnection: maxConnBuffer},
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/poplarpind/target/target.go
+++ b/poplarpind/target/target.go
@@ -22,7 +22,6 @@
 	healthLeavingTTL  = 3 * time.Second  // how long a health endpoint's draining state is valid without renewal
 	listedLeavingTTL  = 10 * time.Second // how long the platform's listing as leaving is valid without renewal
 	refusedLeavingTTL = time.Minute      // how long a target counts as leaving after its reply said so, unless its drain ends or it is restarted
-	maxResponseBytes  = 8 << 20
 )
 
 // job is one queued or running call.
@@ -31,6 +30,7 @@
 	call      rpc.Call
 	batch     *rpc.Batch
 	reply     func(rpc.Result)
+	priority  int // of the call's class, 0 is the highest
 	queuedAt  time.Time
 	queueWait time.Duration
 	cancel    context.CancelFunc // set while the call is in flight
@@ -41,6 +41,7 @@
 	settings     config.Target
 	limits       Limits
 	pool         *pool
+	memory       *memory // for responses
 	mu           sync.Mutex
 	queue        *dispatch.Queue[*job]
 	running      map[*job]bool
@@ -59,9 +60,10 @@
 	Calls, Shed, Expired, Lost, Cancelled int64
 }
 
-func newTarget(settings config.Target, limits Limits, transport *http.Transport) *target {
+func newTarget(settings config.Target, limits Limits, transport *http.Transport, memory *memory) *target {
 	return &target{
 		settings: settings,
+		memory:   memory,
 		limits:   limits,
 		pool:     newPool(settings.Address, limits.maxConnections(settings), transport),
 		queue:    dispatch.New[*job](limits.maxInFlight(settings)),
@@ -184,7 +186,12 @@
 		return rpc.Result{Outcome: rpc.Lost}
 	}
 	defer response.Body.Close()
-	return decodeResponse(response)
+	data, release, err := target.memory.read(response.Body, job.priority)
+	defer release()
+	if err != nil {
+		return unreadable(response.StatusCode)
+	}
+	return decodeResponse(response.StatusCode, data)
 }
 
 // searchCall returns the body of the request to the target.
@@ -201,17 +208,24 @@
 	}
 }
 
-// decodeResponse converts a target's response to a result.
-func decodeResponse(response *http.Response) rpc.Result {
-	body := io.LimitReader(response.Body, maxResponseBytes)
-	switch response.StatusCode {
+// unreadable returns the result of a call whose response has this status and stopped, or is too long: the target may have run the call.
+func unreadable(status int) rpc.Result {
+	switch status {
+	case http.StatusOK, http.StatusServiceUnavailable:
+		return rpc.Result{Outcome: rpc.Lost}
+	}
+	return decodeResponse(status, nil)
+}
+
+// decodeResponse converts a target's complete response to a result.
+func decodeResponse(status int, data []byte) rpc.Result {
+	switch status {
 	case http.StatusOK:
 		var reply struct {
 			search.Reply
 			Shards json.RawMessage `json:"shards"` // forwarded without decoding
 		}
-		data, err := io.ReadAll(body) // to the end of the stream, which a target may reset after all of the JSON
-		if err != nil || json.Unmarshal(data, &reply) != nil {
+		if json.Unmarshal(data, &reply) != nil {
 			return rpc.Result{Outcome: rpc.Lost}
 		}
 		return rpc.Result{Outcome: rpc.OK, Version: reply.Version, RequestID: reply.RequestID,
@@ -219,17 +233,16 @@
 	case http.StatusConflict:
 		return rpc.Result{Outcome: rpc.VersionNotHeld}
 	case http.StatusServiceUnavailable:
-		return decodeRefusal(body)
+		return decodeRefusal(data)
 	}
 	return rpc.Result{Outcome: rpc.Failed}
 }
 
 // decodeRefusal returns Lost for a body that does not name a state in which targets refuse calls: a 503 of something between this VM and
 // the target, or one that is cut off, does not show that the call has not run.
-func decodeRefusal(body io.Reader) rpc.Result {
+func decodeRefusal(data []byte) rpc.Result {
 	var refusal search.Refusal
-	data, err := io.ReadAll(body)
-	if err != nil || json.Unmarshal(data, &refusal) != nil {
+	if json.Unmarshal(data, &refusal) != nil {
 		return rpc.Result{Outcome: rpc.Lost}
 	}
 	switch refusal.State {
@@ -291,7 +304,7 @@
 	}
 	defer response.Body.Close()
 	var health search.Health
-	if json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&health) != nil {
+	if json.NewDecoder(io.LimitReader(response.Body, maxHealthBytes)).Decode(&health) != nil {
 		return
 	}
 	target.applyHealth(health)
