--- a/core/place/path.go
+++ b/core/place/path.go
@@ -22,6 +22,7 @@
 const (
 	NamedCalls  RelayKind = iota // calls to targets that the other VM names
 	MergedCalls                  // calls whose records are merged as the other VM's version of the route says
+	relayKinds                   // number of kinds
 )
 
 const (
@@ -106,8 +107,8 @@
 }
 
 // ChooseRelay returns the entry VM that should make a call to a target of a failure domain for this VM, and reports whether there is one: the
-// VM with the lowest cost that answers, can make such calls, reaches that failure domain, is not excluded and is in a region that may get the request. VMs next to
-// the target cost least, as only they need no further hop between failure domains.
+// VM with the lowest cost that answers, can make calls of this kind, reaches that failure domain, is not excluded and is in a region that may
+// get the request. VMs next to the target cost least, as only they need no further hop between failure domains.
 func (fleet *Fleet) ChooseRelay(now time.Time, kind RelayKind, route, failureDomain string, exclude []string, allows func(region string) bool) (Endpoint, bool) {
 	var candidates []*trackedEndpoint
 	for _, service := range fleet.relayServices {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -47,7 +47,7 @@
 	attempts           []*Attempt
 	paths              [2]pathState
 	reach              map[string]*pathState // of an entry VM: failure domains whose targets it does not reach
-	incapableUntil     [2]time.Time          // of an entry VM, by RelayKind: its build cannot make such calls for others
+	incapableUntil     [relayKinds]time.Time // of an entry VM, by RelayKind: its build cannot make such calls for others
 	declinedAt         time.Time             // of an entry VM: when it last answered that it does not make a call; zero if its link has failed since
 	deprioritizedUntil time.Time
 	displaced          bool // another endpoint answers at its address
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -84,6 +84,7 @@
 	return node.listKnown && now >= node.ownFrom && !node.dropped(now)
 }
 
+// dropped reports whether others may no longer count this VM, since the list lacks it.
 func (node *Node) dropped(now time.Duration) bool {
 	return node.unlisted && now >= node.namedAt+maxListAge-loanTerm
 }
--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -77,7 +77,8 @@
 }
 
 // readPeers reads the list of entry VMs, registers this VM if its entry is missing or outdated, and reports whether it tried to. An entry that an
-// earlier process of the VM has written is replaced from the second read on, so that no late deletion by that process applies to it. allowStale permits a list some seconds out of date, which costs a tenth of a List call.
+// earlier process of the VM has written is replaced from the second read on, so that no late deletion by that process applies to it.
+// allowStale permits a list some seconds out of date, which costs a tenth of a List call.
 func (gateway *Gateway) readPeers(ctx context.Context, store *platform.Store, allowStale bool) (bool, error) {
 	var objects []platform.Object
 	var err error
