--- a/poplarpind/gateway/store_sync.go
+++ b/poplarpind/gateway/store_sync.go
@@ -187,7 +187,7 @@
 		gateway.confirmView(now, from, update)
 		if from == gateway.plan.Source {
 			gateway.quotas.countHeard(update.VMs, update.Unlisted)
-			gateway.noteUnlisted(now, update.Unlisted)
+			gateway.noteUnlisted(now, from, update.Unlisted)
 		}
 	}
 	gateway.follower.HeardFrom(now, from, storeReachable)
@@ -196,12 +196,13 @@
 }
 
 // noteUnlisted has the list of entry VMs read if another VM's lacks this VM, unless it was read a moment ago; the caller holds mu.
-func (gateway *Gateway) noteUnlisted(now time.Time, unlisted bool) {
+func (gateway *Gateway) noteUnlisted(now time.Time, peer string, unlisted bool) {
 	if !unlisted || now.Sub(gateway.peersReadAt) <= freshListAge {
 		return
 	}
 	select {
 	case gateway.entryMissing <- struct{}{}:
+		gateway.log.Info("a peer's list of entry VMs lacks this VM", zap.String("peer", peer))
 	default:
 	}
 }
