--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -29,7 +29,7 @@
 	return route
 }
 
-// relayKind returns what a VM must be able to do to make calls for the request.
+// relayKind returns the kind of the request's relayed calls.
 func (spec Spec) relayKind() place.RelayKind {
 	if spec.Gather {
 		return place.MergedCalls
--- a/core/follow/store_cache_test.go
+++ b/core/follow/store_cache_test.go
@@ -67,7 +67,7 @@
 	})
 }
 
-// store is what a store without eras would answer.
+// store is a store without eras.
 type store struct {
 	targets  map[string]int64 // revision by name
 	revision int64
--- a/core/place/path.go
+++ b/core/place/path.go
@@ -15,10 +15,10 @@
 	Relayed             // a connection of another VM, to a target
 )
 
-// RelayKind is what an entry VM is to do for another one.
+// RelayKind is a kind of calls that an entry VM makes for another one.
 type RelayKind int
 
-// The kinds of relayed requests.
+// The kinds of relayed calls.
 const (
 	NamedCalls  RelayKind = iota // calls to targets that the other VM names
 	MergedCalls                  // calls whose records are merged as the other VM's version of the route says
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -88,7 +88,7 @@
 	return fanout.NoCapacity // the VM itself is well
 }
 
-// relayKind returns what a VM must be able to do to make calls for requests of a route.
+// relayKind returns the kind of the relayed calls for requests of a route.
 func relayKind(matched *route.Route) place.RelayKind {
 	if _, ok := matched.Destination.(route.Gather); ok {
 		return place.MergedCalls
--- a/poplarpind/target/memory.go
+++ b/poplarpind/target/memory.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	maxResponseBytes   = 8 << 20
-	maxResponsesBytes  = 24 << 20 // of all responses that are being read: an eighth of the process's memory limit
-	maxHeadBytes       = 64 << 10 // header fields and trailers of a response
-	maxHealthBytes     = 64 << 10
-	responseChunkBytes = 32 << 10
-	maxStreamBuffer    = 256 << 10 // of a response, before it is read
-	maxConnBuffer      = 512 << 10 // of all responses on a connection, before they are read
+	maxResponseBytes   = 8 << 20   // a response's body is this long at most
+	maxResponsesBytes  = 24 << 20  // the bodies that are being read take up this much at most, an eighth of the process's memory limit
+	maxHeadBytes       = 64 << 10  // a response's header fields, and its trailers, take up this much at most
+	maxHealthBytes     = 64 << 10  // the answer to a health check is this long at most
+	maxStreamBuffer    = 256 << 10 // the connection holds this much of a response at most before it is read
+	maxConnBuffer      = 512 << 10 // the connection holds this much of all its responses at most before they are read
+	responseChunkBytes = 32 << 10  // a body is read in pieces of this size
 )
 
-// memory bounds what the responses of all targets hold together, so that targets that send without end do not use it up.
+// memory bounds the bodies of all targets' responses together, so that targets that send without end do not use up the VM's memory.
 type memory struct {
 	mu      sync.Mutex
 	budget  *buffer.Budget
