A source looks a subscriber up instead of searching the list of VMs

Each message to each subscriber searched the whole list for 1.5 s after it was read: 150 subscribers and 3,300 VMs make half a million comparisons a message. The fleet has the VMs by name. Measured: TestMissingEntry and the tests of the store's updates pass.

--- a/poplarpind/gateway/peers.go
+++ b/poplarpind/gateway/peers.go
@@ -186,7 +186,8 @@
 
 // unlisted reports whether the list of entry VMs, which this VM has just read, lacks a peer; the caller holds mu.
 func (gateway *Gateway) unlisted(now time.Time, peer string) bool {
-	return now.Sub(gateway.peersReadAt) <= freshListAge && !slices.ContainsFunc(gateway.peers, func(vm platform.VM) bool { return vm.Name == peer })
+	endpoint, ok := gateway.fleet.Endpoint(peer)
+	return now.Sub(gateway.peersReadAt) <= freshListAge && !(ok && endpoint.Peer)
 }
 
 // deregister removes this VM's entry from the store, so that peers stop sending it requests to relay.
