--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -156,7 +156,7 @@
 mutant "unserved request waits" fanout results.go 's/if _, ok := run.choose\(now, part, nil, nil\); !ok \{/if false {/'
 mutant "forwards sent after the end" fanout forward.go 's/if run.finished \|\| call.ended \{/if false {/'
 mutant "cut-off relay asked again" place path.go 's/ && !vm.cutOffFrom\(now, failureDomain\)//'
-mutant "declining relay left alone" place path.go 's/\treturn fleet.lastResort\(now, exclude, allows\)/\treturn Endpoint{}, false/'
+mutant "declining relay left alone" place path.go 's/\treturn fleet.lastResort\(now, kind, exclude, allows\)/\treturn Endpoint{}, false/'
 mutant "declining relays asked at any rate" place path.go 's/if now.After\(fleet.lastResortAt\) \&\& now.Sub/if false \&\& now.Sub/'
 mutant "dead link makes targets slow" place attempt.go 's/if attempt.group.answers == attempt.answers \{/if false {/'
 mutant "relay names no cut" fanout relay_run.go 's/if relayRun.fleet.CutOff\(now, domain\) \{\n\t\treturn Unreached/if relayRun.fleet.CutOff(now, domain) {\n\t\treturn NoCapacity/'
@@ -217,7 +217,7 @@
 mutant_of platform "signature of one connection" . ingress.go 's/len\(stamps\) > 0 \{/len(stamps) > 9 {/' TestSignatureForOneConnection
 mutant_of poplarpind "space hides a length" http1 response.go 's/if hidesFraming\(/if false \&\& hidesFraming(/' TestTruncatedResponse
 mutant_of platform "empty answer is a list" . store.go 's/if page == nil \{/if page == nil { page = \&listPage{} }\n\t\tif false {/' TestTruncatedList
-mutant_of poplarpind "reset stream answers" target target.go 's/err != nil \|\| json.Unmarshal\(data, &reply\)/err != nil \&\& false || json.Unmarshal(data, \&reply)/' TestTruncatedResponse
+mutant_of poplarpind "reset stream answers" target memory.go 's/default:\n\t\t\treturn nil, release, err/default:\n\t\t\treturn read.Bytes(), release, nil/' TestTruncatedResponse
 mutant_of poplarpind "any 503 counts as refused" target target.go 's/json.Unmarshal\(data, &refusal\) != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/json.Unmarshal(data, \&refusal) != nil {\n\t\treturn rpc.Result{Outcome: rpc.Shed}/' TestCallMadeOnce
 mutant_of poplarpind "failed call counts as unsent" target target.go 's/response, err := conn.RoundTrip\(request\)\n\tif err != nil \{\n\t\treturn rpc.Result\{Outcome: rpc.Lost\}/response, err := conn.RoundTrip(request)\n\tif err != nil {\n\t\treturn rpc.Result{Outcome: rpc.NotSent}/' TestCallMadeOnce
 mutant_of poplarpind "end of a drain ignored" target target.go 's/\(target.drainSeen \|\| restarted\)/restarted/' TestDrainTakenBack
