A call on the own interface does not wait for the body of a failure

Bodies are read for 200 and 503 only, as before, and in pieces of 4 KB instead of 32, so that a short answer allocates less.

--- a/poplarpind/platform/platform.go
+++ b/poplarpind/platform/platform.go
@@ -20,8 +20,8 @@
 
 const (
 	callTimeout  = time.Second
-	maxListBytes = 16 << 20 // the list of 22,300 VMs and targets takes about 2.3 MB
-	maxHeadBytes = 64 << 10
+	maxListBytes = 16 << 20        // the VM list is this long at most; 22,300 entries take about 2.3 MB
+	maxHeadBytes = 64 << 10        // the header fields of an answer take up this much at most
 	watchTimeout = 2 * time.Second // short, since a watch whose answer is lost shows no change until then
 	callRate     = 20.0            // calls a second allowed per VM, including watches
 	callBurst    = 40
--- a/poplarpind/target/endless_test.go
+++ b/poplarpind/target/endless_test.go
@@ -105,3 +105,16 @@
 	assert.Equal(t, outcome(1), rpc.OK)
 	assert.Equal(t, outcome(100), rpc.Lost)
 }
+
+// TestFailureWithoutEnd guards against a call that waits for the rest of a response whose status has told its outcome.
+func TestFailureWithoutEnd(t *testing.T) {
+	for status, want := range map[int]rpc.Outcome{http.StatusInternalServerError: rpc.Failed, http.StatusConflict: rpc.VersionNotHeld} {
+		started := time.Now()
+		assert.Equal(t, call(t, startH2(t, func(writer http.ResponseWriter, request *http.Request) {
+			writer.WriteHeader(status)
+			_ = http.NewResponseController(writer).Flush() // a failure shows in the outcome
+			<-request.Context().Done()
+		})), want)
+		assert.Assert(t, time.Since(started) < responseTimeout, "the call waited for the rest")
+	}
+}
--- a/poplarpind/target/memory.go
+++ b/poplarpind/target/memory.go
@@ -15,7 +15,7 @@
 	maxHealthBytes     = 64 << 10  // the answer to a health check is this long at most
 	maxStreamBuffer    = 256 << 10 // the connection holds this much of a response at most before it is read
 	maxConnBuffer      = 512 << 10 // the connection holds this much of all its responses at most before they are read
-	responseChunkBytes = 32 << 10  // a body is read in pieces of this size
+	responseChunkBytes = 4 << 10   // a body is read in pieces of this size
 )
 
 // memory bounds the bodies of all targets' responses together, so that targets that send without end do not use up the VM's memory.
--- a/poplarpind/target/target.go
+++ b/poplarpind/target/target.go
@@ -186,10 +186,15 @@
 		return rpc.Result{Outcome: rpc.Lost}
 	}
 	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusServiceUnavailable:
+	default:
+		return decodeResponse(response.StatusCode, nil) // the status says all, also if the body does not end
+	}
 	data, release, err := target.memory.read(response.Body, job.priority)
 	defer release()
 	if err != nil {
-		return unreadable(response.StatusCode)
+		return rpc.Result{Outcome: rpc.Lost}
 	}
 	return decodeResponse(response.StatusCode, data)
 }
@@ -208,15 +213,6 @@
 	}
 }
 
-// unreadable returns the result of a call whose response has this status and stopped, or is too long: the target may have run the call.
-func unreadable(status int) rpc.Result {
-	switch status {
-	case http.StatusOK, http.StatusServiceUnavailable:
-		return rpc.Result{Outcome: rpc.Lost}
-	}
-	return decodeResponse(status, nil)
-}
-
 // decodeResponse converts a target's complete response to a result.
 func decodeResponse(status int, data []byte) rpc.Result {
 	switch status {
--- a/poplarpind/target/truncated_test.go
+++ b/poplarpind/target/truncated_test.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	internalError = "\x00\x00\x00\x02"
-	maxCalls      = 8 // in flight at a time; hundreds of new connections take longer to open than a call waits
+	responseTimeout = 5 * time.Second
+	internalError   = "\x00\x00\x00\x02"
+	maxCalls        = 8 // in flight at a time; hundreds of new connections take longer to open than a call waits
 )
 
 // response returns the frames of a response to the first request of a connection: its head in two, its body in two or three.
@@ -80,7 +81,7 @@
 	owner := target.New(target.Limits{})
 	owner.Configure(&config.Configuration{Targets: map[string]config.Target{"s-1": {Name: "s-1", Address: address, Slots: 2, Connections: 120}}})
 	results := make(chan rpc.Result, 1)
-	owner.Run(&rpc.Batch{QueryID: "q", Timeout: config.Duration(5 * time.Second), RequestID: "r", Calls: []rpc.Call{{ID: 1, Target: "s-1"}}},
+	owner.Run(&rpc.Batch{QueryID: "q", Timeout: config.Duration(responseTimeout), RequestID: "r", Calls: []rpc.Call{{ID: 1, Target: "s-1"}}},
 		func(result rpc.Result) { results <- result })
 	select {
 	case result := <-results:
