--- a/review/stand-2/drill.go
+++ b/review/stand-2/drill.go
@@ -85,6 +85,9 @@
 				count.Add(1)
 				counter, _ := statuses.LoadOrStore(response.StatusCode, &atomic.Int64{})
 				counter.(*atomic.Int64).Add(1)
+				if again, _ := expects.Load(machine.name); again != wanted {
+					wanted = nil // the configuration has changed meanwhile
+				}
 				for _, run := range runs.of(id) {
 					if service, ok := wanted.(string); ok && !strings.HasPrefix(run.server.service, "s") && run.server.service != service {
 						breaks("CONFIG: %s was run by %s, in force is %s at %s", id, run.server.service, service, machine.name)
@@ -151,6 +154,11 @@
 			world.store.restore(copied)
 			world.store.setDown(false)
 			world.record.log("store restored")
+			for _, old := range left { // an entry that is not written again goes after three heartbeat intervals
+				if old.gone.Load() {
+					time.AfterFunc(3600*time.Millisecond, func() { world.store.put("servers", old.id, nil) })
+				}
+			}
 			switch random.IntN(4) {
 			case 0:
 				machine := world.machines[random.IntN(4)]
--- a/review/stand-2/platform.go
+++ b/review/stand-2/platform.go
@@ -75,6 +75,9 @@
 	era      int64
 	down     bool
 	conns    []*storeConn
+	floor    int64                    // history up to it is gone
+	slow     time.Duration            // each answer takes so much longer
+	mute     map[string]bool          // addresses at which calls get no answer
 	answered map[string]chan struct{} // by kind and address: closed at the next answer to a watch
 }
 
@@ -106,6 +109,9 @@
 	if ok && !deleted && string(known.Spec) == string(spec) {
 		return known
 	}
+	if deleted && !ok {
+		return known
+	}
 	store.revision++
 	written := object{Meta: meta{Name: name, Revision: store.revision, Created: store.revision, Finalizers: []string{}}, Spec: spec}
 	if ok {
@@ -131,7 +137,7 @@
 	path, _ := strings.CutPrefix(request.URL.Path, "/objects/")
 	kind, name, _ := strings.Cut(path, "/")
 	query := request.URL.Query()
-	if holdIfSilent(request) {
+	if holdIfSilent(request) || store.holdIfMute(request) {
 		return
 	}
 	store.mu.Lock()
@@ -233,7 +239,7 @@
 			writer.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		if since > store.revision {
+		if since > store.revision || since < store.floor {
 			store.mu.Unlock()
 			writer.WriteHeader(http.StatusGone)
 			return
@@ -246,7 +252,7 @@
 		}
 		revision, changed := store.revision, store.changed
 		store.mu.Unlock()
-		if holdIfSilent(request) {
+		if holdIfSilent(request) || store.holdIfMute(request) {
 			return
 		}
 		if len(events) > 0 || ended {
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -228,4 +228,3 @@
 		}
 	}
 }
-
--- a/review/stand-2/silent.go
+++ b/review/stand-2/silent.go
@@ -66,11 +66,7 @@
 	}
 	leaving := world.startServer("i-leaving", "one", "b", "127.0.0.1:0", runs)
 	other := world.startServer("i-other", "two", "b", "127.0.0.1:0", runs)
-	world.store.put("config", "main", map[string]any{"version": 1,
-		"services": []map[string]any{{"name": "one", "health_path": "/health", "max_conns": 96}, {"name": "two", "health_path": "/health", "max_conns": 96}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"routes": []map[string]any{{"name": "r-many", "host": "h.example", "path_prefix": "/many/", "kind": "idempotent", "timeout_ms": 8000, "target_latency_ms": 800,
-			"priority": 1, "service": "one", "attempts": 2}}})
+	world.store.put("config", "main", silentConfig(1))
 	world.startAll()
 	time.Sleep(6 * time.Second) // the machines are in touch, their connections settled
 	var mu sync.Mutex
@@ -113,7 +109,12 @@
 	}
 	time.Sleep(2 * time.Second)
 	alone := world.machines[2]
-	world.store.awaitAnswer("servers", alone.store, func() { other.moved() })
+	world.store.awaitAnswer("servers", alone.store, func() {
+		world.store.awaitAnswer("config", alone.store, func() {
+			world.store.put("config", "main", silentConfig(2))
+			other.moved()
+		})
+	})
 	silentAt := time.Now()
 	if world.trouble {
 		world.store.silence()
@@ -152,3 +153,11 @@
 	world.finish(broken, fmt.Sprintf("answers %v; the last request reached the draining server %.3f s after the acknowledgement, %.3f s after the silence", statuses,
 		last.Sub(drained).Seconds(), last.Sub(silentAt).Seconds()))
 }
+
+func silentConfig(version int) map[string]any {
+	return map[string]any{"version": version,
+		"services": []map[string]any{{"name": "one", "health_path": "/health", "max_conns": 96}, {"name": "two", "health_path": "/health", "max_conns": 96}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"routes": []map[string]any{{"name": "r-many", "host": "h.example", "path_prefix": "/many/", "kind": "idempotent", "timeout_ms": 8000, "target_latency_ms": 800,
+			"priority": 1, "service": "one", "attempts": 2}}}
+}
