Calls whose answers a VM has not read yet count as attempts

No target ended and nothing was cut. Cause: calls to a failure domain that is found cut off do not count as attempts, and a VM concluded a cut from what it had read: nothing for 400 ms, or two probes that timed out. A VM that is short of processor, or stood still, has read nothing either. Acknowledgements come from kernels, whatever the processes do; the VM makes sure by two round trips to itself that its own kernel's view is current. Undelivered calls have their connection reset, so that they do not arrive later. Changed tests: TestCutOffAttempts reported failed probes, and links given up as lost, and asked for a third call; that is the fault. It now asks for the same calls once they are undelivered, without an answer first, and for none otherwise.

--- a/core/fanout/calls.go
+++ b/core/fanout/calls.go
@@ -76,7 +76,7 @@
 // retryableOnSameTarget reports whether a later call to the same target may succeed.
 func retryableOnSameTarget(outcome Outcome) bool {
 	switch outcome {
-	case Refused, NoCapacity, Unreached, NotSent, ConnectionLimit, Lost, InvalidResponse:
+	case Refused, NoCapacity, Unreached, NotSent, ConnectionLimit, Lost, Undelivered, InvalidResponse:
 		return true
 	}
 	return false
@@ -238,7 +238,7 @@
 	if !run.noCallsFrom.IsZero() && now.After(run.noCallsFrom) {
 		return false
 	}
-	return run.attempts(now, part) < max(run.spec.MaxAttempts, 1)
+	return run.attempts(part) < max(run.spec.MaxAttempts, 1)
 }
 
 // cancelPart cancels the calls of a part that are no longer needed.
--- a/core/fanout/cut_off.go
+++ b/core/fanout/cut_off.go
@@ -12,23 +12,22 @@
 	cutOffCheckInterval = 100 * time.Millisecond // a run looks again after this time
 )
 
-// attempts returns how many targets may have processed a part, or may still do so. Calls to a failure domain that was cut off before it
-// answered them do not count if the request is idempotent: both attempts of a part may be under way to where nothing runs them.
-func (run *Run) attempts(now time.Time, part *partState) int {
+// attempts returns how many targets may have processed a part, or may still do so. Undelivered calls do not count if the request is idempotent.
+func (run *Run) attempts(part *partState) int {
 	attempts := part.possibleRuns + part.inFlight
-	if !run.spec.Idempotent || attempts < run.spec.MaxAttempts {
+	if !run.spec.Idempotent {
 		return attempts
 	}
 	for _, call := range part.calls {
-		outcome, ended := call.partOutcome(part)
-		if (call.awaits(part) || ended && outcome.possiblyRan()) && call.attempt.CutOff(now) {
+		if call.ended && call.outcome == Undelivered {
 			attempts--
 		}
 	}
 	return attempts
 }
 
-// replaceCutOff sends the parts whose calls in flight are all cut off to targets within reach, as far as the budgets allow.
+// replaceCutOff sends the parts whose calls in flight all seem cut off to targets within reach, as far as attempts and budgets allow. If a part has
+// no attempt left, it asks whether those calls have been delivered.
 func (run *Run) replaceCutOff(now time.Time) []Action {
 	if now.Before(run.cutOffCheckAt) {
 		return nil
@@ -39,13 +38,21 @@
 	}
 	cutOff := func(attempt *place.Attempt) bool { return attempt.CutOff(now) }
 	var actions []Action
+	checked := map[*call]bool{}
 	for i := range run.parts {
 		part := &run.parts[i]
-		if !part.awaitsOnly(cutOff) || part.tries >= maxTriesPerPart || run.attempts(now, part) >= run.spec.MaxAttempts {
+		if !part.awaitsOnly(cutOff) || part.tries >= maxTriesPerPart {
 			continue
 		}
 		if _, ok := run.chooseUntried(now, part); !ok {
 			part.suppressed = NoAlternative
+		} else if run.attempts(part) >= run.spec.MaxAttempts {
+			for _, call := range part.calls {
+				if call.awaits(part) && !checked[call] {
+					checked[call] = true
+					actions = append(actions, CheckDelivery{Call: call.index})
+				}
+			}
 		} else if run.pay(now, part, "cutOff") {
 			part.suppressed = ""
 			sends, _ := run.startCall(now, part, "cutOff")
--- a/core/fanout/cut_off_test.go
+++ b/core/fanout/cut_off_test.go
@@ -1,6 +1,7 @@
 package fanout_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -51,6 +52,22 @@
 	return actions
 }
 
+// endUndelivered ends the calls whose delivery a run asks about as undelivered, and returns the resulting actions.
+func endUndelivered(run *fanout.Run, now time.Time, checks []fanout.CheckDelivery, calls []fanout.Action) []fanout.Action {
+	var ended []fanout.Action
+	for _, check := range checks {
+		if slices.ContainsFunc(calls, func(action fanout.Action) bool {
+			relay, ok := action.(fanout.Relay)
+			return ok && relay.Call == check.Call
+		}) {
+			ended = append(ended, run.RelayFailed(now, check.Call, fanout.Undelivered)...)
+		} else {
+			ended = append(ended, run.Result(now, check.Call, fanout.Undelivered)...)
+		}
+	}
+	return ended
+}
+
 // TestCutOffAttempts guards against requests that are lost when a failure domain is cut off: both attempts of a part are under way to the others,
 // where nothing runs them, while targets within reach could answer.
 func TestCutOffAttempts(t *testing.T) {
@@ -59,42 +76,51 @@
 			shared.Fleet.ProbeFailed(probe)
 		}
 	}
-	t.Run("parts without an answer go to targets within reach", func(t *testing.T) {
+	const checked = 300 * time.Millisecond // after the start; the run has then asked once whether its calls were delivered
+	t.Run("parts whose calls were not delivered go to targets within reach", func(t *testing.T) {
 		run, shared, now, calls := newCutOffLoad(true)
 		before := sendsToOwn(calls)
 		assert.Assert(t, len(before) <= 1)
 		cutOff(shared, now)
-		own := append(before, sendsToOwn(tickUntil(run, start.Add(400*time.Millisecond)))...)
+		asked := tickUntil(run, start.Add(checked))
+		assert.Equal(t, len(sendsToOwn(asked)), 0)
+		actions := endUndelivered(run, start.Add(checked), deliveryChecks(asked), calls)
+		own := append(before, sendsToOwn(actions)...)
 		assert.Equal(t, len(own), 9)
-		var actions []fanout.Action
 		for _, send := range own {
-			actions = append(actions, run.Result(start.Add(400*time.Millisecond), send.Call, fanout.Answered)...)
+			actions = append(actions, run.Result(start.Add(500*time.Millisecond), send.Call, fanout.Answered)...)
 		}
 		_, delivered := actions[len(actions)-1].(fanout.Finish).Response.(fanout.Deliver)
 		assert.Assert(t, delivered)
 	})
-	t.Run("also when the links have been given up", func(t *testing.T) {
+	t.Run("parts with one call that may have been delivered get one more", func(t *testing.T) {
 		run, shared, now, calls := newCutOffLoad(true)
 		cutOff(shared, now)
+		checks := deliveryChecks(tickUntil(run, start.Add(checked)))
+		actions := endUndelivered(run, start.Add(checked), checks[:1], calls)
+		actions = append(actions, tickUntil(run, start.Add(800*time.Millisecond))...)
+		undelivered := callsOf(slices.DeleteFunc(slices.Clone(calls), func(action fanout.Action) bool { return callIndex(action) != checks[0].Call }), serviceNames(9))
+		for service, count := range callsOf(append(calls, actions...), serviceNames(9)) {
+			assert.Assert(t, count <= 2+undelivered[service], "%s was called %d times", service, count)
+		}
+	})
+	t.Run("a relay that has reported has got its message", func(t *testing.T) {
+		run, _, now, calls := newCutOffLoad(true)
 		var actions []fanout.Action
 		for _, action := range calls {
 			switch action := action.(type) {
 			case fanout.Send:
-				if action.Target.FailureDomain == "a" {
-					continue
-				}
 				actions = append(actions, run.Result(now, action.Call, fanout.Lost)...)
 			case fanout.Relay:
-				actions = append(actions, run.RelayFailed(now, action.Call, fanout.Lost)...)
+				run.RelayReport(now, action.Call, fanout.Report{Early: true})
+				actions = append(actions, run.RelayFailed(now, action.Call, fanout.Undelivered)...)
 			}
 		}
-		own := sendsToOwn(append(calls, actions...))
-		for _, send := range own { // shows that the request does not crash its targets
-			own = append(own, sendsToOwn(run.Result(now, send.Call, fanout.Answered))...)
+		for service, count := range callsOf(append(calls, actions...), serviceNames(9)) {
+			assert.Assert(t, count <= 2, "%s was called %d times", service, count)
 		}
-		assert.Equal(t, len(own), 9)
 	})
-	t.Run("targets of a failure domain that has answered since count", func(t *testing.T) {
+	t.Run("targets of a failure domain that has answered since are not asked about", func(t *testing.T) {
 		run, shared, now, _ := newCutOffLoad(true)
 		for _, domain := range []string{"b", "c"} {
 			shared.Fleet.StartAttempt(now, "s00-"+domain, "r").Answered(now)
@@ -102,11 +128,40 @@
 		}
 		strand(shared.Fleet, "b", serviceNames(9))
 		strand(shared.Fleet, "c", serviceNames(9))
-		assert.Equal(t, len(sendsToOwn(tickUntil(run, start.Add(800*time.Millisecond)))), 0)
+		actions := tickUntil(run, start.Add(800*time.Millisecond))
+		assert.Equal(t, len(sendsToOwn(actions)), 0)
+		assert.Equal(t, len(deliveryChecks(actions)), 0)
 	})
 	t.Run("a request that is not idempotent gets no second call", func(t *testing.T) {
-		run, shared, now, _ := newCutOffLoad(false)
+		run, shared, now, calls := newCutOffLoad(false)
 		cutOff(shared, now)
-		assert.Equal(t, len(sends(tickUntil(run, start.Add(800*time.Millisecond)))), 0)
+		actions := tickUntil(run, start.Add(800*time.Millisecond))
+		assert.Equal(t, len(sends(actions)), 0)
+		assert.Equal(t, len(deliveryChecks(actions)), 0)
+		for _, send := range sends(calls) {
+			assert.Equal(t, len(sends(run.Result(now, send.Call, fanout.Undelivered))), 0)
+		}
 	})
 }
+
+// callIndex returns the index of the call that an action makes, -1 if it makes none.
+func callIndex(action fanout.Action) int {
+	switch action := action.(type) {
+	case fanout.Send:
+		return action.Call
+	case fanout.Relay:
+		return action.Call
+	}
+	return -1
+}
+
+// deliveryChecks returns the actions that ask whether a call was delivered.
+func deliveryChecks(actions []fanout.Action) []fanout.CheckDelivery {
+	var checks []fanout.CheckDelivery
+	for _, action := range actions {
+		if check, ok := action.(fanout.CheckDelivery); ok {
+			checks = append(checks, check)
+		}
+	}
+	return checks
+}
--- a/core/fanout/fanout.go
+++ b/core/fanout/fanout.go
@@ -39,13 +39,18 @@
 	CloseConnection bool
 }
 
+// CheckDelivery asks the caller to end a call if the machine of its target or relay has not acknowledged any of it, and to report Undelivered then.
+// How long this process has read nothing shows nothing: it may be short of processor, or have stood still.
+type CheckDelivery struct{ Call int }
+
 // Finish asks the caller of the run to respond to the client.
 type Finish struct{ Response Response }
 
-func (Send) action()   {}
-func (Relay) action()  {}
-func (Cancel) action() {}
-func (Finish) action() {}
+func (Send) action()          {}
+func (Relay) action()         {}
+func (Cancel) action()        {}
+func (CheckDelivery) action() {}
+func (Finish) action()        {}
 
 // Response is how a request ends: Deliver, ForwardFailure, Refuse or GiveUp.
 type Response interface{ response() }
--- a/core/fanout/relay.go
+++ b/core/fanout/relay.go
@@ -358,7 +358,7 @@
 		call.discardTargetAttempts()
 		return nil
 	}
-	if call.reported && !outcome.possiblyRan() {
+	if call.reported && (outcome == Undelivered || !outcome.possiblyRan()) {
 		outcome = Lost // the message has arrived
 	}
 	if outcome == Refused {
--- a/core/fanout/results.go
+++ b/core/fanout/results.go
@@ -81,7 +81,7 @@
 		attempt.Displaced()
 	case NotSent:
 		attempt.Unreachable(now)
-	case Lost, ConnectionLimit:
+	case Lost, Undelivered, ConnectionLimit:
 		attempt.ConnectionBroken(now)
 	case NoCapacity, Unreached, Unpaid:
 		attempt.Discard()
--- a/core/fanout/simulation_test.go
+++ b/core/fanout/simulation_test.go
@@ -99,7 +99,7 @@
 }
 
 var outcomes = []fanout.Outcome{fanout.Answered, fanout.Answered, fanout.Answered, fanout.Failed, fanout.Refused, fanout.Displaced,
-	fanout.NotSent, fanout.ConnectionLimit, fanout.NoCapacity, fanout.Lost, fanout.InvalidResponse}
+	fanout.NotSent, fanout.ConnectionLimit, fanout.NoCapacity, fanout.Lost, fanout.InvalidResponse, fanout.Undelivered}
 
 // relayedOutcomes are the outcomes that a relay of this or any other build may report for a missing part.
 var relayedOutcomes = append([]fanout.Outcome{fanout.Unreached, fanout.Unpaid, "ofLaterBuild", ""}, outcomes[3:]...)
@@ -136,12 +136,17 @@
 	}
 	outcome := rapid.SampledFrom(outcomes).Draw(simulation.t, "outcome")
 	simulation.close(call)
-	if ran(outcome) {
+	if simulation.ran(outcome) {
 		simulation.mayHaveRun(call)
 	}
 	simulation.apply(simulation.run.Result(simulation.now, call, outcome))
 }
 
+// ran reports whether a call with this outcome may have been processed, as far as the request's attempts count it.
+func (simulation *simulation) ran(outcome fanout.Outcome) bool {
+	return ran(outcome) && !(outcome == fanout.Undelivered && simulation.spec.Idempotent)
+}
+
 // ran reports whether a call with this outcome may have been processed.
 func ran(outcome fanout.Outcome) bool {
 	switch outcome {
@@ -160,8 +165,8 @@
 func (simulation *simulation) reportFromRelay(call int) {
 	if rapid.IntRange(0, 9).Draw(simulation.t, "vanish") == 0 {
 		simulation.close(call)
-		outcome := rapid.SampledFrom([]fanout.Outcome{fanout.Lost, fanout.Refused, fanout.NotSent}).Draw(simulation.t, "loss")
-		if outcome == fanout.Lost || simulation.reported[call] {
+		outcome := rapid.SampledFrom([]fanout.Outcome{fanout.Lost, fanout.Refused, fanout.NotSent, fanout.Undelivered}).Draw(simulation.t, "loss")
+		if simulation.ran(outcome) || simulation.reported[call] {
 			simulation.mayHaveRun(call)
 		}
 		simulation.apply(simulation.run.RelayFailed(simulation.now, call, outcome))
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -89,7 +89,10 @@
 mutant "replicas called after the canary" fanout canary.go 's/return len\(run.parts\) > 1 && /return false \&\& /'
 mutant "second canary after a lost one" fanout canary.go 's/run.canary, run.canaryLost = nil, true/run.canary = nil/'
 mutant "calls in flight not awaited" fanout canary.go 's/return part.inFlight > 0 \}\)/return false })/'
-mutant "cut-off attempts count" fanout cut_off.go 's/\t\t\tattempts--\n//'
+mutant "undelivered call counts" fanout cut_off.go 's/\t\t\tattempts--\n//'
+mutant "unread call does not count" fanout cut_off.go 's/if call.ended && call.outcome == Undelivered \{/if call.outcome == Undelivered || call.outcome == Lost {/'
+mutant "delivery not checked" fanout cut_off.go 's/actions = append\(actions, CheckDelivery\{Call: call.index\}\)//'
+mutant "message of a report undelivered" fanout relay.go 's/\(outcome == Undelivered \|\| !outcome.possiblyRan\(\)\)/!outcome.possiblyRan()/'
 mutant "answering domain is cut off" place attempt.go 's/return attempt.group.answers == attempt.answers \&\& attempt.group.cutOff\(now\)/return attempt.group.cutOff(now)/'
 mutant "lender makes unpaid calls" fanout relay_run.go 's/if relayRun.budgets != nil \&\& /if false \&\& relayRun.budgets != nil \&\& /'
 mutant "unpaid call made without budget" fanout outcome.go 's/outcome == NoCapacity \|\| outcome == Unreached\n\}/outcome == NoCapacity || outcome == Unreached || outcome == Unpaid\n}/'
@@ -259,6 +262,10 @@
 mutant_of poplarpind "note not awaited" entry accept.go 's/\tvm.storeInBackground\((func.*?\n)\t\}\)/\tgo ($1\t})(context.Background())/s' TestStopStoresNote
 mutant_of poplarpind "stop waits without limit" entry stop.go 's/ctx.Err\(\) == nil && vm.storing/vm.storing/' TestStopWithoutPlatform
 mutant_of platform "bodies outlast the process" . bodies.go 's/return bodies.closed \|\| held.Ended\(\)/return held.Ended()/' TestEndedBodies
+mutant_of poplarpind "unread call undelivered" http1 conn.go 's/return known && unacknowledged >= conn.callBytes/return known/' TestUndelivered
+mutant_of poplarpind "check as old as its call" http1 conn.go 's/ \|\| !conn.writtenAt.Before\(writtenBefore\)//' TestUndelivered
+mutant_of poplarpind "unread message undelivered" peer delivery.go 's/known && acknowledged < writtenBefore/known/' TestDelivery
+mutant_of poplarpind "old check believed" peer delivery.go 's/ && time.Since\(delivery.link.checkedAt\) <= maxCheckAge/ \&\& time.Since(delivery.link.checkedAt) >= 0/' TestDelivery
 
 wait
 for number in $(seq "$count"); do cat "$work/$number.result"; done >"$work/results"
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -56,6 +56,7 @@
 	hasSuspects         atomic.Bool               // suspects is not empty
 	quotas              *quotas
 	pauses              *pause.Detector
+	deliveries          deliveries
 
 	oddRevision         int64         // of another writer's entry in the place of this VM's; 0 for none. Only maintainPeers uses it
 	peersReadAt         time.Time     // when the list of entry VMs was last read from the store; zero before
--- a/poplarpind/gateway/job.go
+++ b/poplarpind/gateway/job.go
@@ -79,6 +79,8 @@
 			job.report(action)
 		case fanout.Cancel:
 			job.cancelCall(action)
+		case fanout.CheckDelivery:
+			gateway.checkDelivery(job, action)
 		case fanout.Finish:
 			job.response <- action.Response
 		}
@@ -253,6 +255,8 @@
 			return fanout.ConnectionLimit
 		case http1.Malformed:
 			return fanout.InvalidResponse
+		case http1.Undelivered:
+			return fanout.Undelivered
 		}
 	}
 	return fanout.Lost
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -25,6 +25,7 @@
 	job     *job
 	index   int
 	relayVM string
+	message peer.Delivery // zero until it is sent
 }
 
 // startRelay sends parts of a request to a peer, which calls targets of its failure domain for them.
@@ -60,12 +61,23 @@
 			message.Timeout = config.Duration(max(time.Until(deadline), time.Millisecond))
 			return message, gateway.isRelayed(queryID)
 		},
+		OnSend: func(delivery peer.Delivery) { gateway.relayMessageSent(queryID, delivery) },
 		OnUnsent: func(reason peer.Kind) {
 			gateway.endRelay(queryID, relay.VM.ID, gateway.unsentOutcome(relay, relayKind(job.route), reason))
 		},
 	})
 }
 
+// relayMessageSent records how to find out whether the message of a relayed call is delivered.
+func (gateway *Gateway) relayMessageSent(queryID string, delivery peer.Delivery) {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if call, ok := gateway.relayedCalls[queryID]; ok {
+		call.message = delivery
+		gateway.relayedCalls[queryID] = call
+	}
+}
+
 // isRelayed reports whether the results of a query that a peer relays are still awaited.
 func (gateway *Gateway) isRelayed(queryID string) bool {
 	gateway.mu.Lock()
@@ -183,18 +195,22 @@
 // LinkDown implements peer.Handler; it ends the calls that the peer relays, as their results may never come.
 func (gateway *Gateway) LinkDown(name string) {
 	gateway.mu.Lock()
-	var lostQueries []string
+	lostQueries := map[string]fanout.Outcome{}
 	for queryID, call := range gateway.relayedCalls {
-		if call.relayVM == name {
-			lostQueries = append(lostQueries, queryID)
+		if call.relayVM != name {
+			continue
+		}
+		lostQueries[queryID] = fanout.Lost
+		if call.message.Undelivered() {
+			lostQueries[queryID] = fanout.Undelivered
 		}
 	}
 	gateway.follower.LinkLost(time.Now(), name)
 	gateway.mu.Unlock()
 	gateway.quotas.linkDown(name)
 	gateway.log.Info("link to peer lost", zap.String("peer", name), zap.Int("calls", len(lostQueries)))
-	for _, queryID := range lostQueries {
-		gateway.endRelay(queryID, name, fanout.Lost)
+	for queryID, outcome := range lostQueries {
+		gateway.endRelay(queryID, name, outcome)
 	}
 }
 
--- a/poplarpind/http1/conn.go
+++ b/poplarpind/http1/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"poplarpin.dev/poplarpind/tcp"
 )
 
 // conn is a connection to a target, with a goroutine that reads from it.
@@ -28,11 +30,13 @@
 	writeMu    sync.Mutex // held while a call is being written
 	inline     bool       // the current call is short, so that its write returns at once
 	written    bool       // the current call has been written completely
+	writtenAt  time.Time  // when the current call was written, if written
+	callBytes  int        // length of the current call, if written
 	unsent     bool       // no byte of the current call has been written
 	closeOnce  sync.Once
 	closed     bool   // close has been called
 	readerDone bool   // read has failed, so that no further call can begin
-	endReason  string // why the pool has ended the current call; empty if it has not
+	endErr     *Error // why the pool has ended the current call; nil if it has not
 	responding bool   // a part of the response to the current call has arrived
 }
 
@@ -107,6 +111,7 @@
 	count, err := conn.netConn.Write(bytes)
 	conn.mu.Lock()
 	conn.written, conn.unsent = err == nil, err != nil && count == 0
+	conn.writtenAt, conn.callBytes = time.Now(), count
 	conn.mu.Unlock()
 	if err != nil {
 		conn.close() // read then reports the failure
@@ -214,10 +219,10 @@
 	conn.current, conn.readerDone = nil, true
 	if conn.unsent {
 		err.Kind = NotSent
-	} else if conn.endReason != "" && conn.responding {
-		err = invalid("response", conn.endReason)
-	} else if conn.endReason != "" { // silence does not show that the target can be reached
-		err = &Error{"response", Lost, conn.endReason}
+	} else if conn.endErr != nil && conn.responding {
+		err = invalid("response", conn.endErr.Detail)
+	} else if conn.endErr != nil {
+		err = conn.endErr
 	}
 	conn.mu.Unlock()
 	if exchange != nil {
@@ -228,17 +233,33 @@
 // end closes the connection to end a call for a reason, unless the call has ended meanwhile; read then reports the response as invalid, or
 // as lost if none has begun.
 func (conn *conn) end(exchange *Exchange, reason string) {
+	conn.endIf(exchange, &Error{"response", Lost, reason}, func() bool { return true }) // silence does not show that the target can be reached
+}
+
+// endIf is end with the error that is reported if no response has begun, for a call that meets a condition.
+func (conn *conn) endIf(exchange *Exchange, err *Error, condition func() bool) {
 	conn.mu.Lock()
-	current := conn.current == exchange && !conn.closed
-	if current {
-		conn.endReason, conn.closed = reason, true // so that the connection is not used for another call
+	ends := conn.current == exchange && !conn.closed && condition()
+	if ends {
+		conn.endErr, conn.closed = err, true // so that the connection is not used for another call
 	}
 	conn.mu.Unlock()
-	if current {
+	if ends {
 		conn.close()
 	}
 }
 
+// endUndelivered ends a call that was written before a time and of which the target's machine has acknowledged nothing.
+func (conn *conn) endUndelivered(exchange *Exchange, writtenBefore time.Time) {
+	conn.endIf(exchange, &Error{"send", Undelivered, notAcknowledged}, func() bool {
+		if !conn.written || !conn.writtenAt.Before(writtenBefore) || conn.responding {
+			return false
+		}
+		unacknowledged, known := tcp.Unacknowledged(conn.netConn)
+		return known && unacknowledged >= conn.callBytes
+	})
+}
+
 // overdue returns the current call if it has not ended although its time has passed, else nil.
 func (conn *conn) overdue(now time.Time) *Exchange {
 	conn.mu.Lock()
@@ -256,8 +277,8 @@
 		conn.mu.Lock()
 		conn.closed = true
 		conn.mu.Unlock()
-		if tcp, ok := conn.netConn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // fails only on a closed connection
+		if tcpConn, ok := conn.netConn.(*net.TCPConn); ok {
+			_ = tcpConn.SetLinger(0) // fails only on a closed connection
 		}
 		_ = conn.netConn.Close()
 	})
--- a/poplarpind/http1/exchange.go
+++ b/poplarpind/http1/exchange.go
@@ -60,6 +60,17 @@
 	}
 }
 
+// EndUndelivered ends the call if it was written before a time and the target's machine has acknowledged none of it. The connection is reset, so
+// that the call does not arrive later either.
+func (exchange *Exchange) EndUndelivered(writtenBefore time.Time) {
+	exchange.mu.Lock()
+	conn := exchange.conn
+	exchange.mu.Unlock()
+	if conn != nil {
+		conn.endUndelivered(exchange, writtenBefore)
+	}
+}
+
 // isAbandoned reports whether the call was abandoned before it was sent.
 func (exchange *Exchange) isAbandoned() bool {
 	exchange.mu.Lock()
--- a/poplarpind/http1/pool.go
+++ b/poplarpind/http1/pool.go
@@ -35,12 +35,13 @@
 
 // The kinds of errors. Their text appears in log lines and is kept, even where it differs from the constant's name.
 const (
-	PoolExhausted Kind = "noRoom"  // all connections to the target are busy and no more may be opened; nothing was sent
-	NotSent       Kind = "notSent" // the connection failed; nothing was sent
-	Abandoned     Kind = "dropped" // the call was abandoned before it was sent
-	Rejected      Kind = "crowded" // the target rejected a new connection; nothing was sent
-	Lost          Kind = "lost"    // the connection ended before a complete response
-	Malformed     Kind = "spoilt"  // the received data is not a response to the call
+	PoolExhausted Kind = "noRoom"      // all connections to the target are busy and no more may be opened; nothing was sent
+	NotSent       Kind = "notSent"     // the connection failed; nothing was sent
+	Abandoned     Kind = "dropped"     // the call was abandoned before it was sent
+	Rejected      Kind = "crowded"     // the target rejected a new connection; nothing was sent
+	Lost          Kind = "lost"        // the connection ended before a complete response
+	Undelivered   Kind = "undelivered" // the connection was closed before the target's machine had acknowledged any of the call
+	Malformed     Kind = "spoilt"      // the received data is not a response to the call
 )
 
 // Error reports why a call brought no response.
--- a/poplarpind/http1/response.go
+++ b/poplarpind/http1/response.go
@@ -32,9 +32,11 @@
 	bodyTooLarge   = "body too large"
 	memoryUsedUp   = "memory for responses used up"
 	responseTooOld = "not complete at the end of the call's time"
-	notHTTP        = "not HTTP"
-	unknownCoding  = "transfer coding that its HTTP version does not have"
-	spaceInFraming = "space after the name of a field that frames the body"
+
+	notAcknowledged = "the target's machine has acknowledged nothing" // of a call that is undelivered
+	notHTTP         = "not HTTP"
+	unknownCoding   = "transfer coding that its HTTP version does not have"
+	spaceInFraming  = "space after the name of a field that frames the body"
 )
 
 const http11 = "HTTP/1.1" // the version of most responses
--- /dev/null
+++ b/poplarpind/peer/delivery_test.go
@@ -0,0 +1,84 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// dialUnread returns a link to a listener with a small receive buffer that reads nothing, or everything.
+func dialUnread(t *testing.T, reads bool) *link {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+		return conn.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.(*net.TCPConn).SetWriteBuffer(1<<20))
+	other, err := listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = other.Close() })
+	if reads {
+		go func() { _, _ = io.Copy(io.Discard, other) }()
+	}
+	return &link{mesh: &Mesh{}, conn: conn, undeliveredFrom: allDelivered}
+}
+
+// send writes a message of some length to the link and returns its delivery.
+func (link *link) send(t *testing.T, length int) Delivery {
+	t.Helper()
+	delivery := Delivery{link, link.written.Load()}
+	_, err := countingConn{link.conn, &link.written}.Write(make([]byte, length))
+	assert.NilError(t, err)
+	return delivery
+}
+
+// TestDelivery guards against messages that are taken for undelivered because this process has not read the peer's replies, so that the calls
+// they ask for are made twice, and against messages that count although they did not arrive.
+func TestDelivery(t *testing.T) {
+	const long = 256 << 10 // more than the listener accepts without reading
+	t.Run("messages that the peer's machine has acknowledged are delivered", func(t *testing.T) {
+		link := dialUnread(t, true)
+		first, second := link.send(t, long), link.send(t, 100)
+		link.checkDelivery()
+		assert.Assert(t, !first.Undelivered() && !second.Undelivered())
+	})
+	t.Run("messages of which it has acknowledged nothing are not", func(t *testing.T) {
+		link := dialUnread(t, false)
+		first, second := link.send(t, long), link.send(t, 100)
+		link.checkDelivery()
+		assert.Assert(t, !first.Undelivered(), "a part has arrived")
+		assert.Assert(t, second.Undelivered())
+		assert.Assert(t, link.send(t, 100).Undelivered(), "it follows one that is undelivered")
+	})
+	t.Run("a link without a check shows nothing", func(t *testing.T) {
+		link := dialUnread(t, false)
+		link.send(t, long)
+		assert.Assert(t, !link.send(t, 100).Undelivered())
+		assert.Assert(t, !Delivery{}.Undelivered())
+	})
+	t.Run("nor one whose check was long ago", func(t *testing.T) {
+		link := dialUnread(t, false)
+		link.send(t, long)
+		second := link.send(t, 100)
+		link.checkDelivery()
+		link.checkedAt = link.checkedAt.Add(-2 * maxCheckAge)
+		assert.Assert(t, !second.Undelivered())
+	})
+	t.Run("a link with TLS shows nothing", func(t *testing.T) {
+		link := dialUnread(t, false)
+		link.send(t, long)
+		second := link.send(t, 100)
+		link.conn = struct{ net.Conn }{link.conn}
+		link.checkDelivery()
+		assert.Assert(t, !second.Undelivered())
+	})
+}
--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -23,6 +24,7 @@
 	rpc         *jsonrpc2.Conn
 	conn        net.Conn
 	done        chan struct{}
+	written     atomic.Int64 // bytes, including those of a write that has only begun
 	mu          sync.Mutex
 	closed      bool // no message is queued and no connection is opened any more
 	lastSent    time.Time
@@ -30,6 +32,9 @@
 	promptSent  bool      // one of the messages since silentSince is prompt
 	lastPing    time.Time
 	hasSent     bool
+	// undeliveredFrom is the first of the written bytes that the peer's machine had not acknowledged at the last check, allDelivered if there was none.
+	undeliveredFrom int64
+	checkedAt       time.Time
 }
 
 // run opens the connection and sends the queued messages until the link is closed.
@@ -58,6 +63,7 @@
 				return
 			}
 			sentMessages.Add(message.Method, 1)
+			message.sent(Delivery{link, link.written.Load()})
 			if err := link.rpc.Notify(ctx, message.Method, params); err != nil {
 				link.close()
 				return
@@ -77,7 +83,7 @@
 		return err
 	}
 	codec := newFrameCodec()
-	stream := jsonrpc2.NewBufferedStream(countingConn{conn}, codec)
+	stream := jsonrpc2.NewBufferedStream(countingConn{conn, &link.written}, codec)
 	rpcConn := jsonrpc2.NewConn(context.Background(), stream, replyHandler{link}, discardLog)
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
@@ -151,6 +157,8 @@
 func (link *link) ping() {
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
+	check := time.AfterFunc(deliveryCheckDelay, link.checkDelivery)
+	defer check.Stop()
 	if link.rpc.Call(ctx, rpc.MethodPing, nil, nil) != nil {
 		link.close()
 		return
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -12,11 +12,13 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/poplarpind/tcp"
 )
 
 const (
@@ -86,6 +88,7 @@
 	failedAt map[string]time.Time // by peer name; when its last link failed
 	closed   bool
 	inbound  map[net.Conn]bool
+	loopback tcp.Loopback // for checks of links
 }
 
 // New returns a mesh without links. If client is set, links are opened with TLS.
@@ -109,6 +112,7 @@
 	Params   any
 	Build    func() (params any, wanted bool) // called instead of Params when the message is about to be sent; nil if Params does not age
 	Prompt   bool                             // it must arrive soon or not at all, so that the silence of the link is to be noticed soon after it
+	OnSend   func(Delivery)                   // called before the message is sent; nil if that does not matter
 	OnUnsent func(Kind)                       // called if the message was certainly not sent, with the reason; nil if that does not matter
 }
 
@@ -128,6 +132,12 @@
 	return nil
 }
 
+func (message Message) sent(delivery Delivery) {
+	if message.OnSend != nil {
+		message.OnSend(delivery)
+	}
+}
+
 func (message Message) unsent(kind Kind) {
 	if message.OnUnsent != nil {
 		message.OnUnsent(kind)
@@ -184,7 +194,7 @@
 		return nil
 	}
 	created := &link{mesh: mesh, name: name, address: address, queue: make(chan Message, queueLength),
-		ready: make(chan struct{}), done: make(chan struct{}), lastSent: time.Now()}
+		ready: make(chan struct{}), done: make(chan struct{}), lastSent: time.Now(), undeliveredFrom: allDelivered}
 	if existing := mesh.links[name]; existing != nil {
 		go existing.close() // which locks the mesh
 	}
@@ -253,7 +263,7 @@
 
 func (mesh *Mesh) serve(conn net.Conn) {
 	codec := newFrameCodec()
-	stream := jsonrpc2.NewBufferedStream(countingConn{conn}, codec)
+	stream := jsonrpc2.NewBufferedStream(countingConn{conn, new(atomic.Int64)}, codec)
 	_ = conn.SetReadDeadline(time.Now().Add(handshakeTimeout)) // fails only on a closed connection
 	inbound := &inbound{mesh: mesh, conn: conn, codec: codec, replies: make(chan Message, queueLength)}
 	rpcConn := jsonrpc2.NewConn(context.Background(), stream, inbound, discardLog)
--- a/poplarpind/tcp/tcp.go
+++ b/poplarpind/tcp/tcp.go
@@ -33,6 +33,23 @@
 	return info, err == nil
 }
 
+// Unacknowledged returns how many of the bytes written to a connection the kernel has no acknowledgement of, and reports whether that is known.
+func Unacknowledged(conn net.Conn) (bytes int, known bool) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	err = raw.Control(func(fd uintptr) { // fails only on a closed connection
+		bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		known = err == nil
+	})
+	return bytes, known && err == nil
+}
+
 // Finished reports whether the other end has closed the connection and it has not been reset since.
 func (info Info) Finished() bool { return info.State == stateCloseWait }
 
