A response whose status no target may give is no answer

A seed's state was taken with any status. Cause: http.ReadResponse accepts any three digits, and each reader compared the status only with the bounds that it cared about. Change: final statuses are 200 to 599, interim ones 100 to 199 but for 101, from targets, relays, the store and the platform; a seed answers 200. Others are invalid, their connection is closed: idempotent requests go to another target, others end with 502. No message between VMs has changed; one of an earlier build with such a status counts as an invalid response, its link goes on.

--- a/poplarpin/client/client.go
+++ b/poplarpin/client/client.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if response.StatusCode >= http.StatusBadRequest {
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		var apiError api.Error
 		if json.Unmarshal(data, &apiError) == nil && apiError.Kind != "" {
 			return &apiError
--- a/poplarpind/gateway/deletions_test.go
+++ b/poplarpind/gateway/deletions_test.go
@@ -104,3 +104,24 @@
 	assert.Equal(t, len(gateway.peers), 0)
 	assert.Equal(t, gateway.table.Load().Version, int64(1))
 }
+
+// TestSeedStatus guards against a state that a VM takes from a response that is no success.
+func TestSeedStatus(t *testing.T) {
+	older := newTestGateway()
+	older.listTargets(t, 5, false, map[string]int64{"i-1": 2})
+	config, err := json.Marshal(platformtest.Config(1))
+	assert.NilError(t, err)
+	older.applyList(platform.ConfigKind, []platform.Object{{Name: platform.ConfigName, Revision: 1, Spec: config}}, platform.Position{Revision: 5}, false)
+	state := httptest.NewRecorder()
+	older.serveState(state, httptest.NewRequest(http.MethodGet, statePath, nil))
+	request := func(status string) error {
+		seed := platformtest.NewTruncatingTarget(t, func(*http.Request) platformtest.Truncated {
+			return platformtest.Truncated{Bytes: platformtest.InvalidResponses(status, state.Body.String())["a body"], Ending: platformtest.Kept}
+		})
+		return newTestGateway().requestSeedState(t.Context(), http.DefaultClient, seed.Address)
+	}
+	assert.NilError(t, request("200"))
+	for _, status := range append(platformtest.InvalidStatuses(), "404", "500") {
+		assert.Check(t, request(status) != nil, status)
+	}
+}
--- a/poplarpind/gateway/relay.go
+++ b/poplarpind/gateway/relay.go
@@ -14,6 +14,7 @@
 	"poplarpin.dev/core/route"
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/platform"
+	"poplarpin.dev/poplarpind/http1"
 	"poplarpin.dev/poplarpind/peer"
 )
 
@@ -144,6 +145,7 @@
 	if !ok || call.relayVM != from {
 		return // cancelled meanwhile, or relayed by another peer
 	}
+	message = withoutInvalidResponse(message)
 	report := fanout.Report{Answered: message.Parts, Missing: message.Missing, Early: message.Overdue, Final: message.Final}
 	for _, latency := range message.LatenciesMicros {
 		report.Latencies = append(report.Latencies, time.Duration(latency)*time.Microsecond)
@@ -155,6 +157,22 @@
 	})
 }
 
+// withoutInvalidResponse returns a result without a response whose status no target may give. Relays of earlier builds pass such responses on.
+func withoutInvalidResponse(message rpc.GatherResult) rpc.GatherResult {
+	if message.Response == nil || http1.FinalStatus(message.Response.Status) {
+		return message
+	}
+	invalid := make([]fanout.Missing, 0, len(message.Parts)+len(message.Missing))
+	for _, part := range message.Parts {
+		invalid = append(invalid, fanout.Missing{Part: part, Outcome: fanout.InvalidResponse})
+	}
+	for _, missing := range message.Missing {
+		invalid = append(invalid, fanout.Missing{Part: missing.Part, Outcome: fanout.InvalidResponse})
+	}
+	message.Response, message.Parts, message.Stamps, message.LatenciesMicros, message.Missing = nil, nil, nil, nil, invalid
+	return message
+}
+
 // hasResults reports whether a message of a relay tells of a call to a target.
 func hasResults(message rpc.GatherResult) bool {
 	return len(message.Parts) > 0 || len(message.Missing) > 0 || message.Response != nil
--- a/poplarpind/gateway/relayed_calls_test.go
+++ b/poplarpind/gateway/relayed_calls_test.go
@@ -36,6 +36,27 @@
 	assert.Assert(t, !gateway.isRelayed("1"))
 }
 
+// startRelayedOnce returns a gateway with a request that must run once, whose only call, query 1, another VM relays.
+func startRelayedOnce(t *testing.T) (gateway *Gateway, started *job, relayVM string) {
+	t.Helper()
+	gateway = New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, "test", zap.NewNop())
+	now := time.Now()
+	gateway.fleet.Update(now, place.Endpoint{ID: "i-1", Service: "one", FailureDomain: "b", Slots: 2, State: place.Ready})
+	gateway.setPeers([]platform.VM{{Name: "vm-b1", FailureDomain: "b"}, {Name: "vm-b2", FailureDomain: "b"}})
+	for range 10 { // until the failure domain counts as cut off
+		gateway.fleet.StartAttempt(now.Add(-time.Second), "i-1", "o").Discard()
+	}
+	for _, peer := range []string{"vm-b1", "vm-b2"} {
+		gateway.Greeted(rpc.Hello{VM: peer, Capabilities: rpc.OwnCapabilities()})
+	}
+	started = gateway.newJob(&platform.Request{ID: "id-7"}, &route.Route{Name: "o", Destination: route.Single{Service: "one"}, Timeout: 10 * time.Second}, nil, fanout.ClientPath{}, 1, false)
+	actions := started.clientRun.Start(now)
+	assert.Equal(t, len(actions), 1)
+	relay := actions[0].(fanout.Relay)
+	gateway.relayedCalls["1"] = relayedCall{job: started, index: relay.Call, relayVM: relay.VM.ID}
+	return gateway, started, relay.VM.ID
+}
+
 // TestContradictoryRefusal guards against a second call of a request after a message of its relay that refuses it and has a result of the target too.
 func TestContradictoryRefusal(t *testing.T) {
 	for name, message := range map[string]rpc.GatherResult{
@@ -45,23 +66,9 @@
 		"a signature": {Parts: []int{1}, Stamps: []string{"s"}, LatenciesMicros: []int{1}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			gateway := New(platform.Settings{VM: "vm-a1", FailureDomain: "a"}, "test", zap.NewNop())
-			now := time.Now()
-			gateway.fleet.Update(now, place.Endpoint{ID: "i-1", Service: "one", FailureDomain: "b", Slots: 2, State: place.Ready})
-			gateway.setPeers([]platform.VM{{Name: "vm-b1", FailureDomain: "b"}, {Name: "vm-b2", FailureDomain: "b"}})
-			for range 10 { // until the failure domain counts as cut off
-				gateway.fleet.StartAttempt(now.Add(-time.Second), "i-1", "o").Discard()
-			}
-			for _, peer := range []string{"vm-b1", "vm-b2"} {
-				gateway.Greeted(rpc.Hello{VM: peer, Capabilities: rpc.OwnCapabilities()})
-			}
-			job := gateway.newJob(&platform.Request{ID: "id-7"}, &route.Route{Name: "o", Destination: route.Single{Service: "one"}, Timeout: 10 * time.Second}, nil, fanout.ClientPath{}, 1, false)
-			actions := job.clientRun.Start(now)
-			assert.Equal(t, len(actions), 1)
-			relay := actions[0].(fanout.Relay)
-			gateway.relayedCalls["1"] = relayedCall{job: job, index: relay.Call, relayVM: relay.VM.ID}
+			gateway, job, relay := startRelayedOnce(t)
 			message.QueryID, message.Refused, message.Final = "1", true, true
-			gateway.receiveGatherResult(relay.VM.ID, message)
+			gateway.receiveGatherResult(relay, message)
 			response := <-job.response
 			_, delivered := response.(fanout.Deliver)
 			_, givenUp := response.(fanout.GiveUp)
@@ -71,6 +78,26 @@
 	}
 }
 
+// TestInvalidStatusOfRelay guards against a response that a relay of an earlier build passes on though no target may give its status.
+func TestInvalidStatusOfRelay(t *testing.T) {
+	for name, message := range map[string]rpc.GatherResult{
+		"as an answer":  {Parts: []int{0}, Stamps: []string{"s"}, LatenciesMicros: []int{1}, Response: &rpc.Response{Status: 600}},
+		"as a failure":  {Missing: []fanout.Missing{{Part: 0, Outcome: fanout.Failed}}, Response: &rpc.Response{Status: 999}},
+		"as a refusal":  {Missing: []fanout.Missing{{Part: 0, Outcome: fanout.Refused}}, Response: &rpc.Response{Status: 777}},
+		"for no result": {Response: &rpc.Response{Status: 700}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gateway, job, relay := startRelayedOnce(t)
+			message.QueryID, message.Final = "1", true
+			gateway.receiveGatherResult(relay, message)
+			response := <-job.response
+			_, givenUp := response.(fanout.GiveUp)
+			assert.Assert(t, givenUp, "%T", response)
+			assert.Equal(t, job.clientRun.ExtraCalls(), 0)
+		})
+	}
+}
+
 // newRelayGateway returns a gateway with one route whose requests must run once, and the listener of its only target, i-1.
 func newRelayGateway(t *testing.T) (*Gateway, net.Listener) {
 	t.Helper()
--- a/poplarpind/gateway/seed.go
+++ b/poplarpind/gateway/seed.go
@@ -11,6 +11,7 @@
 
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/platform"
+	"poplarpin.dev/poplarpind/peer"
 )
 
 const (
@@ -82,6 +83,9 @@
 		return err
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return &peer.Error{Op: "seed", Kind: peer.Rejected, Detail: response.Status}
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
 	if err != nil {
 		return err
--- a/poplarpind/gateway/stranded_test.go
+++ b/poplarpind/gateway/stranded_test.go
@@ -160,3 +160,23 @@
 		assert.Equal(t, runs[run.RequestID], 1, "%v", recorder.Runs())
 	}
 }
+
+// TestInvalidStatusByRelay guards against an answer made of a response whose status no target may give, and that another VM has received.
+func TestInvalidStatusByRelay(t *testing.T) {
+	deployment := newStrandedDeployment(t)
+	deployment.eachLink((*platformtest.Link).Hang)
+	for _, target := range deployment.targets {
+		target.SetHandler(platformtest.LastReply)
+	}
+	assertServes(t, deployment.stranded, "/o/x")
+	for _, id := range []string{"i-3", "i-4"} {
+		deployment.targets[id].SetHandler(func(writer http.ResponseWriter, _ *http.Request) {
+			platformtest.Sign(writer, "odd")
+			writer.WriteHeader(777)
+		})
+	}
+	calls := func() int64 { return deployment.targets["i-3"].Calls.Load() + deployment.targets["i-4"].Calls.Load() }
+	before := calls()
+	assert.Equal(t, deployment.stranded.doWithin(t, "/o/x"), http.StatusBadGateway)
+	assert.Equal(t, calls(), before+1)
+}
--- a/poplarpind/http1/response.go
+++ b/poplarpind/http1/response.go
@@ -35,6 +35,7 @@
 
 	notAcknowledged = "the target's machine has acknowledged nothing" // of a call that is undelivered
 	notHTTP         = "not HTTP"
+	invalidStatus   = "status that no target may give"
 	unknownCoding   = "transfer coding that its HTTP version does not have"
 	spaceInFraming  = "space after the name of a field that frames the body"
 )
@@ -78,13 +79,16 @@
 		if err != nil {
 			return nil, nil, conn.responseError("response", err)
 		}
+		if !FinalStatus(response.StatusCode) && !interimStatus(response.StatusCode) {
+			return nil, nil, invalid("response", invalidStatus)
+		}
 		if !response.ProtoAtLeast(1, 1) && statesCoding(head) {
 			return nil, nil, invalid("response", unknownCoding)
 		}
 		if hidesFraming(response.Header) {
 			return nil, nil, invalid("response", spaceInFraming)
 		}
-		if response.StatusCode < http.StatusOK {
+		if interimStatus(response.StatusCode) {
 			continue // its head counts towards the limit
 		}
 		conn.source.remaining = math.MaxInt64
@@ -96,6 +100,14 @@
 	}
 }
 
+// FinalStatus reports whether a target may end its response to a request with a status.
+func FinalStatus(status int) bool { return status >= http.StatusOK && status < 600 }
+
+// interimStatus reports whether a target may give a status before the final one. Nobody asks it to switch to another protocol.
+func interimStatus(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // readHead reads the head of a response, and returns its text, followed by what has arrived after it, unless it is one of HTTP/1.1.
 func (conn *conn) readHead(request *http.Request) (*http.Response, []byte, error) {
 	if version, _ := conn.reader.Peek(len(http11)); string(version) != http11 {
--- a/poplarpind/platform/platform.go
+++ b/poplarpind/platform/platform.go
@@ -196,7 +196,7 @@
 		calls.Add("failed", 1)
 		return nil, &Error{op, transportErrorKind(err), err.Error()}
 	}
-	if response.StatusCode < 300 {
+	if response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices {
 		return response, nil
 	}
 	defer response.Body.Close()
@@ -222,7 +222,7 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return NotSent
 	}
-	if status >= 500 {
+	if status < http.StatusOK || status >= http.StatusInternalServerError {
 		return Lost
 	}
 	return Rejected
--- a/poplarpind/target/error.go
+++ b/poplarpind/target/error.go
@@ -3,8 +3,11 @@
 // Kind classifies an Error.
 type Kind string
 
-// TooLong marks a response that does not fit into the memory for responses.
-const TooLong Kind = "tooLong"
+// The kinds of errors.
+const (
+	TooLong       Kind = "tooLong"       // the response does not fit into the memory for responses
+	InvalidStatus Kind = "invalidStatus" // no target may respond with this status
+)
 
 // Error reports why a target's response is unusable.
 type Error struct {
--- a/poplarpind/target/target.go
+++ b/poplarpind/target/target.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"time"
 
@@ -164,6 +166,14 @@
 	target.startQueued()
 }
 
+// noSwitch fails a call whose target switches to another protocol, which nobody has asked for.
+var noSwitch = &httptrace.ClientTrace{Got1xxResponse: func(status int, _ textproto.MIMEHeader) error {
+	if status == http.StatusSwitchingProtocols {
+		return &Error{"exchange", InvalidStatus, "the target switches to another protocol"}
+	}
+	return nil
+}}
+
 // exchange sends one call on a connection and returns its result: NotSent if it failed before the request was sent, Lost if it
 // failed later, so that the target may have run the call.
 func (target *target) exchange(ctx context.Context, job *job, deadline time.Time) rpc.Result {
@@ -175,7 +185,7 @@
 	if err != nil {
 		return rpc.Result{Outcome: rpc.NotSent}
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.settings.Address+search.SearchPath, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, noSwitch), http.MethodPost, "http://"+target.settings.Address+search.SearchPath, bytes.NewReader(body))
 	if err != nil {
 		conn.Release()
 		return rpc.Result{Outcome: rpc.NotSent}
@@ -231,9 +241,15 @@
 	case http.StatusServiceUnavailable:
 		return decodeRefusal(data)
 	}
+	if !isFinal(status) { // it does not say what has become of the call
+		return rpc.Result{Outcome: rpc.Lost}
+	}
 	return rpc.Result{Outcome: rpc.Failed}
 }
 
+// isFinal reports whether a target may end a response with a status.
+func isFinal(status int) bool { return status >= http.StatusOK && status < 600 }
+
 // decodeRefusal returns Lost for a body that does not name a state in which targets refuse calls: a 503 of something between this VM and
 // the target, or one that is cut off, does not show that the call has not run.
 func decodeRefusal(data []byte) rpc.Result {
@@ -300,7 +316,7 @@
 	}
 	defer response.Body.Close()
 	var health search.Health
-	if json.NewDecoder(io.LimitReader(response.Body, maxHealthBytes)).Decode(&health) != nil {
+	if !isFinal(response.StatusCode) || json.NewDecoder(io.LimitReader(response.Body, maxHealthBytes)).Decode(&health) != nil {
 		return
 	}
 	target.applyHealth(health)
