Tests of endless responses take the sizes of the sockets from the kernel

This machine's kernel lets a receive buffer grow to 32 MB (tcp_rmem) and a send buffer to 4 MB (tcp_wmem). Change: the bound is what the client reads and what the kernel says that the sockets hold. TestEndless of http1 the same; its bound for a response that is hardly read is as it was.

--- a/poplarpind/http1/endless_test.go
+++ b/poplarpind/http1/endless_test.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	maxSent     = 24 << 20         // what a server may send before it is stopped: a body and what the sockets of both sides hold
+	maxBody     = 16 << 20         // of a response
+	maxOverhead = 1 << 20          // of a response: its head, and what is read ahead
+	maxUnread   = 12 << 20         // what the sockets hold of a response that is hardly read, so that their buffers do not grow
 	sendFor     = 64 << 20         // what a server sends at most
 	waitTimeout = 10 * time.Second // no result depends on how long a condition takes
 )
@@ -25,7 +27,7 @@
 			target := platformtest.NewEndlessTarget(t, response, 0)
 			assertKind(t, call(t, newPool(), target.Address, false).err, http1.Malformed)
 			assertReceived(t, target.Ended)
-			assert.Assert(t, target.Sent.Load() < maxSent, "%d bytes were sent", target.Sent.Load())
+			assert.Assert(t, target.Sent.Load() <= maxBody+platformtest.SocketBytes(t)+maxOverhead, "%d bytes were sent", target.Sent.Load())
 		})
 	}
 	t.Run("a body over the limit of its call", func(t *testing.T) {
@@ -33,7 +35,7 @@
 		_, result := start(t, newPool(), target.Address, func(call *http1.Call) { call.MaxBody = 64 << 10 })
 		assertKind(t, (<-result).err, http1.Malformed)
 		assertReceived(t, target.Ended)
-		assert.Assert(t, target.Sent.Load() < maxSent/2, "%d bytes were sent", target.Sent.Load())
+		assert.Assert(t, target.Sent.Load() < maxUnread, "%d bytes were sent", target.Sent.Load())
 	})
 	t.Run("a stated length over the limit ends the call before the body", func(t *testing.T) {
 		target := platformtest.NewEndlessTarget(t, platformtest.EndlessResponse{Start: "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", Repeat: "b"}, time.Hour)
