One check of a link at a time; one rule of final statuses

Each call to a relay that seemed cut off started a check of its link of its own, with two round trips, though one check serves all messages of a link; final statuses were named in two packages of the process; two tests had the same listener. Comments say plainly what they bound. Behaviour otherwise as it was.

--- a/core/fanout/cut_off_test.go
+++ b/core/fanout/cut_off_test.go
@@ -106,14 +106,11 @@
 	})
 	t.Run("a relay that has reported has got its message", func(t *testing.T) {
 		run, _, now, calls := newCutOffLoad(true)
-		var actions []fanout.Action
+		actions := lose(run, now, sends(calls))
 		for _, action := range calls {
-			switch action := action.(type) {
-			case fanout.Send:
-				actions = append(actions, run.Result(now, action.Call, fanout.Lost)...)
-			case fanout.Relay:
-				run.RelayReport(now, action.Call, fanout.Report{Early: true})
-				actions = append(actions, run.RelayFailed(now, action.Call, fanout.Undelivered)...)
+			if relay, ok := action.(fanout.Relay); ok {
+				run.RelayReport(now, relay.Call, fanout.Report{Early: true})
+				actions = append(actions, run.RelayFailed(now, relay.Call, fanout.Undelivered)...)
 			}
 		}
 		for service, count := range callsOf(append(calls, actions...), serviceNames(9)) {
--- a/core/fanout/unread_test.go
+++ b/core/fanout/unread_test.go
@@ -26,6 +26,17 @@
 	return calls
 }
 
+// loseAll ends calls to targets and relays without an answer and returns the resulting actions.
+func loseAll(run *fanout.Run, now time.Time, calls []fanout.Action) []fanout.Action {
+	actions := lose(run, now, sends(calls))
+	for _, action := range calls {
+		if relay, ok := action.(fanout.Relay); ok {
+			actions = append(actions, run.RelayFailed(now, relay.Call, fanout.Lost)...)
+		}
+	}
+	return actions
+}
+
 // TestUnreadAnswers guards against parts that run on more targets than their route allows: a VM that is short of processor, or stood still, takes
 // targets for cut off whose answers it has only not read yet.
 func TestUnreadAnswers(t *testing.T) {
@@ -45,16 +56,7 @@
 		},
 		"links are given up before their answers are read": func(run *fanout.Run, fleet *place.Fleet, now time.Time, calls []fanout.Action) []fanout.Action {
 			failProbes(fleet, now)
-			var actions []fanout.Action
-			for _, action := range calls {
-				switch action := action.(type) {
-				case fanout.Send:
-					actions = append(actions, run.Result(now, action.Call, fanout.Lost)...)
-				case fanout.Relay:
-					actions = append(actions, run.RelayFailed(now, action.Call, fanout.Lost)...)
-				}
-			}
-			return append(actions, tickUntil(run, start.Add(800*time.Millisecond))...)
+			return append(loseAll(run, now, calls), tickUntil(run, start.Add(800*time.Millisecond))...)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -268,9 +268,9 @@
 mutant_of poplarpind "old check believed" peer delivery.go 's/ && time.Since\(delivery.link.checkedAt\) <= maxCheckAge/ \&\& time.Since(delivery.link.checkedAt) >= 0/' TestDelivery
 mutant_of poplarpind "any status taken" http1 response.go 's/if !FinalStatus\(response.StatusCode\) && !interimStatus\(response.StatusCode\) \{/if false {/' TestInvalidStatus
 mutant_of poplarpind "protocol switch taken for interim" http1 response.go 's/ && status != http.StatusSwitchingProtocols//' TestInvalidStatus
-mutant_of platform "any status of the store taken" . store.go 's/if response.StatusCode < http.StatusOK \|\| response.StatusCode >= 600 \{/if false {/' TestInvalidStatus
+mutant_of platform "any status of the store taken" . store.go 's/if response.StatusCode < http.StatusOK \|\| response.StatusCode > maxStatus \{/if false {/' TestInvalidStatus
 mutant_of poplarpind "any status of a relay taken" gateway relay.go 's/ \|\| http1.FinalStatus\(message.Response.Status\)/ || http1.FinalStatus(message.Response.Status) || true/' TestInvalidStatusOfRelay
-mutant_of poplarpind "any status is a failure" target target.go 's/return status >= http.StatusOK && status < 600/return status >= 0/' TestInvalidStatus
+mutant_of poplarpind "any status is a failure" target target.go 's/if !http1.FinalStatus\(status\) \{/if false {/' TestInvalidStatus
 mutant_of poplarpind "any status of a seed taken" gateway seed.go 's/if response.StatusCode != http.StatusOK \{/if false {/' TestSeedStatus
 
 wait
--- a/poplarpind/gateway/delivery.go
+++ b/poplarpind/gateway/delivery.go
@@ -26,7 +26,7 @@
 	relayed := gateway.relayedCalls[job.relayQueries[check.Call]]
 	gateway.mu.Unlock()
 	callCounts.Add("deliveryChecked", 1)
-	go relayed.message.Check()
+	relayed.message.Check()
 	if exchange == nil {
 		return
 	}
--- a/poplarpind/http1/conn.go
+++ b/poplarpind/http1/conn.go
@@ -249,7 +249,7 @@
 	}
 }
 
-// endUndelivered ends a call that was written before a time and of which the target's machine has acknowledged nothing.
+// endUndelivered ends a call that was written before a time if the target's machine has acknowledged none of its bytes.
 func (conn *conn) endUndelivered(exchange *Exchange, writtenBefore time.Time) {
 	conn.endIf(exchange, &Error{"send", Undelivered, notAcknowledged}, func() bool {
 		if !conn.written || !conn.writtenAt.Before(writtenBefore) || conn.responding {
--- a/poplarpind/http1/endless_test.go
+++ b/poplarpind/http1/endless_test.go
@@ -13,8 +13,8 @@
 
 const (
 	maxBody     = 16 << 20         // of a response
-	maxOverhead = 1 << 20          // of a response: its head, and what is read ahead
-	maxUnread   = 12 << 20         // what the sockets hold of a response that is hardly read, so that their buffers do not grow
+	maxOverhead = 1 << 20          // of a response: its head, and bytes that are read ahead
+	maxUnread   = 12 << 20         // the sockets hold less than this of a response that is hardly read: their buffers do not grow
 	sendFor     = 64 << 20         // what a server sends at most
 	waitTimeout = 10 * time.Second // no result depends on how long a condition takes
 )
--- a/poplarpind/http1/response.go
+++ b/poplarpind/http1/response.go
@@ -40,7 +40,10 @@
 	spaceInFraming  = "space after the name of a field that frames the body"
 )
 
-const http11 = "HTTP/1.1" // the version of most responses
+const (
+	http11    = "HTTP/1.1" // the version of most responses
+	maxStatus = 599        // there are no further classes of statuses
+)
 
 var errHeadTooLarge = errors.New(headTooLarge)
 
@@ -101,7 +104,7 @@
 }
 
 // FinalStatus reports whether a target may end its response to a request with a status.
-func FinalStatus(status int) bool { return status >= http.StatusOK && status < 600 }
+func FinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
 
 // interimStatus reports whether a target may give a status before the final one. Nobody asks it to switch to another protocol.
 func interimStatus(status int) bool {
--- a/poplarpind/http1/status_test.go
+++ b/poplarpind/http1/status_test.go
@@ -11,8 +11,8 @@
 	"poplarpin.dev/poplarpind/http1"
 )
 
-// TestInvalidStatus guards against a response whose status no target may give, or one that is taken for interim so that the call waits for what
-// follows it, up to the end of its time.
+// TestInvalidStatus guards against responses whose status no target may give: as answers, or as interim ones, after which the call waits for another
+// response up to the end of its time.
 func TestInvalidStatus(t *testing.T) {
 	pool := newPoolOf(100)
 	go pool.Run(t.Context())
--- a/poplarpind/http1/undelivered_test.go
+++ b/poplarpind/http1/undelivered_test.go
@@ -1,26 +1,14 @@
 package http1
 
 import (
-	"context"
 	"net"
-	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
-)
 
-// listenUnread returns the address of a listener that accepts connections and reads nothing from them. Its receive buffers are small.
-func listenUnread(t *testing.T) string {
-	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
-		return conn.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
-	}}
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	return listener.Addr().String()
-}
+	"poplarpin.dev/platform/platformtest"
+)
 
 // TestUndelivered guards against calls that are taken for undelivered because this process has not read their responses, and against calls that wait
 // for machines that do not receive them.
@@ -36,7 +24,7 @@
 		{name: "a call that was written too late to tell", before: 256 << 10, written: -time.Hour},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			netConn, err := net.Dial("tcp", listenUnread(t))
+			netConn, err := net.Dial("tcp", platformtest.ListenUnread(t).Addr().String())
 			assert.NilError(t, err)
 			defer netConn.Close()
 			assert.NilError(t, netConn.(*net.TCPConn).SetWriteBuffer(1<<20))
--- a/poplarpind/peer/delivery.go
+++ b/poplarpind/peer/delivery.go
@@ -30,15 +30,19 @@
 	return delivery.offset >= delivery.link.undeliveredFrom && time.Since(delivery.link.checkedAt) <= maxCheckAge
 }
 
-// Check checks the link and closes it if the message is undelivered, so that it does not arrive later. It blocks for some time.
+// Check checks the link in the background, unless it is being checked, and closes it if the message is undelivered, so that it does not arrive later.
 func (delivery Delivery) Check() {
-	if delivery.link == nil {
+	link := delivery.link
+	if link == nil || !link.checking.CompareAndSwap(false, true) {
 		return
 	}
-	delivery.link.checkDelivery()
-	if delivery.Undelivered() {
-		delivery.link.close()
-	}
+	go func() {
+		defer link.checking.Store(false)
+		link.checkDelivery()
+		if delivery.Undelivered() {
+			link.close()
+		}
+	}()
 }
 
 // checkDelivery finds out from which byte on nothing that was written to the link has been acknowledged, if that includes some written before the
--- a/poplarpind/peer/delivery_test.go
+++ b/poplarpind/peer/delivery_test.go
@@ -1,24 +1,19 @@
 package peer
 
 import (
-	"context"
 	"io"
 	"net"
-	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"poplarpin.dev/platform/platformtest"
 )
 
 // dialUnread returns a link to a listener with a small receive buffer that reads nothing, or everything.
 func dialUnread(t *testing.T, reads bool) *link {
 	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
-		return conn.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
-	}}
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
+	listener := platformtest.ListenUnread(t)
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -25,6 +25,7 @@
 	conn        net.Conn
 	done        chan struct{}
 	written     atomic.Int64 // bytes, including those of a write that has only begun
+	checking    atomic.Bool  // a Delivery is being checked
 	mu          sync.Mutex
 	closed      bool // no message is queued and no connection is opened any more
 	lastSent    time.Time
--- a/poplarpind/status_test.go
+++ b/poplarpind/status_test.go
@@ -10,7 +10,7 @@
 	"poplarpin.dev/platform/platformtest"
 )
 
-// TestInvalidStatus guards against an answer made of a response whose status no target may give, or of what follows it on the connection: an
+// TestInvalidStatus guards against an answer made of a response whose status no target may give, or of bytes that follow it on the connection: an
 // idempotent request is answered by another target, any other one is not sent again.
 func TestInvalidStatus(t *testing.T) {
 	process, service := startTruncating(t)
--- a/poplarpind/target/target.go
+++ b/poplarpind/target/target.go
@@ -16,6 +16,7 @@
 	"poplarpin.dev/core/dispatch"
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/core/search"
+	"poplarpin.dev/poplarpind/http1"
 )
 
 const (
@@ -241,15 +242,12 @@
 	case http.StatusServiceUnavailable:
 		return decodeRefusal(data)
 	}
-	if !isFinal(status) { // it does not say what has become of the call
+	if !http1.FinalStatus(status) { // the call may have run
 		return rpc.Result{Outcome: rpc.Lost}
 	}
 	return rpc.Result{Outcome: rpc.Failed}
 }
 
-// isFinal reports whether a target may end a response with a status.
-func isFinal(status int) bool { return status >= http.StatusOK && status < 600 }
-
 // decodeRefusal returns Lost for a body that does not name a state in which targets refuse calls: a 503 of something between this VM and
 // the target, or one that is cut off, does not show that the call has not run.
 func decodeRefusal(data []byte) rpc.Result {
@@ -316,7 +314,7 @@
 	}
 	defer response.Body.Close()
 	var health search.Health
-	if !isFinal(response.StatusCode) || json.NewDecoder(io.LimitReader(response.Body, maxHealthBytes)).Decode(&health) != nil {
+	if !http1.FinalStatus(response.StatusCode) || json.NewDecoder(io.LimitReader(response.Body, maxHealthBytes)).Decode(&health) != nil {
 		return
 	}
 	target.applyHealth(health)
--- a/poplarpind/tcp/loopback.go
+++ b/poplarpind/tcp/loopback.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// AcknowledgeTime is how long a machine within reach takes at most to acknowledge what it has received: several round trips between regions.
+// AcknowledgeTime is the longest time in which a machine within reach acknowledges bytes that were sent to it: several round trips between regions.
 const AcknowledgeTime = 120 * time.Millisecond
 
 const (
@@ -21,8 +21,8 @@
 	conn net.Conn // nil until it is opened
 }
 
-// RoundTrip sends a byte to this process and waits until it has come back. The kernel has then handled what other connections had received
-// before: a process that is short of processor may look at their state long after it was current.
+// RoundTrip sends a byte to this process and waits until it has come back. The kernel has then handled all packets that arrived on other connections
+// before. Without it, a process that is short of processor may see their state as it was long ago.
 func (loopback *Loopback) RoundTrip() error {
 	loopback.mu.Lock()
 	defer loopback.mu.Unlock()
@@ -41,8 +41,8 @@
 	return nil
 }
 
-// AwaitAcknowledgements waits until the kernel shows all acknowledgements that arrived within AcknowledgeTime of what was written to connections
-// before the returned time. The first round trip shows that it has left, the second that what has arrived since has been handled.
+// AwaitAcknowledgements waits until bytes that were written before the returned time are acknowledged in the kernel's view, unless the other machine
+// takes longer than AcknowledgeTime. The first round trip shows that the bytes have left, the second that acknowledgements have been handled.
 func (loopback *Loopback) AwaitAcknowledgements() (writtenBefore time.Time, err error) {
 	writtenBefore = time.Now()
 	if err := loopback.RoundTrip(); err != nil {
@@ -64,7 +64,7 @@
 	return err
 }
 
-// openLoopback connects to a listener of this process, which sends back what it receives.
+// openLoopback connects to a listener of this process, which sends every byte back.
 func openLoopback() (net.Conn, error) {
 	listener, err := net.Listen("tcp", loopbackAddress)
 	if err != nil {
