Mutants of the delivery checks and of attempts match their lines

Change: the four patterns; TestDelivery asks about a message after the check too, which the last of them needs.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -45,7 +45,7 @@
 mutant "refused though it may have run" fanout results.go 's/if run.mayHaveRun\(\) \{/if false {/'
 mutant "answer with too few parts" fanout fanout.go 's/return run.answeredParts > 0 && float64\(run.answeredParts\) >= run.spec.MinCoverage\*float64\(len\(run.parts\)\)-coverageTolerance/return run.answeredParts > 0/'
 mutant "direct and relayed answer both used" fanout results.go 's/part.answeredBy, part.retryAt = call, time.Time\{\}/if part.answeredBy == nil { part.answeredBy = call }; part.retryAt = time.Time{}/'
-mutant "MaxAttempts ignored" fanout calls.go 's/return run.attempts\(now, part\) < max\(run.spec.MaxAttempts, 1\)/return true/'
+mutant "MaxAttempts ignored" fanout calls.go 's/return run.attempts\(part\) < max\(run.spec.MaxAttempts, 1\)/return true/'
 mutant "draining target called" place path.go 's/return endpoint.State == Ready && !endpoint.displaced/return !endpoint.displaced/'
 mutant "displaced target called" place path.go 's/return endpoint.State == Ready && !endpoint.displaced/return endpoint.State == Ready/'
 mutant "target called after grace period" place path.go 's/ && !endpoint.graceExpired\(now\)//'
@@ -138,7 +138,7 @@
 mutant "relay outside the regions" place path.go 's/ \|\| !allows\(fleet.regions\[vms\[0\].FailureDomain\]\)//'
 mutant "relay asked twice" fanout forward.go 's/asked := part.relays\(\)/var asked []string/'
 mutant "unknown outcome counts as not run" fanout outcome.go 's/\t\treturn false\n\t\}\n\treturn true\n\}/\t\treturn false\n\tcase Answered, Failed, Lost, InvalidResponse:\n\t\treturn true\n\t}\n\treturn false\n}/'
-mutant "refusal after a report believed" fanout relay.go 's/if call.reported && !outcome.possiblyRan\(\) \{/if false {/'
+mutant "refusal after a report believed" fanout relay.go 's/if call.reported && \(outcome == Undelivered \|\| !outcome.possiblyRan\(\)\) \{/if false {/'
 mutant "contradictory outcome forgotten" fanout forward.go 's/ \|\| outcome.possiblyRan\(\) && !forwarded.outcome.possiblyRan\(\)\)/)/'
 mutant "earlier outcome not heeded" fanout relay.go 's/call.worstOutcome\(missing\)/missing.Outcome/'
 mutant "call in flight forgotten" fanout once.go 's/part.inFlight > 0 \|\| part.possibleRuns > 0/part.possibleRuns > 0/'
@@ -262,9 +262,9 @@
 mutant_of poplarpind "note not awaited" entry accept.go 's/\tvm.storeInBackground\((func.*?\n)\t\}\)/\tgo ($1\t})(context.Background())/s' TestStopStoresNote
 mutant_of poplarpind "stop waits without limit" entry stop.go 's/ctx.Err\(\) == nil && vm.storing/vm.storing/' TestStopWithoutPlatform
 mutant_of platform "bodies outlast the process" . bodies.go 's/return bodies.closed \|\| held.Ended\(\)/return held.Ended()/' TestEndedBodies
-mutant_of poplarpind "unread call undelivered" http1 conn.go 's/return known && unacknowledged >= conn.callBytes/return known/' TestUndelivered
+mutant_of poplarpind "unread call undelivered" http1 conn.go 's/return known && unacknowledged >= conn.callBytes/return known \&\& unacknowledged >= 0/' TestUndelivered
 mutant_of poplarpind "check as old as its call" http1 conn.go 's/ \|\| !conn.writtenAt.Before\(writtenBefore\)//' TestUndelivered
-mutant_of poplarpind "unread message undelivered" peer delivery.go 's/known && acknowledged < writtenBefore/known/' TestDelivery
+mutant_of poplarpind "unread message undelivered" peer delivery.go 's/known && acknowledged < writtenBefore/known \&\& writtenBefore >= 0/' TestDelivery
 mutant_of poplarpind "old check believed" peer delivery.go 's/ && time.Since\(delivery.link.checkedAt\) <= maxCheckAge/ \&\& time.Since(delivery.link.checkedAt) >= 0/' TestDelivery
 mutant_of poplarpind "any status taken" http1 response.go 's/if !FinalStatus\(response.StatusCode\) && !interimStatus\(response.StatusCode\) \{/if false {/' TestInvalidStatus
 mutant_of poplarpind "protocol switch taken for interim" http1 response.go 's/ && status != http.StatusSwitchingProtocols//' TestInvalidStatus
--- a/poplarpind/peer/delivery_test.go
+++ b/poplarpind/peer/delivery_test.go
@@ -45,6 +45,7 @@
 		first, second := link.send(t, long), link.send(t, 100)
 		link.checkDelivery()
 		assert.Assert(t, !first.Undelivered() && !second.Undelivered())
+		assert.Assert(t, !link.send(t, 100).Undelivered(), "the check tells nothing of later messages")
 	})
 	t.Run("messages of which it has acknowledged nothing are not", func(t *testing.T) {
 		link := dialUnread(t, false)
