A write that has only begun does not count as sent to a link

Cause: the check of a link took all bytes whose write had begun for written before the check. Change: only writes that have returned count as written before the check; those that have begun still count against what is unacknowledged. A reply that comes after a check ends what it has found. Evidence: peer.TestDelivery, "a write that returns after the check has begun shows nothing", failed before; two mutants.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -265,6 +265,8 @@
 mutant_of poplarpind "unread call undelivered" http1 conn.go 's/return known && unacknowledged >= conn.callBytes/return known \&\& unacknowledged >= 0/' TestUndelivered
 mutant_of poplarpind "check as old as its call" http1 conn.go 's/ \|\| !conn.writtenAt.Before\(writtenBefore\)//' TestUndelivered
 mutant_of poplarpind "unread message undelivered" peer delivery.go 's/known && acknowledged < writtenBefore/known \&\& writtenBefore >= 0/' TestDelivery
+mutant_of poplarpind "begun write counts as sent" peer delivery.go 's/link.writes.returned.Load\(\)/link.writes.begun.Load()/' TestDelivery
+mutant_of poplarpind "check outlasts a reply" peer link.go 's/\tlink.undeliveredFrom = allDelivered[^\n]*\n//' TestDelivery
 mutant_of poplarpind "old check believed" peer delivery.go 's/ && time.Since\(delivery.link.checkedAt\) <= maxCheckAge/ \&\& time.Since(delivery.link.checkedAt) >= 0/' TestDelivery
 mutant_of poplarpind "any status taken" http1 response.go 's/if !FinalStatus\(response.StatusCode\) && !interimStatus\(response.StatusCode\) \{/if false {/' TestInvalidStatus
 mutant_of poplarpind "protocol switch taken for interim" http1 response.go 's/ && status != http.StatusSwitchingProtocols//' TestInvalidStatus
--- a/poplarpind/peer/delivery.go
+++ b/poplarpind/peer/delivery.go
@@ -48,12 +48,12 @@
 // checkDelivery finds out from which byte on nothing that was written to the link has been acknowledged, if that includes some written before the
 // check. Whether this process has read the peer's replies does not matter.
 func (link *link) checkDelivery() {
-	writtenBefore := link.written.Load()
+	writtenBefore := link.writes.returned.Load()
 	if _, err := link.mesh.loopback.AwaitAcknowledgements(); err != nil {
 		return
 	}
 	unacknowledged, known := tcp.Unacknowledged(link.conn)
-	acknowledged := link.written.Load() - int64(unacknowledged) // or more, if a write has only begun
+	acknowledged := link.writes.begun.Load() - int64(unacknowledged) // or more, if a write has only begun
 	link.mu.Lock()
 	defer link.mu.Unlock()
 	if link.closed {
--- a/poplarpind/peer/delivery_test.go
+++ b/poplarpind/peer/delivery_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -30,8 +31,8 @@
 // send writes a message of some length to the link and returns its delivery.
 func (link *link) send(t *testing.T, length int) Delivery {
 	t.Helper()
-	delivery := Delivery{link, link.written.Load()}
-	_, err := countingConn{link.conn, &link.written}.Write(make([]byte, length))
+	delivery := Delivery{link, link.writes.begun.Load()}
+	_, err := countingConn{link.conn, &link.writes}.Write(make([]byte, length))
 	assert.NilError(t, err)
 	return delivery
 }
@@ -69,6 +70,28 @@
 		link.checkedAt = link.checkedAt.Add(-2 * maxCheckAge)
 		assert.Assert(t, !second.Undelivered())
 	})
+	t.Run("a write that returns after the check has begun shows nothing", func(t *testing.T) {
+		link := dialUnread(t, false)
+		link.writes.begun.Add(long)
+		later := Delivery{link, link.writes.begun.Load()}
+		written := make(chan error, 1)
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			_, err := link.conn.Write(make([]byte, long))
+			written <- err
+		}()
+		link.checkDelivery()
+		assert.NilError(t, <-written)
+		assert.Assert(t, !later.Undelivered())
+	})
+	t.Run("nor one on which a reply has come since", func(t *testing.T) {
+		link := dialUnread(t, false)
+		link.send(t, long)
+		second := link.send(t, 100)
+		link.checkDelivery()
+		link.markReceived()
+		assert.Assert(t, !second.Undelivered())
+	})
 	t.Run("a link with TLS shows nothing", func(t *testing.T) {
 		link := dialUnread(t, false)
 		link.send(t, long)
--- a/poplarpind/peer/link.go
+++ b/poplarpind/peer/link.go
@@ -24,8 +24,8 @@
 	rpc         *jsonrpc2.Conn
 	conn        net.Conn
 	done        chan struct{}
-	written     atomic.Int64 // bytes, including those of a write that has only begun
-	checking    atomic.Bool  // a Delivery is being checked
+	writes      writeCounts
+	checking    atomic.Bool // a Delivery is being checked
 	mu          sync.Mutex
 	closed      bool // no message is queued and no connection is opened any more
 	lastSent    time.Time
@@ -64,7 +64,7 @@
 				return
 			}
 			sentMessages.Add(message.Method, 1)
-			message.sent(Delivery{link, link.written.Load()})
+			message.sent(Delivery{link, link.writes.begun.Load()})
 			if err := link.rpc.Notify(ctx, message.Method, params); err != nil {
 				link.close()
 				return
@@ -84,7 +84,7 @@
 		return err
 	}
 	codec := newFrameCodec()
-	stream := jsonrpc2.NewBufferedStream(countingConn{conn, &link.written}, codec)
+	stream := jsonrpc2.NewBufferedStream(countingConn{conn, &link.writes}, codec)
 	rpcConn := jsonrpc2.NewConn(context.Background(), stream, replyHandler{link}, discardLog)
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
@@ -188,6 +188,7 @@
 	link.mu.Lock()
 	defer link.mu.Unlock()
 	link.silentSince, link.promptSent = time.Time{}, false
+	link.undeliveredFrom = allDelivered // messages may have arrived since the last check
 }
 
 func (link *link) idle() time.Duration {
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -12,7 +12,6 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -263,7 +262,7 @@
 
 func (mesh *Mesh) serve(conn net.Conn) {
 	codec := newFrameCodec()
-	stream := jsonrpc2.NewBufferedStream(countingConn{conn, new(atomic.Int64)}, codec)
+	stream := jsonrpc2.NewBufferedStream(countingConn{conn, new(writeCounts)}, codec)
 	_ = conn.SetReadDeadline(time.Now().Add(handshakeTimeout)) // fails only on a closed connection
 	inbound := &inbound{mesh: mesh, conn: conn, codec: codec, replies: make(chan Message, queueLength)}
 	rpcConn := jsonrpc2.NewConn(context.Background(), stream, inbound, discardLog)
