One budget for what clients make a VM hold

Callers saw a VM that ended for lack of memory, or took no connections: a head may have 1 MB on each connection (net/http), whatever max_header_bytes says, and nothing bounds all connections together.

conns.Guard counts what each connection holds (net/http and socket, head, fields, body, calls, answer), and core/evict decides who is closed when the sum exceeds 30% of the VM's memory, or the connections 40% of its descriptors for sockets: the largest unfinished request or unread answer, the oldest connection without a request, idle ones with fewest answers, never a request that is served; each of these has a share of the places, and large requests leave a reserve to small ones. Sockets of clients have short buffers. max_header_bytes, header_timeout_ms and idle_timeout_ms hold now. A refused head gets 431, 408 or 503 with "not run" and the connection ends; bodies that are refused say so too.

--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,10 @@
 # Tests that are red for a fault that is recorded in KNOWN-RED.txt, as one expression that matches whole names.
 KNOWN_RED_NAMES = $(shell sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd'|')
 KNOWN_RED = $(if $(KNOWN_RED_NAMES),^($(KNOWN_RED_NAMES))$$)
+# Tests that measure memory and descriptors beside crowds of clients run apart from the others.
+CROWDS = ^TestCrowd
 
-.PHONY: build demo test setup rename-tools spin lint unit model mutants ablation fuzz bench capacity clean
+.PHONY: build demo test setup rename-tools spin lint unit crowds model mutants ablation fuzz bench capacity clean
 
 build:
 	@mkdir -p bin
@@ -19,7 +21,7 @@
 	@bin/testbed demo
 
 # All that CI runs.
-test: setup lint unit mutants ablation model
+test: setup lint unit crowds mutants ablation model
 	@echo "known red:"; cat KNOWN-RED.txt
 
 setup: spin
@@ -42,7 +44,11 @@
 	@for m in $(MODULES); do (cd $$m && $(GO) vet ./... && $(TOOLS)/staticcheck ./... && $(TOOLS)/revive -config ../revive.toml ./...) || exit 1; done
 
 unit:
-	@for m in $(MODULES); do (cd $$m && $(GO) test -count=1 -timeout 15m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && $(GO) test -count=1 -timeout 15m -skip '$(if $(KNOWN_RED),$(KNOWN_RED)|)$(CROWDS)' ./...) || exit 1; done
+
+# Plays crowds of clients that do not behave on real processes, one at a time.
+crowds:
+	@for m in poplarpind; do (cd $$m && $(GO) test -count=1 -timeout 15m -run '$(CROWDS)' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') .) || exit 1; done
 
 # Checks the models exhaustively and that each broken variant is rejected.
 model: spin
--- a/poplarpind/gateway/gateway.go
+++ b/poplarpind/gateway/gateway.go
@@ -56,6 +56,7 @@
 	hasSuspects         atomic.Bool               // suspects is not empty
 	quotas              *quotas
 	pauses              *pause.Detector
+	guards              guards
 	deliveries          deliveries
 
 	oddRevision         int64         // of another writer's entry in the place of this VM's; 0 for none. Only maintainPeers uses it
@@ -133,6 +134,7 @@
 	gateway.pauses = pause.New(syncInterval)
 	gateway.pool = http1.New(gateway.maxConnections, memoryBudget(settings.MemoryBytes))
 	gateway.fleet.SetConnected(func(target string) bool { return gateway.pool.Idle(target) > 0 })
+	gateway.guards = newGuards(gateway)
 	gateway.mesh = peer.New(gateway.hello, gateway, nil)
 	gateway.currentStoreAddress.Store(&settings.StoreAddress)
 	gateway.currentSeeds.Store(&settings.Seeds)
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -19,13 +19,13 @@
 	"poplarpin.dev/platform"
 	"poplarpin.dev/poplarpind/conns"
 	"poplarpin.dev/poplarpind/every"
+	"poplarpin.dev/poplarpind/logging"
 )
 
 const (
-	headerTimeout    = 10 * time.Second // a request line and its headers must be read within this time
-	gcPercent        = 100              // GOGC: heap growth between two garbage collections
-	settingsInterval = 2 * time.Second  // the settings file is read this often, within the 3 s for which a VM may use outdated seeds
-	memoryLimitShare = 0.6              // the soft limit of the Go runtime is this part of the VM's memory, beyond which garbage is collected more often
+	gcPercent        = 100             // GOGC: heap growth between two garbage collections
+	settingsInterval = 2 * time.Second // the settings file is read this often, within the 3 s for which a VM may use outdated seeds
+	memoryLimitShare = 0.6             // the soft limit of the Go runtime is this part of the VM's memory, beyond which garbage is collected more often
 )
 
 // Main runs an entry VM on the platform until SIGTERM or SIGINT.
@@ -43,17 +43,16 @@
 	defer cancel()
 	gateway := New(settings, build, log)
 	bodies := platform.NewBodies(memoryBudget(settings.MemoryBytes))
-	clients := &http.Server{Handler: platform.NewIngress(gateway, bodies), ReadHeaderTimeout: headerTimeout, IdleTimeout: platform.DefaultIdleTimeout,
-		ErrorLog: zap.NewStdLog(log), ConnContext: withClientConn}
+	clients := &http.Server{Handler: platform.NewIngress(gateway, bodies), ErrorLog: logging.OfServer(log), ConnContext: withClientConn}
 	states := conns.Watch(clients)
-	ready := &http.Server{Handler: platform.NewReadiness(gateway), ReadHeaderTimeout: headerTimeout}
+	ready := &http.Server{Handler: platform.NewReadiness(gateway), ReadHeaderTimeout: defaultHeaderTime, ErrorLog: logging.OfServer(log)}
 	if err := gateway.Start(ctx); err != nil {
 		return err
 	}
-	if _, err := gateway.serve(settings.ReadyAddress, ready); err != nil {
+	if _, err := gateway.serve(settings.ReadyAddress, ready, nil); err != nil {
 		return err
 	}
-	listener, err := gateway.serve(settings.CallerAddress, clients)
+	listener, err := gateway.serve(settings.CallerAddress, clients, gateway.guards.clients)
 	if err != nil {
 		return err
 	}
@@ -68,8 +67,8 @@
 // Start listens for peers, with HTTP on the peer address and for links on the mesh address, and starts the background loops, which
 // run until the context ends.
 func (gateway *Gateway) Start(ctx context.Context) error {
-	peers := &http.Server{Handler: gateway.peerHandler(), ReadHeaderTimeout: headerTimeout}
-	if _, err := gateway.serve(gateway.settings.PeerAddress, peers); err != nil {
+	peers := &http.Server{Handler: gateway.peerHandler(), ReadHeaderTimeout: defaultHeaderTime, ErrorLog: logging.OfServer(gateway.log)}
+	if _, err := gateway.serve(gateway.settings.PeerAddress, peers, nil); err != nil {
 		return err
 	}
 	links, err := net.Listen("tcp", gateway.settings.MeshAddress())
@@ -77,6 +76,7 @@
 		return err
 	}
 	go gateway.mesh.Serve(links)
+	go gateway.guards.run(ctx)
 	go gateway.run(ctx)
 	go func() {
 		<-ctx.Done()
@@ -87,18 +87,6 @@
 	return nil
 }
 
-// serve listens on an address until the server or the listener is closed.
-func (gateway *Gateway) serve(address string, server *http.Server) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	go func() {
-		gateway.log.Info("listener ended", zap.String("address", address), zap.Error(server.Serve(listener)))
-	}()
-	return listener, nil
-}
-
 // peerHandler serves metrics, dumps and this VM's state, which VMs read while they start, on the peer address.
 func (gateway *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -13,6 +13,7 @@
 	"poplarpin.dev/core/route"
 	"poplarpin.dev/core/rpc"
 	"poplarpin.dev/platform"
+	"poplarpin.dev/poplarpind/conns"
 	"poplarpin.dev/poplarpind/http1"
 )
 
@@ -20,6 +21,9 @@
 	noConfigurationRetry     = 200 * time.Millisecond // retry delay for clients of a VM without a configuration, which it reads within that time
 	pausedRetry              = 100 * time.Millisecond // retry delay for clients whose request may have waited while the process stood still
 	falsePromiseReason       = "the target's status promises that the request has not run, but the target does not say so"
+	noRoomRetry              = 100 * time.Millisecond // retry delay for clients whose request has no room here, while other VMs may have some
+	noRoomReason             = "the requests of other clients leave no room"
+	callBytes                = 1 << 10 // memory of a call besides its request
 	pausedReason             = "the request may have waited past its time"
 	idempotentDialTimeout    = 100 * time.Millisecond // many round trips between regions; the kernel repeats a lost first packet after a second only
 	nonIdempotentDialTimeout = 250 * time.Millisecond // short, so that the request can still run on another target
@@ -65,6 +69,11 @@
 		return rejection
 	}
 	defer func() { countAnswer(account, answer) }()
+	if !conns.Hold(ctx, callMemory(request, matched)) {
+		requestCounts.Add("noRoom", 1)
+		gateway.log.Info("request refused", zap.String("request", truncate(request.ID)), zap.String("route", matched.Name), zap.String("reason", noRoomReason))
+		return platform.Refusal{RetryAfter: noRoomRetry, Reason: noRoomReason}
+	}
 	verdict := gateway.checkSuspect(time.Now(), request.Fingerprint)
 	if verdict.RefuseFor > 0 {
 		return gateway.refuseQuarantined(request, matched.Name, verdict)
@@ -109,6 +118,15 @@
 	}
 }
 
+// callMemory returns the memory that the calls for a request take up while they are made.
+func callMemory(request *platform.Request, matched *route.Route) int64 {
+	calls := 1
+	if gather, ok := matched.Destination.(route.Gather); ok {
+		calls = len(gather.Shards)
+	}
+	return int64(calls) * int64(len(request.Head())+len(request.Body)+callBytes)
+}
+
 // mayBeLate reports whether a client may have given up a request that is not idempotent, and sent it to another VM as a new one, while it
 // waited for this process to run again.
 func mayBeLate(request *platform.Request, matched *route.Route, waited time.Duration) bool {
--- a/poplarpind/logging/logging.go
+++ b/poplarpind/logging/logging.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"expvar"
 	"io"
+	stdlog "log"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	maxBufferedBytes  = 1 << 20                // lines beyond are dropped and counted
 	samplerFirst      = 200                    // lines with the same message that are kept in each second
 	samplerThereafter = 10                     // beyond samplerFirst, one line in this many is kept
+	maxDetailBytes    = 1 << 10                // of what an HTTP server reports, which may have a stack
 	flushInterval     = 200 * time.Millisecond // lines are written to the output this often
 )
 
@@ -109,3 +111,15 @@
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, minLevel)
 	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, samplerFirst, samplerThereafter)), nil
 }
+
+// OfServer returns the log of an HTTP server. All its lines have the same message, so that the logger bounds them.
+func OfServer(log *zap.Logger) *stdlog.Logger { return stdlog.New(serverLog{log}, "", 0) }
+
+// serverLog writes what an HTTP server reports of its connections, whose text has the client's address.
+type serverLog struct{ log *zap.Logger }
+
+// Write implements io.Writer.
+func (serverLog serverLog) Write(line []byte) (int, error) {
+	serverLog.log.Info("HTTP server reported an error", zap.ByteString("detail", bytes.TrimSpace(line[:min(len(line), maxDetailBytes)])))
+	return len(line), nil
+}
--- a/poplarpind/process_test.go
+++ b/poplarpind/process_test.go
@@ -39,6 +39,7 @@
 	url     string
 	peerURL string // serves dumps and the VM's state
 	exited  chan struct{}
+	platformtest.Addresses
 }
 
 // startProcess starts an entry VM with the memory of the smallest one and waits until it is ready.
@@ -55,14 +56,18 @@
 	if vm.FailureDomain == "" {
 		vm.FailureDomain = "a"
 	}
-	vm.MemoryMB, vm.Addresses = memoryMB, addresses
+	vm.Addresses = addresses
+	if vm.MemoryMB == 0 {
+		vm.MemoryMB = memoryMB
+	}
 	vm.Bounds.RetryRatio, vm.Bounds.RetrySlack = 0.2, 50
 	data := vm.Settings(t)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(path, data, 0o600))
 	command := exec.Command(binary)
 	command.Env = append(os.Environ(), platformtest.SettingsVariable+"="+path)
-	started := &process{command: command, url: "http://" + addresses.Clients, peerURL: "http://" + addresses.Peers, exited: make(chan struct{})}
+	started := &process{command: command, url: "http://" + addresses.Clients, peerURL: "http://" + addresses.Peers, exited: make(chan struct{}),
+		Addresses: addresses}
 	return started.start(t, "http://"+addresses.Ready+platformtest.ReadyPath)
 }
 
--- a/poplarpind/tcp/tcp.go
+++ b/poplarpind/tcp/tcp.go
@@ -17,7 +17,7 @@
 
 // InfoOf returns the kernel's state of a connection, and reports whether this process has not closed it.
 func InfoOf(conn net.Conn) (info Info, open bool) {
-	tcp, ok := conn.(*net.TCPConn)
+	tcp, ok := under(conn)
 	if !ok {
 		return info, true
 	}
@@ -33,6 +33,20 @@
 	return info, err == nil
 }
 
+// under returns the TCP connection under one that wraps it.
+func under(conn net.Conn) (*net.TCPConn, bool) {
+	for {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			return tcp, true
+		}
+		wrapping, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, false
+		}
+		conn = wrapping.NetConn()
+	}
+}
+
 // Unacknowledged returns how many of the bytes written to a connection the kernel has no acknowledgement of, and reports whether that is known.
 func Unacknowledged(conn net.Conn) (bytes int, known bool) {
 	tcp, ok := conn.(*net.TCPConn)
