Connections on the addresses for readiness, VMs and links are bounded

The same crowds on the load balancer's address took 450 to 1,154 MB on, on the address for other VMs 418 to 1,311 MB, and took all descriptors, so that clients had none. A link whose other end had not said who it is had room for 8,192 replies. Each of these listeners has a guard of its own with few connections, so that a crowd on one leaves the others alone; a link leaves the guard's count with its handshake, and makes room for replies then. The readiness check is answered beside a crowd on its own address, as silent connections give way to new ones.

TestCrowdReady and TestCrowdPeers failed in 6 of 7 subtests each, now 18 to 53 MB. TestCrowdLinks passed before (59 MB, 3,523 descriptors), now 32 MB and 279.

--- a/poplarpind/crowd_test.go
+++ b/poplarpind/crowd_test.go
@@ -163,6 +163,8 @@
 )
 
 func clientsAddress(addresses platformtest.Addresses) string { return addresses.Clients }
+func readyAddress(addresses platformtest.Addresses) string   { return addresses.Ready }
+func peersAddress(addresses platformtest.Addresses) string   { return addresses.Peers }
 
 func linksAddress(addresses platformtest.Addresses) string {
 	return net.JoinHostPort("127.0.0.1", strconv.Itoa(addresses.InternalPort))
@@ -195,6 +197,12 @@
 // connection, at 1 MB, and nothing bounds all of them.
 func TestCrowdHeads(t *testing.T) { playCrowds(t, clientsAddress, headCrowds("/g/x")) }
 
+// TestCrowdReady is TestCrowdHeads on the address of the load balancer.
+func TestCrowdReady(t *testing.T) { playCrowds(t, readyAddress, headCrowds(platformtest.ReadyPath)) }
+
+// TestCrowdPeers is TestCrowdHeads on the address for other VMs.
+func TestCrowdPeers(t *testing.T) { playCrowds(t, peersAddress, headCrowds("/state")) }
+
 // TestCrowdRequests guards against clients that use up a VM with what follows a head: bodies, bytes that are part of no request, answers.
 func TestCrowdRequests(t *testing.T) {
 	slow := func(client *platformtest.CrowdClient, fields string) bool {
@@ -249,6 +257,18 @@
 	})
 }
 
+// TestCrowdLinks guards against connections to the address for links that use up a VM before they have said who they are.
+func TestCrowdLinks(t *testing.T) {
+	playCrowds(t, linksAddress, []crowdCase{
+		{"silent", manyClients, enoughFDs, func(*platformtest.CrowdClient) {}},
+		{"silent beyond the descriptors", moreThanFDs, crowdFDs, func(*platformtest.CrowdClient) {}},
+		{"half of a message", manyClients, enoughFDs, func(client *platformtest.CrowdClient) {
+			client.Send("\xa0\x1f") // the length of a message of 4,000 bytes
+			client.Repeat("x", 3900)
+		}},
+	})
+}
+
 // TestCrowdOfOne guards against limits that refuse a single client which keeps to the configuration's.
 func TestCrowdOfOne(t *testing.T) {
 	vm := startCrowdVM(t, build(t), crowdFDs)
--- a/poplarpind/gateway/listeners.go
+++ b/poplarpind/gateway/listeners.go
@@ -16,14 +16,22 @@
 const (
 	defaultHeaderBytes = 64 << 10         // limit on a request's header until a configuration sets one
 	defaultHeaderTime  = 10 * time.Second // the same for the time in which it must arrive
+	readTimeout        = 10 * time.Second // the load balancer and other VMs send a request within this time
 	clientsShare       = 0.3              // connections of clients and their requests have this part of the VM's memory
 	clientsConnShare   = 0.5              // of that; what their connections hold without requests
 	clientsSocketShare = 0.4              // connections of clients have this part of the descriptors for sockets; targets, store and links have the rest
 	bodyFactor         = 2                // a body is read into a buffer that doubles
 )
 
+// Connections on the addresses for others than clients. Their limits are fractions of the descriptors for sockets, between two bounds.
+const (
+	readyBytes, readyDivisor, minReady, maxReady = 2 << 20, 40, 8, 32
+	peersBytes, peersDivisor, minPeers, maxPeers = 6 << 20, 20, 16, 64
+	linksBytes, linksDivisor, minLinks, maxLinks = 12 << 20, 10, 32, 256 // links whose other end has not said who it is
+)
+
 // guards bound the connections on the listeners of a VM.
-type guards struct{ clients *conns.Guard }
+type guards struct{ clients, ready, peers, links *conns.Guard }
 
 // newGuards returns the guards of a VM, by its memory and descriptors.
 func newGuards(gateway *Gateway) guards {
@@ -40,12 +48,15 @@
 	}
 	return guards{
 		clients: guard("clients", clients, bytes, gateway.requestLimits, refuseHead),
+		ready:   guard("ready", min(max(sockets/readyDivisor, minReady), maxReady), readyBytes, internalLimits, refuseHead),
+		peers:   guard("peers", min(max(sockets/peersDivisor, minPeers), maxPeers), peersBytes, internalLimits, refuseHead),
+		links:   guard("links", min(max(sockets/linksDivisor, minLinks), maxLinks), linksBytes, internalLimits, nil),
 	}
 }
 
 // run closes connections that exceed a time until the context ends.
 func (guards guards) run(ctx context.Context) {
-	conns.Run(ctx, guards.clients)
+	conns.Run(ctx, guards.clients, guards.ready, guards.peers, guards.links)
 }
 
 // requestLimits returns the configuration's limits on requests of clients.
@@ -67,6 +78,11 @@
 	return limits
 }
 
+// internalLimits returns the limits on requests of the load balancer and of other VMs.
+func internalLimits() conns.RequestLimits {
+	return conns.RequestLimits{HeadBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTime, IdleTimeout: platform.DefaultIdleTimeout}
+}
+
 // refuseHead returns the response to a request whose head is refused.
 func refuseHead(refusal conns.Error) []byte {
 	return platform.RefusedHead(refusal.Status(), refusal.Reason())
@@ -79,9 +95,6 @@
 
 // serve listens on an address, with bounded connections, until the server or the listener is closed.
 func (gateway *Gateway) serve(address string, server *http.Server, guard *conns.Guard) (net.Listener, error) {
-	if guard == nil {
-		return gateway.serveOthers(address, server)
-	}
 	listener, err := guard.Listen(address)
 	if err != nil {
 		return nil, err
@@ -92,15 +105,3 @@
 	}()
 	return listener, nil
 }
-
-// serveOthers is serve on an address that is not for clients.
-func (gateway *Gateway) serveOthers(address string, server *http.Server) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	go func() {
-		gateway.log.Info("listener ended", zap.String("address", address), zap.Error(server.Serve(listener)))
-	}()
-	return listener, nil
-}
--- a/poplarpind/gateway/run.go
+++ b/poplarpind/gateway/run.go
@@ -45,11 +45,11 @@
 	bodies := platform.NewBodies(memoryBudget(settings.MemoryBytes))
 	clients := &http.Server{Handler: platform.NewIngress(gateway, bodies), ErrorLog: logging.OfServer(log), ConnContext: withClientConn}
 	states := conns.Watch(clients)
-	ready := &http.Server{Handler: platform.NewReadiness(gateway), ReadHeaderTimeout: defaultHeaderTime, ErrorLog: logging.OfServer(log)}
+	ready := &http.Server{Handler: platform.NewReadiness(gateway), ReadTimeout: readTimeout, ErrorLog: logging.OfServer(log)}
 	if err := gateway.Start(ctx); err != nil {
 		return err
 	}
-	if _, err := gateway.serve(settings.ReadyAddress, ready, nil); err != nil {
+	if _, err := gateway.serve(settings.ReadyAddress, ready, gateway.guards.ready); err != nil {
 		return err
 	}
 	listener, err := gateway.serve(settings.CallerAddress, clients, gateway.guards.clients)
@@ -67,15 +67,15 @@
 // Start listens for peers, with HTTP on the peer address and for links on the mesh address, and starts the background loops, which
 // run until the context ends.
 func (gateway *Gateway) Start(ctx context.Context) error {
-	peers := &http.Server{Handler: gateway.peerHandler(), ReadHeaderTimeout: defaultHeaderTime, ErrorLog: logging.OfServer(gateway.log)}
-	if _, err := gateway.serve(gateway.settings.PeerAddress, peers, nil); err != nil {
+	peers := &http.Server{Handler: gateway.peerHandler(), ReadTimeout: readTimeout, ErrorLog: logging.OfServer(gateway.log)}
+	if _, err := gateway.serve(gateway.settings.PeerAddress, peers, gateway.guards.peers); err != nil {
 		return err
 	}
 	links, err := net.Listen("tcp", gateway.settings.MeshAddress())
 	if err != nil {
 		return err
 	}
-	go gateway.mesh.Serve(links)
+	go gateway.mesh.Serve(gateway.guards.links.Wrap(links))
 	go gateway.guards.run(ctx)
 	go gateway.run(ctx)
 	go func() {
--- a/poplarpind/peer/inbound.go
+++ b/poplarpind/peer/inbound.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"poplarpin.dev/core/rpc"
+	"poplarpin.dev/poplarpind/conns"
 )
 
 // inbound handles the messages on a link that a peer has opened.
@@ -18,8 +19,8 @@
 	mesh    *Mesh
 	conn    net.Conn
 	codec   *frameCodec
-	from    string // the peer's name; empty until the handshake
-	replies chan Message
+	from    string       // the peer's name; empty until the handshake
+	replies chan Message // nil until the handshake
 }
 
 // reply queues a notification to the peer. If the queue is full it closes the link, by which the peer learns of the loss.
@@ -88,6 +89,11 @@
 		return
 	}
 	inbound.from = hello.VM
+	if guarded := conns.Of(inbound.conn); guarded != nil {
+		guarded.Identified()
+	}
+	inbound.replies = make(chan Message, queueLength)
+	go inbound.writeReplies(conn)
 	inbound.codec.handshakeComplete()
 	_ = inbound.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	inbound.mesh.handler.Greeted(hello)
--- a/poplarpind/peer/peer.go
+++ b/poplarpind/peer/peer.go
@@ -264,9 +264,8 @@
 	codec := newFrameCodec()
 	stream := jsonrpc2.NewBufferedStream(countingConn{conn, new(writeCounts)}, codec)
 	_ = conn.SetReadDeadline(time.Now().Add(handshakeTimeout)) // fails only on a closed connection
-	inbound := &inbound{mesh: mesh, conn: conn, codec: codec, replies: make(chan Message, queueLength)}
+	inbound := &inbound{mesh: mesh, conn: conn, codec: codec}
 	rpcConn := jsonrpc2.NewConn(context.Background(), stream, inbound, discardLog)
-	go inbound.writeReplies(rpcConn)
 	<-rpcConn.DisconnectNotify()
 	mesh.mu.Lock()
 	delete(mesh.inbound, conn)
