Connections of the own interface are bounded

On 300 heads of 900 KB took 815 to 910 MB of a VM whose memory is 256 MB, 3,500 heads of 31 KB 670 MB, 1,500 of them with TLS 362 MB, 300 notes of which 1 MB had arrived 382 MB, and 900 connections before the links' handshake 935 descriptors. Callers, operators and unknown links have a guard each; where TLS hides the heads, each byte counts as if fields were short. New checked settings memoryBytes (256 MB) and maxDescriptors (the kernel's limit). Lines of net/http on single connections have one message, so that the logger bounds them.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 
 # Plays crowds of clients that do not behave on real processes, one at a time.
 crowds:
-	@for m in poplarpind; do (cd $$m && $(GO) test -count=1 -timeout 15m -run '$(CROWDS)' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') .) || exit 1; done
+	@for m in poplarpind testbed; do (cd $$m && $(GO) test -count=1 -timeout 15m -run '$(CROWDS)' $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') .) || exit 1; done
 
 # Checks the models exhaustively and that each broken variant is rejected.
 model: spin
--- a/poplarpind/caller/caller.go
+++ b/poplarpind/caller/caller.go
@@ -1,9 +1,11 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"expvar"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -11,6 +13,7 @@
 	"time"
 
 	"poplarpin.dev/core/api"
+	"poplarpin.dev/core/config"
 	"poplarpin.dev/poplarpind/entry"
 )
 
@@ -78,6 +81,13 @@
 	if errors.As(err, &tooLarge) {
 		return &api.Error{Op: "request", Kind: api.TooLarge, Message: err.Error(), Outcome: api.NotRun}
 	}
+	var noPlace interface {
+		error
+		NotRun() (noRoom bool)
+	}
+	if errors.As(err, &noPlace) {
+		return &api.Error{Op: "request", Kind: api.Overloaded, Message: err.Error(), Outcome: api.NotRun, RetryAfter: config.Duration(noPlaceRetry)}
+	}
 	if err == nil {
 		err = json.Unmarshal(data, value)
 	}
@@ -102,6 +112,31 @@
 	WriteJSON(writer, errorStatus(failure.Kind), failure)
 }
 
+// EncodeError returns the response with an error to a request that was not read completely. The connection ends with it.
+func EncodeError(status int, failure *api.Error) []byte {
+	recorder := &response{header: http.Header{"Connection": {"close"}}}
+	WriteError(recorder, failure)
+	var encoded bytes.Buffer
+	fmt.Fprintf(&encoded, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), recorder.body.Len())
+	_ = recorder.header.Write(&encoded) // a bytes.Buffer returns no error
+	return append(append(encoded.Bytes(), "\r\n"...), recorder.body.Bytes()...)
+}
+
+// response is a response in memory, but for its status.
+type response struct {
+	header http.Header
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (response *response) Header() http.Header { return response.header }
+
+// Write implements http.ResponseWriter.
+func (response *response) Write(data []byte) (int, error) { return response.body.Write(data) }
+
+// WriteHeader implements http.ResponseWriter.
+func (response *response) WriteHeader(int) {}
+
 // errorStatus returns the HTTP status of an error kind.
 func errorStatus(kind api.Kind) int {
 	switch kind {
@@ -128,6 +163,9 @@
 	_ = json.NewEncoder(writer).Encode(value)
 }
 
+// noPlaceRetry is sent to callers whose body has no room on this VM.
+const noPlaceRetry = time.Second
+
 // Read timeouts of the caller and operator HTTP servers.
 const (
 	HeaderTimeout = 5 * time.Second
--- a/poplarpind/main.go
+++ b/poplarpind/main.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -28,10 +27,7 @@
 	"poplarpin.dev/poplarpind/settings"
 )
 
-const (
-	gcPercent        = 400       // heap growth in percent between two garbage collections
-	memoryLimitBytes = 192 << 20 // soft limit; the garbage collector runs more often beyond it
-)
+const gcPercent = 400 // heap growth in percent between two garbage collections
 
 // version is set at build time.
 var version = "unset"
@@ -57,7 +53,7 @@
 		return
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(memoryLimitBytes)
+	debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryLimitShare))
 	log, err := newLogger(settings.Log)
 	kongContext.FatalIfErrorf(err)
 	kongContext.FatalIfErrorf(run(settings, log))
@@ -119,63 +115,32 @@
 		return err
 	}
 	vm := entry.New(settings, log, certificates.Client())
-	peers, err := listen(settings.PeerAddress, certificates.Mutual())
+	links := newGuard(linksListener, settings, certificates.Mutual(), log)
+	peers, err := listen(settings.PeerAddress, certificates.Mutual(), links)
 	if err != nil {
 		return err
 	}
 	go vm.Mesh().Serve(peers)
 	go vm.Run(ctx)
+	newServer := func(share listenerShare, address string, handler http.Handler, config *tls.Config) *server {
+		return &server{Server: &http.Server{Addr: address, Handler: handler, TLSConfig: config, ErrorLog: logging.OfServer(log)},
+			guard: newGuard(share, settings, config, log)}
+	}
 	servers := []*server{
-		{Server: &http.Server{Addr: settings.OperatorAddress, Handler: operator.New(vm, settings.Operators, log), TLSConfig: certificates.Mutual()}},
-		{Server: &http.Server{Addr: settings.CallerAddress, Handler: caller.New(vm), TLSConfig: callerTLS(certificates, settings)}},
+		newServer(operatorsListener, settings.OperatorAddress, operator.New(vm, settings.Operators, log), certificates.Mutual()),
+		newServer(callersListener, settings.CallerAddress, caller.New(vm), callerTLS(certificates, settings)),
 	}
 	for _, server := range servers {
 		if err := server.start(); err != nil {
 			return err
 		}
 	}
+	go conns.Run(ctx, links, servers[0].guard, servers[1].guard)
 	log.Info("entry VM serving", zap.String("version", version), zap.String("vm", settings.Name), zap.String("domain", settings.FailureDomain))
 	waitForSignal(vm, log)
 	return shutdown(vm, servers, settings.DrainWait.Std(), cancel)
 }
 
-// server is an HTTP server that can be drained.
-type server struct {
-	*http.Server
-	listener net.Listener
-	states   *conns.States
-}
-
-// callerTLS returns nil if callers use plain HTTP.
-func callerTLS(certificates *certificate.Store, settings settings.Settings) *tls.Config {
-	if settings.PlainCallers {
-		return nil
-	}
-	return certificates.Callers()
-}
-
-func listen(address string, config *tls.Config) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Annotate(err, "listen")
-	}
-	if config == nil {
-		return listener, nil
-	}
-	return tls.NewListener(listener, config), nil
-}
-
-func (server *server) start() error {
-	listener, err := listen(server.Addr, server.TLSConfig)
-	if err != nil {
-		return err
-	}
-	server.listener, server.states = listener, conns.Watch(server.Server)
-	server.ReadHeaderTimeout, server.ReadTimeout = caller.HeaderTimeout, caller.BodyTimeout
-	go func() { _ = server.Serve(listener) }()
-	return nil
-}
-
 // waitForSignal logs a dump of the state at each SIGUSR1 and returns at the first SIGTERM or SIGINT.
 func waitForSignal(vm *entry.VM, log *zap.Logger) {
 	signals := make(chan os.Signal, 1)
--- a/poplarpind/settings/settings.go
+++ b/poplarpind/settings/settings.go
@@ -29,6 +29,12 @@
 const (
 	DefaultDrainWait = 5 * time.Second
 	DefaultExtra     = 1
+	DefaultMemory    = 256 << 20 // bytes
+)
+
+const (
+	minMemory      = 128 << 20 // bytes; a release note of the largest size fits into the part for operators
+	minDescriptors = 256
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
@@ -54,7 +60,9 @@
 	DrainWait       config.Duration `yaml:"drainWait"`    // time after a planned stop begins in which new requests are still accepted
 	PlainCallers    bool            `yaml:"plainCallers"` // plain HTTP on the caller address even if TLS is configured
 	Log             string          `yaml:"log"`
-	Operators       []string        `yaml:"operators"` // certificate names that may apply release notes; requires TLS
+	MemoryBytes     int64           `yaml:"memoryBytes"`    // of the process, 0 for the default; callers, operators and unknown peers share a part of it
+	MaxDescriptors  int             `yaml:"maxDescriptors"` // open files and sockets of the process; 0 for the kernel's limit
+	Operators       []string        `yaml:"operators"`      // certificate names that may apply release notes; requires TLS
 	TLS             *TLS            `yaml:"tls"`
 }
 
@@ -101,6 +109,9 @@
 		extra := DefaultExtra
 		settings.Extra = &extra
 	}
+	if settings.MemoryBytes == 0 {
+		settings.MemoryBytes = DefaultMemory
+	}
 	if field, detail := settings.validate(); field != "" {
 		return settings, &Error{Op: fmt.Sprintf("%s:%d", file, lineOf(data, field)), Kind: Invalid, Field: field, Detail: detail}
 	}
@@ -135,6 +146,12 @@
 	if wait := settings.DrainWait.Std(); wait < 0 || wait > 10*time.Minute {
 		return "drainWait", fmt.Sprintf("%s is not in [0s, 10m]", wait)
 	}
+	if settings.MemoryBytes < minMemory {
+		return "memoryBytes", fmt.Sprintf("%d is less than %d", settings.MemoryBytes, minMemory)
+	}
+	if settings.MaxDescriptors < 0 || settings.MaxDescriptors > 0 && settings.MaxDescriptors < minDescriptors {
+		return "maxDescriptors", fmt.Sprintf("%d is less than %d", settings.MaxDescriptors, minDescriptors)
+	}
 	return settings.validateTLS()
 }
 
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -43,6 +43,8 @@
 	DrainWait     time.Duration
 	Seed          uint64
 	TLS           *TLSOptions // nil for plain TCP and HTTP
+	// MaxDescriptors limits the descriptors of an entry VM's process; 0 for the kernel's limit.
+	MaxDescriptors int
 }
 
 // TLSOptions holds the certificates of a fleet that uses TLS.
@@ -156,7 +158,7 @@
 	vmSettings := settings.Settings{Name: vm.Name, FailureDomain: vm.FailureDomain,
 		PeerAddress: vm.PeerAddress, CallerAddress: vm.CallerAddress, OperatorAddress: vm.OperatorAddress, Platform: "http://" + fleet.platformAddress,
 		Mode: fleet.mode(), Extra: fleet.options.ExtraInFlight, NoHedge: fleet.options.NoHedge,
-		DrainWait: config.Duration(fleet.options.DrainWait), Log: "info", PlainCallers: true}
+		DrainWait: config.Duration(fleet.options.DrainWait), Log: "info", PlainCallers: true, MaxDescriptors: fleet.options.MaxDescriptors}
 	if tls := fleet.options.TLS; tls != nil {
 		files, err := tls.Issue(vm.Name)
 		if err != nil {
