TestStrandedVMBesideOlderBuild sends its requests at once

Connections are not closed as too slow while bytes wait in their sockets, nor after the process has stood still. Mutants of evict and conns.

--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -274,6 +274,21 @@
 mutant_of poplarpind "any status of a relay taken" gateway relay.go 's/ \|\| http1.FinalStatus\(message.Response.Status\)/ || http1.FinalStatus(message.Response.Status) || true/' TestInvalidStatusOfRelay
 mutant_of poplarpind "any status is a failure" target target.go 's/if !http1.FinalStatus\(status\) \{/if false {/' TestInvalidStatus
 mutant_of poplarpind "any status of a seed taken" gateway seed.go 's/if response.StatusCode != http.StatusOK \{/if false {/' TestSeedStatus
+mutant "newest silent connection ended" evict evict.go 's/return cmp.Compare\(a.entered, b.entered\) \}\n\tuseless/return cmp.Compare(b.entered, a.entered) }\n\tuseless/'
+mutant "connections without answers kept" evict evict.go 's/if len\(useless\) > 0 \{/if false {/'
+mutant "older idle connections ended" evict evict.go 's/cmp.Compare\(b.opened, a.opened\)/cmp.Compare(a.opened, b.opened)/'
+mutant "answers of a connection ignored" evict evict.go 's/cmp.Compare\(bits.Len\(uint\(a.answers\)\), bits.Len\(uint\(b.answers\)\)\), //'
+mutant "places all served" evict evict.go 's/if budget.phases\[Serving\]\+budget.phases\[Answering\] >= budget.limits.Conns\/servingDivisor \{/if false {/'
+mutant "idle connections without a share" evict evict.go 's/len\(idle\) > budget.limits.Conns\/shareDivisor/len(idle) > 0/'
+mutant "served request ended" evict evict.go 's/conn.bytes > 0 && \(conn.phase == Receiving \|\| conn.phase == Answering\)/conn.bytes > 0/'
+mutant "smallest request ended" evict evict.go 's/cmp.Compare\(bits.Len64\(uint64\(b.bytes\)\), bits.Len64\(uint64\(a.bytes\)\)\)/cmp.Compare(a.bytes, b.bytes)/'
+mutant "no reserve for small requests" evict evict.go 's/budget.limits.Bytes - budget.limits.Bytes\/reserveDivisor/budget.limits.Bytes/'
+mutant "bytes kept between requests" evict evict.go 's/\tif phase == Idle \{\n\t\tbudget.Release\(conn, conn.bytes\)\n\t\}\n//'
+mutant_of poplarpind "head of any size" conns conn.go 's/conn.head.bytes > guard.options.Requests\(\).HeadBytes\+requestLineBytes/false/' TestRequestLimits
+mutant_of poplarpind "body counts as head" conns conn.go 's/\t\tconn.head.complete = true\n\t\tguard/\t\tguard/' TestRequestLimits
+mutant_of poplarpind "refusal without an answer" conns conn.go 's/^\tconn.writeRefusal\(kind\)\n\tif kind == HeadTooLarge/\tif kind == HeadTooLarge/m' TestRequestLimits
+mutant_of poplarpind "slow clients kept" conns guard.go 's/timeout > 0 && now/timeout < 0 \&\& now/' TestRequestLimits
+mutant_of poplarpind "memory without limit" conns conn.go 's/guard.end\(guard.budget.Grow\(conn.entry, cost\), NoRoom\)/guard.end(guard.budget.Grow(conn.entry, 0*cost), NoRoom)/' TestNoRoom
 
 wait
 for number in $(seq "$count"); do cat "$work/$number.result"; done >"$work/results"
--- a/poplarpind/conns/guard.go
+++ b/poplarpind/conns/guard.go
@@ -14,10 +14,12 @@
 
 	"poplarpin.dev/core/evict"
 	"poplarpin.dev/poplarpind/every"
+	"poplarpin.dev/poplarpind/tcp"
 )
 
 const (
 	sweepInterval = time.Second      // connections that have exceeded a time are looked for this often
+	maxSweepDelay = 3 * time.Second  // after a longer time between two sweeps the process has stood still
 	writeTimeout  = 30 * time.Second // a client must take this long at most to read writeBytes of an answer
 	writeBytes    = 64 << 10
 	// The kernel holds up to twice these sizes, of what a client has sent and this process has not read, and of what it has not acknowledged.
@@ -58,6 +60,7 @@
 	budget  *evict.Budget
 	conns   map[*evict.Conn]*Conn
 	closed  map[Kind]int // connections since the last sweep
+	sweptAt time.Time
 }
 
 // New returns a guard without connections.
@@ -151,12 +154,14 @@
 	var endings []ending
 	guard.mu.Lock()
 	limits := guard.options.Requests()
+	paused := now.Sub(guard.sweptAt) > maxSweepDelay // the process may not have read what has arrived meanwhile
+	guard.sweptAt = now
 	for entry, conn := range guard.conns {
-		if conn.seenEntered != entry.Entered() {
+		if paused || conn.seenEntered != entry.Entered() {
 			conn.seenEntered, conn.seenAt = entry.Entered(), now
 			continue
 		}
-		if timeout := conn.timeout(limits); timeout > 0 && now.Sub(conn.seenAt) >= timeout {
+		if timeout := conn.timeout(limits); timeout > 0 && now.Sub(conn.seenAt) >= timeout && !tcp.HasUnread(conn.Conn) {
 			guard.budget.Close(entry)
 			endings = append(endings, guard.end([]*evict.Conn{entry}, TooSlow)...)
 		}
--- a/poplarpind/gateway/stranded_test.go
+++ b/poplarpind/gateway/stranded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -109,7 +110,11 @@
 		target.SetHandler(platformtest.LastReply)
 	}
 	waitFor(t, "a message to a VM that understands it", func() bool {
-		deployment.stranded.doWithin(t, "/g/x")
+		var requests sync.WaitGroup
+		for range 8 { // one by one they may all go to the first VM that has answered
+			requests.Go(func() { deployment.stranded.doWithin(t, "/g/x") })
+		}
+		requests.Wait()
 		return len(newer.gathers) > 0
 	})
 	assertServes(t, deployment.stranded, "/g/x", "/o/x")
--- a/poplarpind/tcp/tcp.go
+++ b/poplarpind/tcp/tcp.go
@@ -69,3 +69,20 @@
 
 // Ended reports whether the other end has closed or reset the connection.
 func (info Info) Ended() bool { return info.State == stateCloseWait || info.State == stateClose }
+
+// HasUnread reports whether bytes have arrived on a connection that this process has not read.
+func HasUnread(conn net.Conn) bool {
+	tcp, ok := under(conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	_ = raw.Control(func(fd uintptr) { // fails only on a closed connection
+		unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) // 0 where the kernel does not say
+	})
+	return unread > 0
+}
