Tests of evict notice two more mutants

Connections without an answered request gave way in the tests by another rule too, and nothing checked that a request's bytes are released.

--- a/core/evict/evict_test.go
+++ b/core/evict/evict_test.go
@@ -56,12 +56,14 @@
 	t.Run("a connection without an answer to its requests gives way first", func(t *testing.T) {
 		budget := newBudget(8)
 		conns := open(t, budget, 8)
-		for _, conn := range conns[:6] {
-			serve(budget, conn)
+		for _, conn := range conns[:4] {
+			assert.Assert(t, budget.Serve(conn))
 		}
-		budget.Serve(conns[6])
-		budget.Enter(conns[6], evict.Idle)
-		assertEnded(t, budget, conns[6])
+		serve(budget, conns[4])
+		budget.Enter(conns[5], evict.Idle)
+		serve(budget, conns[6])
+		budget.Enter(conns[6], evict.Receiving)
+		assertEnded(t, budget, conns[5])
 	})
 	t.Run("of idle connections the older ones, and those with more answers, stay", func(t *testing.T) {
 		budget := newBudget(8)
@@ -113,6 +115,14 @@
 		assert.Equal(t, len(budget.Grow(conns[1], large)), 0)
 		assert.DeepEqual(t, indexes(conns, budget.Grow(conns[2], 2*large)), []int{0})
 	})
+	t.Run("a connection holds nothing more once its request has ended", func(t *testing.T) {
+		budget := newBudget(100)
+		conn := open(t, budget, 1)[0]
+		budget.Grow(conn, large)
+		serve(budget, conn)
+		assert.Equal(t, conn.Bytes(), int64(0))
+		assert.Equal(t, budget.Bytes(), int64(connBytes))
+	})
 	t.Run("a request that is served does not end, and a large one leaves room to small ones", func(t *testing.T) {
 		budget := newBudget(100)
 		conns := open(t, budget, 100)
