Calls whose callers have left cut off no failure domain long afterwards

Cause, from the VM's log and dump (reach complete, all targets ready, refusals with firstSlow:1 noTarget:3): calls that are cancelled stay unanswered calls of their failure domain. With three to five of them left over, the first call of the next gather was the sixth, and the failure domain counted as cut off at once, since the first of them was older than 400 ms. The refusal took that call back, so that no probe was ever made.

The 400 ms count from the sixth unanswered call now; probes are still due 120 ms after the first, so that a cut is found as soon as before by probes. place.TestFailureDomains has the case and failed before; a mutant.

--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -41,6 +41,7 @@
 // reachability tracks whether a group answers.
 type reachability struct {
 	unansweredSince time.Time // time of the first call since its last answer; zero for none
+	suspectSince    time.Time // time of the call with which cutOffMinCalls were unanswered
 	unansweredCalls int       // calls since its last answer
 	answers         int       // answers and connections so far
 	failedProbes    int       // since its last answer
@@ -63,6 +64,9 @@
 		reachability.unansweredSince = now
 	}
 	reachability.unansweredCalls++
+	if reachability.unansweredCalls == cutOffMinCalls {
+		reachability.suspectSince = now
+	}
 }
 
 // answered records an answer or a connection from the group.
@@ -79,13 +83,13 @@
 	}
 }
 
-// cutOff reports whether the group has left at least cutOffMinCalls calls unanswered for at least cutOffAfter, or probes have failed since its
-// last answer.
+// cutOff reports whether the group has been silent for cutOffAfter since cutOffMinCalls calls were unanswered, or probes have failed since its last
+// answer. The time of the first of these calls would not do, as the callers of earlier ones may have left long ago.
 func (reachability *reachability) cutOff(now time.Time) bool {
-	return reachability.unanswered(now, cutOffAfter) || reachability.failedProbes >= suspectProbes
+	return reachability.mayBeCutOff() && now.Sub(reachability.suspectSince) >= cutOffAfter || reachability.failedProbes >= suspectProbes
 }
 
-// unanswered reports whether the group has left at least cutOffMinCalls calls unanswered for a time.
+// unanswered reports whether the group has left at least cutOffMinCalls calls unanswered, the first of them for a time.
 func (reachability *reachability) unanswered(now time.Time, span time.Duration) bool {
 	return reachability.mayBeCutOff() && now.Sub(reachability.unansweredSince) >= span
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -237,6 +237,19 @@
 		assert.Equal(t, len(fleet.Probes(now)), 1)
 		assert.Assert(t, !fleet.AwaitsAnswers(now), "probes of the failure domains that are cut off go on")
 	})
+	t.Run("calls whose callers have left cut nothing off long afterwards", func(t *testing.T) {
+		fleet := newFleet(all...)
+		for range 5 {
+			fleet.StartAttempt(start, "b0", route).Cancelled(start.Add(time.Millisecond))
+		}
+		now := start.Add(time.Minute)
+		fleet.StartAttempt(now, "b1", route)
+		targets, _ := fleet.CutOffDomains(now)
+		assert.Equal(t, targets, 0)
+		assert.Equal(t, len(fleet.SuspectProbes(now)), 2, "but it is probed at once")
+		targets, _ = fleet.CutOffDomains(now.Add(400 * time.Millisecond))
+		assert.Equal(t, targets, 1)
+	})
 	t.Run("a failure domain that answers meanwhile is not cut off", func(t *testing.T) {
 		fleet := newFleet(all...)
 		now := burst(fleet, "b")
--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -274,11 +274,13 @@
 mutant_of poplarpind "any status of a relay taken" gateway relay.go 's/ \|\| http1.FinalStatus\(message.Response.Status\)/ || http1.FinalStatus(message.Response.Status) || true/' TestInvalidStatusOfRelay
 mutant_of poplarpind "any status is a failure" target target.go 's/if !http1.FinalStatus\(status\) \{/if false {/' TestInvalidStatus
 mutant_of poplarpind "any status of a seed taken" gateway seed.go 's/if response.StatusCode != http.StatusOK \{/if false {/' TestSeedStatus
+mutant "old calls cut off" place domain.go 's/now.Sub\(reachability.suspectSince\) >= cutOffAfter/now.Sub(reachability.unansweredSince) >= cutOffAfter/'
 mutant "newest silent connection ended" evict evict.go 's/return cmp.Compare\(a.entered, b.entered\) \}\n\tuseless/return cmp.Compare(b.entered, a.entered) }\n\tuseless/'
 mutant "connections without answers kept" evict evict.go 's/if len\(useless\) > 0 \{/if false {/'
 mutant "older idle connections ended" evict evict.go 's/cmp.Compare\(b.opened, a.opened\)/cmp.Compare(a.opened, b.opened)/'
 mutant "answers of a connection ignored" evict evict.go 's/cmp.Compare\(bits.Len\(uint\(a.answers\)\), bits.Len\(uint\(b.answers\)\)\), //'
-mutant "places all served" evict evict.go 's/if budget.phases\[Serving\]\+budget.phases\[Answering\] >= budget.limits.Conns\/servingDivisor \{/if false {/'
+mutant "places all served" evict evict.go 's/if budget.phases\[Serving\]\+budget.phases\[Answering\] >= quarters\*budget.limits.Conns\/4 \{/if false {/'
+mutant "failed requests take all places" evict evict.go 's/quarters = 1/quarters = 2/'
 mutant "idle connections without a share" evict evict.go 's/len\(idle\) > budget.limits.Conns\/shareDivisor/len(idle) > 0/'
 mutant "served request ended" evict evict.go 's/conn.bytes > 0 && \(conn.phase == Receiving \|\| conn.phase == Answering\)/conn.bytes > 0/'
 mutant "smallest request ended" evict evict.go 's/cmp.Compare\(bits.Len64\(uint64\(b.bytes\)\), bits.Len64\(uint64\(a.bytes\)\)\)/cmp.Compare(a.bytes, b.bytes)/'
