A crowd whose requests fail leaves places to ordinary callers

With the limits of a VM of 100 MB, 300 clients that send requests behind requests, all refused by a slow service, took the half of the places that requests may take, and an open connection got 503. Connections without a success so far have a quarter of the places now, with new ones a half, those that were served before three quarters. All limits follow the VM's memory and descriptors, also on the addresses for readiness, VMs and links.

Three more crowds: many names, malformed requests, connections that come and go.

--- a/core/evict/evict.go
+++ b/core/evict/evict.go
@@ -8,7 +8,6 @@
 
 const (
 	shareDivisor   = 4        // connections without an answered request, and idle ones, have this fraction of all places each
-	servingDivisor = 2        // requests that are being served take up this fraction of all places at most
 	batchDivisor   = 32       // at the limit, room for this fraction of it is made at once, so that connections are seldom sorted
 	largeBytes     = 64 << 10 // a request that holds more leaves a reserve to the smaller ones
 	reserveDivisor = 4        // of the bytes, for requests that are not large
@@ -38,7 +37,8 @@
 	opened  int64 // place in the order of events
 	entered int64 // the same for the last change of its phase
 	bytes   int64 // beyond ConnBytes
-	answers int   // requests that were answered with success
+	ended   int   // requests that have ended
+	answers int   // of these, answered with success
 	index   int   // in Budget.conns, -1 once it is closed
 }
 
@@ -98,13 +98,23 @@
 	budget.phases[phase]++
 	conn.phase, conn.entered = phase, budget.events
 	if phase == Idle {
+		conn.ended++
 		budget.Release(conn, conn.bytes)
 	}
 }
 
-// Serve records that a request has arrived completely, and reports whether it may be served: a share of the places is left to other connections.
+// Serve records that a request has arrived completely, and reports whether it may be served. Requests of connections that have had no success so far take
+// up a quarter of the places at most, with those of new connections a half, with those of others three quarters.
 func (budget *Budget) Serve(conn *Conn) bool {
-	if budget.phases[Serving]+budget.phases[Answering] >= budget.limits.Conns/servingDivisor {
+	quarters := 3
+	switch {
+	case conn.answers > 0:
+	case conn.ended > 0:
+		quarters = 1
+	default:
+		quarters = 2
+	}
+	if budget.phases[Serving]+budget.phases[Answering] >= quarters*budget.limits.Conns/4 {
 		return false
 	}
 	budget.Enter(conn, Serving)
--- a/core/evict/evict_test.go
+++ b/core/evict/evict_test.go
@@ -79,16 +79,22 @@
 		budget := newBudget(8)
 		conns := open(t, budget, 8)
 		serve(budget, conns[0])
-		served := 0
-		for _, conn := range conns[1:] {
-			if budget.Serve(conn) {
-				served++
-			}
-		}
-		assert.Equal(t, served, 4)
+		assert.Equal(t, countServed(budget, conns[1:]), 4)
 		assertEnded(t, budget, conns[5])
 		assert.Assert(t, !conns[0].Closed())
 	})
+	t.Run("a crowd whose requests fail leaves places to new callers, and both to those who were there before", func(t *testing.T) {
+		budget := newBudget(16)
+		conns := open(t, budget, 16)
+		failed, fresh, caller := conns[:8], conns[8:15], conns[15]
+		for _, conn := range failed {
+			budget.Enter(conn, evict.Idle)
+		}
+		serve(budget, caller)
+		assert.Equal(t, countServed(budget, failed), 4)
+		assert.Equal(t, countServed(budget, fresh), 4)
+		assert.Assert(t, budget.Serve(caller))
+	})
 	t.Run("a client that does not read its answer gives way to others", func(t *testing.T) {
 		budget := newBudget(8)
 		conns := open(t, budget, 8)
@@ -105,6 +111,17 @@
 	})
 }
 
+// countServed returns how many of the requests on some connections may be served.
+func countServed(budget *evict.Budget, conns []*evict.Conn) int {
+	served := 0
+	for _, conn := range conns {
+		if budget.Serve(conn) {
+			served++
+		}
+	}
+	return served
+}
+
 // TestGrow guards against crowds that use up memory.
 func TestGrow(t *testing.T) {
 	const large = 100 << 10
--- a/poplarpind/crowd_test.go
+++ b/poplarpind/crowd_test.go
@@ -249,6 +249,22 @@
 		{"answers not read", someClients, enoughFDs, func(client *platformtest.CrowdClient) {
 			client.Repeat(platformtest.RequestHead(http.MethodGet, "/slow/large", client.Number)+"\r\n", 2<<10)
 		}},
+		{"many names", someClients, enoughFDs, func(client *platformtest.CrowdClient) {
+			for i := range 50 {
+				name := fmt.Sprintf("%d-%d", client.Number, i)
+				if !client.Send("GET /g/"+name+" HTTP/1.1\r\nHost: "+name+".example\r\nX-Request-Id: "+name+"\r\nAuthorization: Bearer "+name+"\r\n\r\n") || !client.Await() {
+					return
+				}
+			}
+		}},
+		{"malformed requests", someClients, enoughFDs, func(client *platformtest.CrowdClient) { client.Send("GET /g/x HTTP/9.9\r\n" + "\x00\r\n\r\n") }},
+		{"connections that come and go", someClients, enoughFDs, func(client *platformtest.CrowdClient) {
+			for range 20 {
+				if conn, err := net.Dial("tcp", client.RemoteAddr().String()); err == nil {
+					_ = conn.Close()
+				}
+			}
+		}},
 		{"reset after sending", manyClients, enoughFDs, func(client *platformtest.CrowdClient) {
 			slow(client, platformtest.Fields(limitBytes))
 			_ = client.SetLinger(0)
--- a/poplarpind/gateway/listeners.go
+++ b/poplarpind/gateway/listeners.go
@@ -18,18 +18,37 @@
 	defaultHeaderTime  = 10 * time.Second // the same for the time in which it must arrive
 	readTimeout        = 10 * time.Second // the load balancer and other VMs send a request within this time
 	clientsShare       = 0.3              // connections of clients and their requests have this part of the VM's memory
-	clientsConnShare   = 0.5              // of that; what their connections hold without requests
+	connsShare         = 0.5              // of the memory of a listener's connections; what these hold without requests
 	clientsSocketShare = 0.4              // connections of clients have this part of the descriptors for sockets; targets, store and links have the rest
 	bodyFactor         = 2                // a body is read into a buffer that doubles
 )
 
-// Connections on the addresses for others than clients. Their limits are fractions of the descriptors for sockets, between two bounds.
-const (
-	readyBytes, readyDivisor, minReady, maxReady = 2 << 20, 40, 8, 32
-	peersBytes, peersDivisor, minPeers, maxPeers = 6 << 20, 20, 16, 64
-	linksBytes, linksDivisor, minLinks, maxLinks = 12 << 20, 10, 32, 256 // links whose other end has not said who it is
+// listenerShare is the part of a VM's memory and descriptors for the connections on an address that is not for clients.
+type listenerShare struct {
+	name               string
+	memory             float64
+	minConns, maxConns int
+	sockets            float64 // of the descriptors for sockets, between the two bounds
+}
+
+var (
+	readyShare = listenerShare{name: "ready", memory: 0.0125, sockets: 0.025, minConns: 8, maxConns: 32}
+	peersShare = listenerShare{name: "peers", memory: 0.04, sockets: 0.05, minConns: 16, maxConns: 64}
+	linksShare = listenerShare{name: "links", memory: 0.07, sockets: 0.1, minConns: 32, maxConns: 256} // links whose other end has not said who it is
 )
 
+// limits returns the limits of a VM with this memory and number of descriptors for sockets.
+func (share listenerShare) limits(memoryBytes int64, sockets int) evict.Limits {
+	bytes := float64(memoryBytes) * share.memory
+	count := min(max(int(float64(sockets)*share.sockets), share.minConns), share.maxConns, int(bytes*connsShare/conns.ConnBytes))
+	return evict.Limits{Conns: count, Bytes: int64(bytes), ConnBytes: conns.ConnBytes}
+}
+
+// clientLimits returns the limits on the connections of clients.
+func clientLimits(memoryBytes int64, sockets int) evict.Limits {
+	return listenerShare{memory: clientsShare, sockets: clientsSocketShare, maxConns: sockets}.limits(memoryBytes, sockets)
+}
+
 // guards bound the connections on the listeners of a VM.
 type guards struct{ clients, ready, peers, links *conns.Guard }
 
@@ -40,17 +59,17 @@
 	if memory <= 0 {
 		memory = assumedMemory
 	}
-	bytes := int64(float64(memory) * clientsShare)
-	clients := min(int(float64(sockets)*clientsSocketShare), int(float64(bytes)*clientsConnShare/conns.ConnBytes))
-	guard := func(name string, count int, bytes int64, requests func() conns.RequestLimits, refuse func(conns.Error) []byte) *conns.Guard {
-		return conns.New(conns.Options{Name: name, Limits: evict.Limits{Conns: count, Bytes: bytes, ConnBytes: conns.ConnBytes}, Requests: requests,
-			BodyFactor: bodyFactor, Refuse: refuse, Reject: reject, Log: gateway.log})
+	guard := func(name string, limits evict.Limits, requests func() conns.RequestLimits, refuse func(conns.Error) []byte) *conns.Guard {
+		return conns.New(conns.Options{Name: name, Limits: limits, Requests: requests, BodyFactor: bodyFactor, Refuse: refuse, Reject: reject, Log: gateway.log})
+	}
+	internal := func(share listenerShare, refuse func(conns.Error) []byte) *conns.Guard {
+		return guard(share.name, share.limits(memory, sockets), internalLimits, refuse)
 	}
 	return guards{
-		clients: guard("clients", clients, bytes, gateway.requestLimits, refuseHead),
-		ready:   guard("ready", min(max(sockets/readyDivisor, minReady), maxReady), readyBytes, internalLimits, refuseHead),
-		peers:   guard("peers", min(max(sockets/peersDivisor, minPeers), maxPeers), peersBytes, internalLimits, refuseHead),
-		links:   guard("links", min(max(sockets/linksDivisor, minLinks), maxLinks), linksBytes, internalLimits, nil),
+		clients: guard("clients", clientLimits(memory, sockets), gateway.requestLimits, refuseHead),
+		ready:   internal(readyShare, refuseHead),
+		peers:   internal(peersShare, refuseHead),
+		links:   internal(linksShare, nil),
 	}
 }
 
