Answers that are not read take no places from requests

Only requests that are being served count now; connections with unread answers give way to new ones.

--- a/core/evict/evict.go
+++ b/core/evict/evict.go
@@ -104,7 +104,8 @@
 }
 
 // Serve records that a request has arrived completely, and reports whether it may be served. Requests of connections that have had no success so far take
-// up a quarter of the places at most, with those of new connections a half, with those of others three quarters.
+// up a quarter of the places at most, with those of new connections a half, with those of others three quarters. Answers that are not read
+// do not count: their connections give way to new ones.
 func (budget *Budget) Serve(conn *Conn) bool {
 	quarters := 3
 	switch {
@@ -114,7 +115,7 @@
 	default:
 		quarters = 2
 	}
-	if budget.phases[Serving]+budget.phases[Answering] >= quarters*budget.limits.Conns/4 {
+	if budget.phases[Serving] >= quarters*budget.limits.Conns/4 {
 		return false
 	}
 	budget.Enter(conn, Serving)
--- a/core/evict/evict_test.go
+++ b/core/evict/evict_test.go
@@ -105,6 +105,7 @@
 			assert.Assert(t, budget.Serve(conn))
 		}
 		budget.Enter(conns[4], evict.Answering)
+		assert.Assert(t, budget.Serve(conns[7]))
 		serve(budget, conns[6])
 		budget.Enter(conns[6], evict.Receiving)
 		assertEnded(t, budget, conns[4])
--- a/poplarpind/crowd_test.go
+++ b/poplarpind/crowd_test.go
@@ -190,6 +190,12 @@
 			client.Send(platformtest.RequestHead(http.MethodGet, path, client.Number) + "\r\n")
 			client.Await()
 		}},
+		{"answers not read", someClients, enoughFDs, func(client *platformtest.CrowdClient) {
+			client.Repeat(platformtest.RequestHead(http.MethodGet, path, client.Number)+"\r\n", pushedBytes)
+		}},
+		{"a body that does not arrive", moreThanFDs, crowdFDs, func(client *platformtest.CrowdClient) {
+			client.Send(platformtest.RequestHead(http.MethodGet, path, client.Number) + "Content-Length: 100000\r\n\r\n")
+		}},
 	}
 }
 
@@ -201,7 +207,7 @@
 func TestCrowdReady(t *testing.T) { playCrowds(t, readyAddress, headCrowds(platformtest.ReadyPath)) }
 
 // TestCrowdPeers is TestCrowdHeads on the address for other VMs.
-func TestCrowdPeers(t *testing.T) { playCrowds(t, peersAddress, headCrowds("/state")) }
+func TestCrowdPeers(t *testing.T) { playCrowds(t, peersAddress, headCrowds("/debug/dump")) }
 
 // TestCrowdRequests guards against clients that use up a VM with what follows a head: bodies, bytes that are part of no request, answers.
 func TestCrowdRequests(t *testing.T) {
--- a/testbed/crowd_test.go
+++ b/testbed/crowd_test.go
@@ -107,6 +107,14 @@
 				client.Send(platformtest.RequestHead(http.MethodPost, "/v1/diff", client.Number) + "Content-Length: 8000000\r\n\r\n")
 				client.Repeat("x", 1<<20)
 			}},
+			ownCrowd{name + ": requests behind a request", address, 300, 0, func(client *platformtest.CrowdClient) {
+				body := `{"id":"behind","service":"heat","class":"alarm","query":"shed"}`
+				client.Repeat(platformtest.RequestHead(http.MethodPost, "/v1/query", client.Number)+
+					fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), 256<<10)
+			}},
+			ownCrowd{name + ": answers not read", address, 300, 0, func(client *platformtest.CrowdClient) {
+				client.Repeat(platformtest.RequestHead(http.MethodGet, "/debug/vars", client.Number)+"\r\n", 64<<10)
+			}},
 			ownCrowd{name + ": queries", address, 3500, 0, func(client *platformtest.CrowdClient) {
 				client.Send(platformtest.RequestHead(http.MethodPost, "/v1/query", client.Number) + "Content-Length: 60000\r\n\r\n")
 				client.Repeat("x", 59<<10)
