--- a/model/mutants.sh
+++ b/model/mutants.sh
@@ -279,14 +279,14 @@
 mutant "connections without answers kept" evict evict.go 's/if len\(useless\) > 0 \{/if false {/'
 mutant "older idle connections ended" evict evict.go 's/cmp.Compare\(b.opened, a.opened\)/cmp.Compare(a.opened, b.opened)/'
 mutant "answers of a connection ignored" evict evict.go 's/cmp.Compare\(bits.Len\(uint\(a.answers\)\), bits.Len\(uint\(b.answers\)\)\), //'
-mutant "places all served" evict evict.go 's/if budget.phases\[Serving\] >= quarters\*budget.limits.Conns\/4 \{/if false {/'
+mutant "places all served" evict evict.go 's/if budget.phases\[Serving\] >= quarters\*budget.limits.Conns\/4 \{/if quarters == 0 {/'
 mutant "unread answers take places" evict evict.go 's/if budget.phases\[Serving\] >= quarters/if budget.phases[Serving]+budget.phases[Answering] >= quarters/'
 mutant "failed requests take all places" evict evict.go 's/quarters = 1/quarters = 2/'
 mutant "idle connections without a share" evict evict.go 's/len\(idle\) > budget.limits.Conns\/shareDivisor/len(idle) > 0/'
 mutant "served request ended" evict evict.go 's/conn.bytes > 0 && \(conn.phase == Receiving \|\| conn.phase == Answering\)/conn.bytes > 0/'
 mutant "smallest request ended" evict evict.go 's/cmp.Compare\(bits.Len64\(uint64\(b.bytes\)\), bits.Len64\(uint64\(a.bytes\)\)\)/cmp.Compare(a.bytes, b.bytes)/'
 mutant "no reserve for small requests" evict evict.go 's/budget.limits.Bytes - budget.limits.Bytes\/reserveDivisor/budget.limits.Bytes/'
-mutant "bytes kept between requests" evict evict.go 's/\tif phase == Idle \{\n\t\tbudget.Release\(conn, conn.bytes\)\n\t\}\n//'
+mutant "bytes kept between requests" evict evict.go 's/\t\tconn.ended\+\+\n\t\tbudget.Release\(conn, conn.bytes\)/\t\tconn.ended++/'
 mutant_of poplarpind "head of any size" conns conn.go 's/conn.head.bytes > guard.options.Requests\(\).HeadBytes\+requestLineBytes/false/' TestRequestLimits
 mutant_of poplarpind "body counts as head" conns conn.go 's/\t\tconn.head.complete = true\n\t\tguard/\t\tguard/' TestRequestLimits
 mutant_of poplarpind "refusal without an answer" conns conn.go 's/^\tconn.writeRefusal\(kind\)\n\tif kind == HeadTooLarge/\tif kind == HeadTooLarge/m' TestRequestLimits
