A client whose body is refused has a second to read that

A handler that answers before it has read the body of its request, to a client that reads nothing, stayed in its write for good once its connection gave way, and was not counted any more. Found by reading; no run showed it.

--- a/poplarpind/conns/guard.go
+++ b/poplarpind/conns/guard.go
@@ -22,10 +22,11 @@
 	maxSweepDelay = 3 * time.Second  // after a longer time between two sweeps the process has stood still
 	writeTimeout  = 30 * time.Second // a client must take this long at most to read writeBytes of an answer
 	writeBytes    = 64 << 10
+	refusalTime   = time.Second // a client takes this long at most to read that its body is refused
 	// The kernel holds up to twice these sizes, of what a client has sent and this process has not read, and of what it has not acknowledged.
 	receiveBufferBytes = 16 << 10
 	sendBufferBytes    = 32 << 10
-	// ConnBytes is what a connection without a request holds: the goroutine and buffers of net/http, and the socket.
+	// ConnBytes is what a connection without a request holds: the goroutine and buffers of net/http, and the socket's receive buffer.
 	ConnBytes = 40 << 10
 	// SecuredConnBytes is the same for a connection with TLS.
 	SecuredConnBytes = 80 << 10
@@ -219,6 +220,7 @@
 	switch {
 	case ending.phase == evict.Receiving && !ending.inHead:
 		_ = ending.conn.Conn.SetReadDeadline(past)
+		_ = ending.conn.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
 	case ending.phase == evict.Receiving:
 		if ending.headBytes > 0 {
 			ending.conn.writeRefusal(ending.kind)
