--- a/core/evict/evict.go
+++ b/core/evict/evict.go
@@ -13,7 +13,7 @@
 	reserveDivisor = 4        // of the bytes, for requests that are not large
 )
 
-// Phase is what a connection is doing.
+// Phase is the activity of a connection.
 type Phase int
 
 // The phases. A connection begins in Receiving.
@@ -24,11 +24,11 @@
 	Idle                   // between two requests
 )
 
-// Limits bounds what all connections hold together.
+// Limits bounds the resources that all connections hold together.
 type Limits struct {
 	Conns     int
 	Bytes     int64
-	ConnBytes int64 // held by each connection, whatever it does
+	ConnBytes int64 // held by each connection, also an idle one
 }
 
 // Conn is one connection as a Budget knows it.
@@ -42,13 +42,13 @@
 	index   int   // in Budget.conns, -1 once it is closed
 }
 
-// Phase returns what the connection is doing.
+// Phase returns the activity of the connection.
 func (conn *Conn) Phase() Phase { return conn.phase }
 
 // Entered returns a number that changes whenever the connection enters a phase.
 func (conn *Conn) Entered() int64 { return conn.entered }
 
-// Bytes returns what the connection holds beside ConnBytes.
+// Bytes returns the memory that the connection holds beside ConnBytes.
 func (conn *Conn) Bytes() int64 { return conn.bytes }
 
 // Closed reports whether the connection is not counted any more, because it was closed or chosen to be.
@@ -57,7 +57,7 @@
 // isNewcomer reports whether no request of the connection has arrived yet, or none was answered with success.
 func (conn *Conn) isNewcomer() bool { return conn.phase == Receiving && conn.answers == 0 }
 
-// Budget knows the connections of one listener and what they hold. It is not safe for concurrent use.
+// Budget knows the connections of one listener and their memory. It is not safe for concurrent use.
 type Budget struct {
 	limits Limits
 	conns  []*Conn
@@ -69,7 +69,7 @@
 // New returns a budget without connections.
 func New(limits Limits) *Budget { return &Budget{limits: limits} }
 
-// Bytes returns what all connections hold.
+// Bytes returns the memory that all connections hold.
 func (budget *Budget) Bytes() int64 { return budget.bytes }
 
 // Len returns the number of connections.
@@ -88,7 +88,7 @@
 	return opened, ended
 }
 
-// Enter changes what a connection is doing. What its request held is released when it becomes idle.
+// Enter changes the phase of a connection. The memory of its request is released when it becomes idle.
 func (budget *Budget) Enter(conn *Conn, phase Phase) {
 	if conn.Closed() || conn.phase == phase {
 		return
@@ -122,7 +122,7 @@
 	return true
 }
 
-// Progress records that a connection goes on with what it is doing.
+// Progress records that a connection has made progress in its phase.
 func (budget *Budget) Progress(conn *Conn) {
 	budget.events++
 	conn.entered = budget.events
--- a/core/evict/evict_test.go
+++ b/core/evict/evict_test.go
@@ -172,7 +172,7 @@
 	return found
 }
 
-// TestBudget checks random histories: the limits hold after each step, no request that is served is ended, and what is held is the sum of all
+// TestBudget checks random histories: the limits hold after each step, no request that is served is ended, and the budget's bytes are the sum of all
 // connections.
 func TestBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/poplarpind/conns/conn.go
+++ b/poplarpind/conns/conn.go
@@ -147,7 +147,7 @@
 	return int64(len(data))*headFactor + int64(fields)*fieldBytes
 }
 
-// refuse answers a request whose head is refused and closes the connection. It takes what a client goes on sending in calm for a moment, as the client
+// refuse answers a request whose head is refused and closes the connection. It goes on reading for a moment if a head is too large, as the client
 // would not get to read the response otherwise.
 func (conn *Conn) refuse(kind Kind) {
 	conn.writeRefusal(kind)
@@ -176,7 +176,7 @@
 	})
 }
 
-// reset closes the connection and drops what the client has not read.
+// reset closes the connection and drops unread bytes of its answer.
 func (conn *Conn) reset() {
 	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only on a closed connection
--- a/poplarpind/conns/doc.go
+++ b/poplarpind/conns/doc.go
@@ -1,2 +1,2 @@
-// Package conns bounds what the connections of HTTP servers hold together, and ends them in a planned stop without dropping a request that was read.
+// Package conns bounds the resources that connections of HTTP servers hold together, and ends them in a planned stop without dropping a request that was read.
 package conns
--- a/poplarpind/conns/guard.go
+++ b/poplarpind/conns/guard.go
@@ -23,10 +23,10 @@
 	writeTimeout  = 30 * time.Second // a client must take this long at most to read writeBytes of an answer
 	writeBytes    = 64 << 10
 	refusalTime   = time.Second // a client takes this long at most to read that its body is refused
-	// The kernel holds up to twice these sizes, of what a client has sent and this process has not read, and of what it has not acknowledged.
+	// Sizes of a socket's buffers, for bytes that this process has not read and for bytes that the client has not acknowledged. The kernel may double them.
 	receiveBufferBytes = 16 << 10
 	sendBufferBytes    = 32 << 10
-	// ConnBytes is what a connection without a request holds: the goroutine and buffers of net/http, and the socket's receive buffer.
+	// ConnBytes is the memory of a connection without a request: the goroutine and buffers of net/http, and the socket's receive buffer.
 	ConnBytes = 40 << 10
 	// SecuredConnBytes is the same for a connection with TLS.
 	SecuredConnBytes = 80 << 10
@@ -54,7 +54,7 @@
 	Log        *zap.Logger
 }
 
-// Guard bounds what all connections that a listener accepts hold together: their number, and the memory of their sockets, heads, bodies and answers.
+// Guard bounds the connections that a listener accepts: their number, and the memory of their sockets, heads, bodies and answers.
 type Guard struct {
 	options Options
 	mu      sync.Mutex // guards the fields below and the state of all connections
@@ -117,7 +117,7 @@
 	return conn
 }
 
-// Attach makes a server tell the guard what its connections are doing; it must be called before the server serves.
+// Attach makes a server report the state of its connections to the guard; it must be called before the server serves.
 func (guard *Guard) Attach(server *http.Server) {
 	server.Handler = guard.handler(server.Handler)
 	changed, withConn := server.ConnState, server.ConnContext
@@ -155,7 +155,7 @@
 	var endings []ending
 	guard.mu.Lock()
 	limits := guard.options.Requests()
-	paused := now.Sub(guard.sweptAt) > maxSweepDelay // the process may not have read what has arrived meanwhile
+	paused := now.Sub(guard.sweptAt) > maxSweepDelay // requests may have arrived meanwhile that the process has not read
 	guard.sweptAt = now
 	for entry, conn := range guard.conns {
 		if paused || conn.seenEntered != entry.Entered() {
--- a/poplarpind/conns/guard_test.go
+++ b/poplarpind/conns/guard_test.go
@@ -90,7 +90,7 @@
 
 func request(fields string) string { return "GET /x HTTP/1.1\r\nHost: h.example\r\n" + fields + "\r\n" }
 
-// TestRequestLimits guards against heads beyond the limits, and against limits that refuse what they allow.
+// TestRequestLimits guards against heads beyond the limits, and against the refusal of requests inside the limits.
 func TestRequestLimits(t *testing.T) {
 	t.Run("a head of the largest size, with many fields, and the request after it", func(t *testing.T) {
 		client := connect(t, serveGuarded(t, wide, nil))
--- a/poplarpind/crowd_test.go
+++ b/poplarpind/crowd_test.go
@@ -20,11 +20,11 @@
 // Crowds are clients that do not keep to the pages. Each of these tests starts a VM with the memory of the smallest one and few descriptors.
 const (
 	crowdMemoryMB = 160
-	crowdFDs      = 700  // of which 200 are for files
+	crowdFDs      = 700  // 200 of them are for files
 	manyClients   = 3500 // for crowds that use up memory although each client keeps to the limits
 	someClients   = 300
 	moreThanFDs   = 900
-	refusedPause  = 100 * time.Millisecond // of a caller that is not told when to come back
+	refusedPause  = 100 * time.Millisecond // of a caller after a response without Retry-After
 )
 
 // crowdVM is a VM beside which crowds are played.
@@ -48,7 +48,7 @@
 		slow := platformtest.NewTarget(t, id)
 		slow.SetHandler(func(writer http.ResponseWriter, request *http.Request) {
 			if strings.HasSuffix(request.URL.Path, "/large") {
-				writer.Header().Set("X-Server-Stamp", "stamp-"+id)
+				platformtest.Sign(writer, id)
 				_, _ = writer.Write(make([]byte, 1<<20))
 				return
 			}
@@ -209,7 +209,7 @@
 // TestCrowdPeers is TestCrowdHeads on the address for other VMs.
 func TestCrowdPeers(t *testing.T) { playCrowds(t, peersAddress, headCrowds("/debug/dump")) }
 
-// TestCrowdRequests guards against clients that use up a VM with what follows a head: bodies, bytes that are part of no request, answers.
+// TestCrowdRequests guards against clients that use up a VM after their heads have arrived, with bodies, bytes that are part of no request, answers.
 func TestCrowdRequests(t *testing.T) {
 	slow := func(client *platformtest.CrowdClient, fields string) bool {
 		return client.Send(platformtest.RequestHead(http.MethodGet, "/slow/x", client.Number) + fields + "\r\n")
--- a/poplarpind/gateway/listeners.go
+++ b/poplarpind/gateway/listeners.go
@@ -18,7 +18,7 @@
 	defaultHeaderTime  = 10 * time.Second // the same for the time in which it must arrive
 	readTimeout        = 10 * time.Second // the load balancer and other VMs send a request within this time
 	clientsShare       = 0.3              // connections of clients and their requests have this part of the VM's memory
-	connsShare         = 0.5              // of the memory of a listener's connections; what these hold without requests
+	connsShare         = 0.5              // of the memory of a listener's connections; for connections without a request
 	clientsSocketShare = 0.4              // connections of clients have this part of the descriptors for sockets; targets, store and links have the rest
 	bodyFactor         = 2                // a body is read into a buffer that doubles
 )
--- a/poplarpind/logging/logging.go
+++ b/poplarpind/logging/logging.go
@@ -17,7 +17,7 @@
 	maxBufferedBytes  = 1 << 20                // lines beyond are dropped and counted
 	samplerFirst      = 200                    // lines with the same message that are kept in each second
 	samplerThereafter = 10                     // beyond samplerFirst, one line in this many is kept
-	maxDetailBytes    = 1 << 10                // of what an HTTP server reports, which may have a stack
+	maxDetailBytes    = 1 << 10                // of a line of an HTTP server, in which there may be a stack
 	flushInterval     = 200 * time.Millisecond // lines are written to the output this often
 )
 
@@ -115,7 +115,7 @@
 // OfServer returns the log of an HTTP server. All its lines have the same message, so that the logger bounds them.
 func OfServer(log *zap.Logger) *stdlog.Logger { return stdlog.New(serverLog{log}, "", 0) }
 
-// serverLog writes what an HTTP server reports of its connections, whose text has the client's address.
+// serverLog writes the lines of an HTTP server on its connections. Their text differs by the client's address.
 type serverLog struct{ log *zap.Logger }
 
 // Write implements io.Writer.
--- a/poplarpind/servers.go
+++ b/poplarpind/servers.go
@@ -22,7 +22,7 @@
 	headBytes         = 64 << 10 // limit on a request line and its header fields
 	jsonFactor        = 3        // bytes of memory that a byte of a JSON body takes up
 	memoryLimitShare  = 0.75     // the soft limit of the Go runtime is this part of the process's memory, beyond which garbage is collected more often
-	connShare         = 0.5      // of the memory of a listener's connections; what these hold without requests
+	connShare         = 0.5      // of the memory of a listener's connections; for connections without a request
 	callersShare      = 0.2      // connections of callers have this part of the memory
 	operatorsShare    = 0.2
 	linksShare        = 0.08 // links whose other end has not said who it is
