--- a/poplarpind/crowd_test.go
+++ b/poplarpind/crowd_test.go
@@ -222,6 +222,10 @@
 		{"complete heads of a gather", manyClients, enoughFDs, func(client *platformtest.CrowdClient) {
 			client.Send(platformtest.RequestHead(http.MethodGet, "/g/x", client.Number) + platformtest.Fields(limitBytes) + "\r\n")
 		}},
+		{"complete heads of one field", manyClients, enoughFDs, func(client *platformtest.CrowdClient) {
+			client.Send(platformtest.RequestHead(http.MethodGet, "/g/x", client.Number) + "X-Long: " + strings.Repeat("y", limitBytes) + "\r\n\r\n")
+		}},
+		{"heads below the limit of large requests", manyClients, enoughFDs, func(client *platformtest.CrowdClient) { slow(client, platformtest.Fields(2<<10)) }},
 		{"waiting requests", moreThanFDs, crowdFDs, func(client *platformtest.CrowdClient) { slow(client, "") }},
 		{"bytes behind a request", someClients, enoughFDs, func(client *platformtest.CrowdClient) {
 			slow(client, "")
@@ -291,6 +295,29 @@
 	})
 }
 
+// TestCrowdEverywhere guards against crowds that each listener bears, and that are too much together.
+func TestCrowdEverywhere(t *testing.T) {
+	vm := startCrowdVM(t, build(t), enoughFDs)
+	var crowds []*platformtest.Crowd
+	for path, address := range map[string]string{"/slow/x": vm.Clients, platformtest.ReadyPath: vm.Ready, "/debug/dump": vm.Peers} {
+		crowds = append(crowds, platformtest.StartCrowd(t, address, someClients, func(client *platformtest.CrowdClient) {
+			client.Send(platformtest.RequestHead(http.MethodPost, path, client.Number) + platformtest.Fields(limitBytes) + "Content-Length: 262144\r\n\r\n")
+			client.Repeat("x", bodyBytes)
+		}))
+	}
+	crowds = append(crowds, platformtest.StartCrowd(t, linksAddress(vm.Addresses), someClients, func(client *platformtest.CrowdClient) {
+		client.Send("\xa0\x1f" + strings.Repeat("x", 3900))
+	}))
+	defer func() {
+		for _, crowd := range crowds {
+			crowd.Stop()
+		}
+	}()
+	vm.assertBears(t, vm.Clients, manyClients, func(client *platformtest.CrowdClient) {
+		client.Send(platformtest.RequestHead(http.MethodGet, "/slow/x", client.Number) + platformtest.Fields(limitBytes) + "\r\n")
+	})
+}
+
 // TestCrowdOfOne guards against limits that refuse a single client which keeps to the configuration's.
 func TestCrowdOfOne(t *testing.T) {
 	vm := startCrowdVM(t, build(t), crowdFDs)
