An ordinary caller on an open connection comes back when the VM is overloaded

Traced by the text of the answer: "not run: servers are overloaded", from admission. The crowd sends ordinary requests by the thousand, which is demand beyond the targets' slots, and a refusal with the time to come back is allowed.

--- a/poplarpind/crowd_test.go
+++ b/poplarpind/crowd_test.go
@@ -72,17 +72,37 @@
 	return vm
 }
 
-// assertOpenConnectionServes sends an ordinary request on the open connection of an ordinary caller.
+// assertOpenConnectionServes sends an ordinary request on the open connection of an ordinary caller, who comes back on it when the VM is overloaded: the
+// requests of some crowds are ordinary ones, too.
 func (vm *crowdVM) assertOpenConnectionServes(t *testing.T) {
 	t.Helper()
-	request := platformtest.NewRequest(t, http.MethodGet, vm.url+"/g/x", nil)
-	assert.NilError(t, vm.open.SetDeadline(time.Now().Add(startTimeout)))
-	assert.NilError(t, request.Write(vm.open))
-	response, err := http.ReadResponse(vm.openReader, request)
-	assert.NilError(t, err, "open connection")
-	_, err = vm.openReader.Discard(int(response.ContentLength))
-	assert.NilError(t, err)
-	assert.Equal(t, response.StatusCode, http.StatusOK)
+	var failure string
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); {
+		request := platformtest.NewRequest(t, http.MethodGet, vm.url+"/g/x", nil)
+		assert.NilError(t, vm.open.SetDeadline(deadline))
+		assert.NilError(t, request.Write(vm.open))
+		response, err := http.ReadResponse(vm.openReader, request)
+		assert.NilError(t, err, "open connection")
+		text := make([]byte, response.ContentLength)
+		_, err = io.ReadFull(vm.openReader, text)
+		assert.NilError(t, err)
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+		failure = response.Status + " " + string(text)
+		assert.Assert(t, strings.Contains(failure, "not run: servers are overloaded"), failure)
+		time.Sleep(retryAfter(response))
+	}
+	t.Fatal("an ordinary request on an open connection: ", failure)
+}
+
+// retryAfter returns when a caller comes back after a response.
+func retryAfter(response *http.Response) time.Duration {
+	pause, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if err != nil {
+		return refusedPause
+	}
+	return time.Duration(pause * float64(time.Second))
 }
 
 // assertNewConnectionServes sends an ordinary request on new connections, as a caller does who comes back when it is told to.
@@ -103,11 +123,7 @@
 			return
 		}
 		failure = response.Status + " " + string(text)
-		pause, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
-		if err != nil {
-			pause = refusedPause.Seconds()
-		}
-		time.Sleep(time.Duration(pause * float64(time.Second)))
+		time.Sleep(retryAfter(response))
 	}
 	t.Fatal("an ordinary request on a new connection to ", url, ": ", failure)
 }
