Large requests and crowds that come back leave memory to callers who were there before

1,200 clients that send complete heads of 31 KB to a slow service and come back as soon as their connection ends: an ordinary request on an open connection was refused with "the requests of other clients leave no room". Cause: large requests might take three quarters of the memory that was free while few connections were open, and the other connections took the reserve; besides, each call of an ordinary request counted 1 KB. Now the memory of all connections is set aside, requests above 8 KB leave a quarter of the rest, and those of connections without a success another quarter; only copies of requests above 2 KB count. Clients whose head is too large are read on 16 at a time and up to 256 KB, no longer all of them up to 1 MB.

--- a/core/evict/evict.go
+++ b/core/evict/evict.go
@@ -7,10 +7,9 @@
 )
 
 const (
-	shareDivisor   = 4        // connections without an answered request, and idle ones, have this fraction of all places each
-	batchDivisor   = 32       // at the limit, room for this fraction of it is made at once, so that connections are seldom sorted
-	largeBytes     = 64 << 10 // a request that holds more leaves a reserve to the smaller ones
-	reserveDivisor = 4        // of the bytes, for requests that are not large
+	shareDivisor = 4       // connections without an answered request, and idle ones, have this fraction of all places each
+	batchDivisor = 32      // at the limit, room for this fraction of it is made at once, so that connections are seldom sorted
+	largeBytes   = 8 << 10 // a request that holds more leaves a reserve to the smaller ones
 )
 
 // Phase is the activity of a connection.
@@ -61,7 +60,7 @@
 type Budget struct {
 	limits Limits
 	conns  []*Conn
-	bytes  int64 // of all connections, with ConnBytes
+	bytes  int64 // of all requests and answers
 	phases [Idle + 1]int
 	events int64
 }
@@ -70,7 +69,9 @@
 func New(limits Limits) *Budget { return &Budget{limits: limits} }
 
 // Bytes returns the memory that all connections hold.
-func (budget *Budget) Bytes() int64 { return budget.bytes }
+func (budget *Budget) Bytes() int64 {
+	return budget.bytes + int64(len(budget.conns))*budget.limits.ConnBytes
+}
 
 // Len returns the number of connections.
 func (budget *Budget) Len() int { return len(budget.conns) }
@@ -80,7 +81,6 @@
 	budget.events++
 	opened = &Conn{opened: budget.events, entered: budget.events, index: len(budget.conns)}
 	budget.conns = append(budget.conns, opened)
-	budget.bytes += budget.limits.ConnBytes
 	budget.phases[Receiving]++
 	if len(budget.conns) > budget.limits.Conns {
 		ended = budget.endConns()
@@ -145,7 +145,7 @@
 	if conn.Closed() {
 		return
 	}
-	budget.bytes -= conn.bytes + budget.limits.ConnBytes
+	budget.bytes -= conn.bytes
 	budget.phases[conn.phase]--
 	last := budget.conns[len(budget.conns)-1]
 	budget.conns[conn.index], last.index = last, conn.index
@@ -180,12 +180,17 @@
 	return ended, false
 }
 
-// limitFor returns the limit on the bytes of all connections when one of them wants to hold more: large requests leave a reserve to the others.
+// limitFor returns the limit on the bytes of all requests when one of them wants to hold more: large requests leave a quarter of it to the others, and
+// connections without a success so far leave a quarter to those that were served before.
 func (budget *Budget) limitFor(conn *Conn) int64 {
+	quarters := int64(4)
 	if conn.bytes > largeBytes {
-		return budget.limits.Bytes - budget.limits.Bytes/reserveDivisor
+		quarters--
+	}
+	if conn.answers == 0 {
+		quarters--
 	}
-	return budget.limits.Bytes
+	return (budget.limits.Bytes - int64(budget.limits.Conns)*budget.limits.ConnBytes) * quarters / 4
 }
 
 // endLargest ends connections until the others hold at most a number of bytes: those with most bytes first, except those that are being served. Among
--- a/poplarpind/conns/conn.go
+++ b/poplarpind/conns/conn.go
@@ -21,7 +21,8 @@
 	requestLineBytes = 4 << 10                // a request line may take up this much beside the limit on header fields
 	maxHeadBytes     = 64 << 20               // limit of net/http, which is above that of any listener
 	lingerTime       = 500 * time.Millisecond // a client whose head is refused may go on sending for this time, so that it gets to read the response
-	lingerBytes      = 1 << 20
+	lingerBytes      = 256 << 10
+	maxLingering     = 16      // connections that do so; others are closed at once, as reading them takes up processor time
 	unchargedBytes   = 4 << 10 // a write up to this size is not counted as memory
 )
 
@@ -151,11 +152,14 @@
 // would not get to read the response otherwise.
 func (conn *Conn) refuse(kind Kind) {
 	conn.writeRefusal(kind)
-	if kind == HeadTooLarge {
+	if kind == HeadTooLarge && conn.guard.lingering.Add(1) <= maxLingering {
 		_ = conn.CloseWrite()
 		_ = conn.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.CopyN(io.Discard, conn.Conn, lingerBytes)
 	}
+	if kind == HeadTooLarge {
+		conn.guard.lingering.Add(-1)
+	}
 	_ = conn.Close()
 }
 
--- a/poplarpind/conns/guard.go
+++ b/poplarpind/conns/guard.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,12 +57,13 @@
 
 // Guard bounds the connections that a listener accepts: their number, and the memory of their sockets, heads, bodies and answers.
 type Guard struct {
-	options Options
-	mu      sync.Mutex // guards the fields below and the state of all connections
-	budget  *evict.Budget
-	conns   map[*evict.Conn]*Conn
-	closed  map[Kind]int // connections since the last sweep
-	sweptAt time.Time
+	options   Options
+	lingering atomic.Int64
+	mu        sync.Mutex // guards the fields below and the state of all connections
+	budget    *evict.Budget
+	conns     map[*evict.Conn]*Conn
+	closed    map[Kind]int // connections since the last sweep
+	sweptAt   time.Time
 }
 
 // New returns a guard without connections.
--- a/poplarpind/gateway/serve.go
+++ b/poplarpind/gateway/serve.go
@@ -23,7 +23,8 @@
 	falsePromiseReason       = "the target's status promises that the request has not run, but the target does not say so"
 	noRoomRetry              = 100 * time.Millisecond // retry delay for clients whose request has no room here, while other VMs may have some
 	noRoomReason             = "the requests of other clients leave no room"
-	callBytes                = 1 << 10 // memory of a call besides its request
+	shortRequest             = 2 << 10 // bytes of a request whose copies do not count
+	maxWrites                = 16      // calls of a long request that are being written at a time, about
 	pausedReason             = "the request may have waited past its time"
 	idempotentDialTimeout    = 100 * time.Millisecond // many round trips between regions; the kernel repeats a lost first packet after a second only
 	nonIdempotentDialTimeout = 250 * time.Millisecond // short, so that the request can still run on another target
@@ -118,13 +119,17 @@
 	}
 }
 
-// callMemory returns the memory that the calls for a request take up while they are made.
+// callMemory returns the memory that copies of a long request take up while its calls are written.
 func callMemory(request *platform.Request, matched *route.Route) int64 {
+	bytes := len(request.Head()) + len(request.Body)
+	if bytes <= shortRequest {
+		return 0
+	}
 	calls := 1
 	if gather, ok := matched.Destination.(route.Gather); ok {
-		calls = len(gather.Shards)
+		calls = min(len(gather.Shards), maxWrites)
 	}
-	return int64(calls) * int64(len(request.Head())+len(request.Body)+callBytes)
+	return int64(calls) * int64(bytes)
 }
 
 // mayBeLate reports whether a client may have given up a request that is not idempotent, and sent it to another VM as a new one, while it
